--- /dev/null
+++ b/config/split_test.go
@@ -0,0 +1,103 @@
+package config
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// targetOrganisations is the number that a configuration must hold.
+	targetOrganisations = 3_400
+	// valueLimit is the largest value of the key-value service, in bytes.
+	valueLimit = 1 << 20
+)
+
+func TestSplitAndJoin(t *testing.T) {
+	for _, organisations := range []int{0, 1, 16, targetOrganisations} {
+		g := NewWithT(t)
+		cfg, err := large(organisations).Build()
+		g.Expect(err).NotTo(HaveOccurred())
+		parts, err := cfg.Split()
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, part := range parts {
+			g.Expect(len(part.Data)).To(BeNumerically("<", valueLimit/8))
+		}
+		joined, err := Join(parts)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(mustPrint(t, joined)).To(Equal(mustPrint(t, cfg)))
+	}
+}
+
+func TestOneChangeChangesOnePart(t *testing.T) {
+	g := NewWithT(t)
+	cfg, err := large(targetOrganisations).Build()
+	g.Expect(err).NotTo(HaveOccurred())
+	before, err := cfg.Split()
+	g.Expect(err).NotTo(HaveOccurred())
+	known := map[string]bool{}
+	for _, part := range before {
+		known[part.Digest] = true
+	}
+	cfg.Organisations[17].Share++
+	after, err := cfg.Split()
+	g.Expect(err).NotTo(HaveOccurred())
+	changed := 0
+	for _, part := range after {
+		if !known[part.Digest] {
+			changed++
+		}
+	}
+	g.Expect(changed).To(Equal(1))
+}
+
+func TestJoinRefusesDamagedParts(t *testing.T) {
+	g := NewWithT(t)
+	parts, err := sample().cfg.Split()
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = Join(parts[:1])
+	g.Expect(err).NotTo(HaveOccurred(), "a fleet without organisations is valid")
+	_, err = Join(parts[1:])
+	g.Expect(err).To(HaveOccurred(), "organisations without their services")
+	parts[1].Data = append(parts[1].Data, '\n')
+	_, err = Join(parts)
+	g.Expect(err).To(MatchError(ContainSubstring("does not have the digest")))
+}
+
+func BenchmarkParse(b *testing.B) {
+	text := mustPrint(b, &large(targetOrganisations).cfg)
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		if _, err := Parse(text); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkPrint(b *testing.B) {
+	cfg := &large(targetOrganisations).cfg
+	for b.Loop() {
+		b.SetBytes(int64(len(mustPrint(b, cfg))))
+	}
+}
+
+func BenchmarkJoin(b *testing.B) {
+	parts, err := large(targetOrganisations).cfg.Split()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := Join(parts); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkIndex(b *testing.B) {
+	cfg := &large(targetOrganisations).cfg
+	for b.Loop() {
+		if _, err := NewIndex(cfg); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
