Store the configuration: parts first, one compare-and-swap accepts

Cause: an accepted configuration must never revert, two operators may race, an answer may be lost, and values stay below the service's limit.

Ruled out: the list of parts and the history inside the head, since every router reads the head again and again (they stand in a manifest named by its content); deleting unneeded parts straight away (a rival that found such a part in place would be left without it: parts are condemned with their modify index in the accepted manifest, and a submission rewrites a condemned part before use).

--- /dev/null
+++ b/internal/configstore/fake_test.go
@@ -0,0 +1,140 @@
+package configstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// fault is what goes wrong with one call of the fake store.
+type fault int
+
+const (
+	// unavailable: the call is not carried out.
+	unavailable fault = iota + 1
+	// lostBefore: no answer, and the call has no effect.
+	lostBefore
+	// lostAfter: no answer, but the call has its effect.
+	lostAfter
+	// late: no answer, and the call has its effect just before the next call.
+	late
+)
+
+// call names a kind of call to the fake store.
+type call struct {
+	op string
+	// key is "head", "part" or "" for List.
+	key string
+}
+
+// fakeStore is a key-value service in memory. Faults are taken from lists by
+// kind of call; between runs before each call.
+type fakeStore struct {
+	platform.Store
+	entries map[string]platform.Entry
+	index   uint64
+	faults  map[call][]fault
+	pending func()
+	between func(call)
+	calls   map[call]int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		entries: map[string]platform.Entry{},
+		faults:  map[call][]fault{},
+		calls:   map[call]int{},
+	}
+}
+
+// begin accounts for a call and returns its fault, if any.
+func (f *fakeStore) begin(op, key string) fault {
+	c := call{op, "part"}
+	if key == HeadKey {
+		c.key = "head"
+	}
+	f.calls[c]++
+	if late := f.pending; late != nil {
+		f.pending = nil
+		late()
+	}
+	if hook := f.between; hook != nil {
+		hook(c)
+	}
+	list := f.faults[c]
+	if len(list) == 0 {
+		return 0
+	}
+	f.faults[c] = list[1:]
+	return list[0]
+}
+
+// write carries out a write under the next fault.
+func (f *fakeStore) write(op, key string, effect func() bool) (bool, error) {
+	switch f.begin(op, key) {
+	case unavailable:
+		return false, platform.ErrUnavailable
+	case lostBefore:
+		return false, platform.ErrUnknown
+	case lostAfter:
+		effect()
+		return false, platform.ErrUnknown
+	case late:
+		f.pending = func() { effect() }
+		return false, platform.ErrUnknown
+	}
+	return effect(), nil
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	if f.begin("get", key) != 0 {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	entry, ok := f.entries[key]
+	if !ok {
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return entry, nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Entry, error) {
+	return f.Get(ctx, key)
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) ([]platform.Entry, error) {
+	if f.begin("list", prefix) != 0 {
+		return nil, platform.ErrUnavailable
+	}
+	var out []platform.Entry
+	for key, entry := range f.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, entry)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, nil
+}
+
+func (f *fakeStore) CAS(_ context.Context, key string, value []byte, index uint64) (bool, error) {
+	return f.write("cas", key, func() bool {
+		if f.entries[key].Index != index {
+			return false
+		}
+		f.index++
+		f.entries[key] = platform.Entry{Key: key, Value: value, Index: f.index}
+		return true
+	})
+}
+
+func (f *fakeStore) Delete(_ context.Context, key string, index uint64) (bool, error) {
+	return f.write("delete", key, func() bool {
+		if f.entries[key].Index != index {
+			return false
+		}
+		delete(f.entries, key)
+		return true
+	})
+}
--- /dev/null
+++ b/internal/configstore/parts.go
@@ -0,0 +1,86 @@
+package configstore
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// listParts reads the stored parts and manifests by digest.
+func (s *submitter) listParts() (map[string]platform.Entry, error) {
+	entries, err := s.store.List(s.ctx, PartPrefix)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return nil, errors.Wrap(err, "list the parts of the configuration")
+	}
+	stored := make(map[string]platform.Entry, len(entries))
+	for _, entry := range entries {
+		stored[strings.TrimPrefix(entry.Key, PartPrefix)] = entry
+	}
+	return stored, nil
+}
+
+// writeParts makes sure that all parts stand and that no pending delete can
+// remove them.
+func (s *submitter) writeParts(parts []config.Part, now current, stored map[string]platform.Entry) error {
+	for _, part := range parts {
+		if err := s.writePart(part, now, stored[part.Digest]); err != nil {
+			return errors.Wrapf(err, "write part %s", part.Digest)
+		}
+	}
+	return nil
+}
+
+// writePart writes one part, unless it stands already; entry is what is known
+// to be stored.
+func (s *submitter) writePart(part config.Part, now current, entry platform.Entry) error {
+	var lastErr error
+	for range writeTries {
+		if stands(part, now, entry) {
+			return nil
+		}
+		ok, err := s.store.CAS(s.ctx, PartPrefix+part.Digest, part.Data, entry.Index)
+		if ok && err == nil {
+			return nil
+		}
+		if errors.Is(err, platform.ErrTooLarge) {
+			return err
+		}
+		if err != nil {
+			lastErr = err
+			s.pause(s.ctx, writePause)
+		}
+		latest, err := s.store.Get(s.ctx, PartPrefix+part.Digest)
+		switch {
+		case err == nil:
+			entry = latest
+		case errors.Is(err, platform.ErrNotFound):
+			entry = platform.Entry{}
+		default:
+			lastErr = err
+		}
+	}
+	if lastErr == nil {
+		lastErr = errors.New("other writers were faster")
+	}
+	return lastErr
+}
+
+// stands tells whether a stored part may be relied on: it has the right content
+// and no delete may be under way.
+func stands(part config.Part, now current, entry platform.Entry) bool {
+	if entry.Index == 0 || !bytes.Equal(entry.Value, part.Data) {
+		return false
+	}
+	index, condemned := now.condemned(part.Digest)
+	return !condemned || index != entry.Index
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/configstore/read_test.go
@@ -0,0 +1,107 @@
+package configstore
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+func TestReaderReadsOnlyWhatIsNew(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	store := newFakeStore()
+	reader := NewReader(store)
+	none, err := reader.Read(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(none.Generation).To(BeZero())
+
+	_, err = submit(store, 10, 0, "first")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = reader.Read(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	part := call{"get", "part"}
+	store.calls[part] = 0
+	_, err = reader.Read(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(store.calls[part]).To(BeZero())
+
+	_, err = submit(store, 20, 1, "second")
+	g.Expect(err).NotTo(HaveOccurred())
+	store.calls[part] = 0
+	head, err := reader.Watch(ctx, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(head.Generation).To(Equal(uint64(2)))
+	g.Expect(store.calls[part]).To(Equal(2), "the manifest and the changed part")
+}
+
+func TestReadDuringOutage(t *testing.T) {
+	g := NewWithT(t)
+	store := newFakeStore()
+	store.faults[call{"get", "head"}] = []fault{unavailable}
+	_, err := Load(context.Background(), store)
+	g.Expect(err).To(MatchError(platform.ErrUnavailable))
+}
+
+func TestReadStartsAgainWhenPartsVanish(t *testing.T) {
+	g := NewWithT(t)
+	store := newFakeStore()
+	_, err := submit(store, 10, 0, "first")
+	g.Expect(err).NotTo(HaveOccurred())
+	store.between = func(c call) {
+		if c != (call{"get", "part"}) {
+			return
+		}
+		store.between = nil
+		for i := range 6 {
+			_, err := submit(store, 11+i, uint64(i+1), string(rune('a'+i)))
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	generation, share := inForce(t, store)
+	g.Expect(generation).To(Equal(uint64(7)))
+	g.Expect(share).To(Equal(16))
+}
+
+func TestDecodeChecksWhatAPeerSent(t *testing.T) {
+	store := newFakeStore()
+	if _, err := submit(store, 10, 0, "first"); err != nil {
+		t.Fatal(err)
+	}
+	head, err := Load(context.Background(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	damaged := append([]byte(nil), head.Parts[1]...)
+	damaged[0] ^= 1
+	tests := []struct {
+		name  string
+		head  []byte
+		parts [][]byte
+		want  string
+	}{
+		{"whole", head.Head, head.Parts, ""},
+		{"no head", nil, head.Parts, "head of the configuration"},
+		{"unknown field in the head", []byte(`{"generation":1,"manifest":"a","more":1}`), head.Parts, "unknown field"},
+		{"generation 0", []byte(`{"manifest":"a"}`), head.Parts, "no generation"},
+		{"no manifest", head.Head, head.Parts[1:], "the manifest is missing"},
+		{"part missing", head.Head, head.Parts[:2], "is missing"},
+		{"part damaged", head.Head, [][]byte{head.Parts[0], damaged, head.Parts[2]}, "is missing"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			decoded, err := Decode(test.head, test.parts)
+			if test.want != "" {
+				g.Expect(err).To(MatchError(ContainSubstring(test.want)))
+				return
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(decoded.Config).To(Equal(head.Config))
+		})
+	}
+}
