Send to upstreams over net/http, one connection per request

Cause: the thin whole path needs a client that streams an OpenAI-style answer and a plain answer. Ruled out: relying on a body without GetBody alone, since a bodiless request stays replayable for the transport; hence a guard that lends a request one connection and seals any second one before a byte goes out. Streams are put in order by id and offset and end only with their end mark.

--- /dev/null
+++ b/internal/sse/event.go
@@ -0,0 +1,85 @@
+package sse
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// The default bounds of a Reader, in bytes.
+const (
+	MaxLine  = 256 << 10
+	MaxEvent = 1 << 20
+)
+
+// The errors of this package. Callers compare with errors.Is.
+var (
+	// ErrLineTooLong: a line is longer than the reader's bound.
+	ErrLineTooLong = errors.New("sse: line too long")
+	// ErrEventTooLarge: an event's data is larger than the reader's bound.
+	ErrEventTooLarge = errors.New("sse: event too large")
+	// ErrTruncated: the stream ended inside an event or a line.
+	ErrTruncated = errors.New("sse: stream ended inside an event")
+	// ErrField: an id or a name cannot be written on one line.
+	ErrField = errors.New("sse: line break or NUL in a field")
+)
+
+// Event is one event of a stream.
+type Event struct {
+	// ID is the id field of this very event, empty if it has none.
+	ID string
+	// Name is the event field, empty for the default type.
+	Name string
+	// Data is the data field; its lines are joined by LF.
+	Data []byte
+}
+
+// Append adds the event in its written form to dst. Line breaks in Data split
+// it over several data fields; CR and CRLF come back as LF.
+func Append(dst []byte, e Event) ([]byte, error) {
+	if strings.ContainsAny(e.ID, "\r\n\x00") || strings.ContainsAny(e.Name, "\r\n\x00") {
+		return dst, ErrField
+	}
+	if e.ID != "" {
+		dst = append(dst, "id: "...)
+		dst = append(dst, e.ID...)
+		dst = append(dst, '\n')
+	}
+	if e.Name != "" {
+		dst = append(dst, "event: "...)
+		dst = append(dst, e.Name...)
+		dst = append(dst, '\n')
+	}
+	dst = appendData(dst, e.Data)
+	return append(dst, '\n'), nil
+}
+
+// appendData writes each line of data as a field of its own.
+func appendData(dst, data []byte) []byte {
+	dst = append(dst, "data: "...)
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '\r':
+			if i+1 < len(data) && data[i+1] == '\n' {
+				continue
+			}
+			dst = append(dst, "\ndata: "...)
+		case '\n':
+			dst = append(dst, "\ndata: "...)
+		default:
+			dst = append(dst, data[i])
+		}
+	}
+	return append(dst, '\n')
+}
+
+// AppendComment adds a comment line, which readers skip; it keeps a stream
+// from looking silent.
+func AppendComment(dst []byte, text string) ([]byte, error) {
+	if strings.ContainsAny(text, "\r\n\x00") {
+		return dst, ErrField
+	}
+	dst = append(dst, ": "...)
+	dst = append(dst, text...)
+	return append(dst, "\n\n"...), nil
+}
--- /dev/null
+++ b/internal/sse/reader.go
@@ -0,0 +1,158 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// readBuffer is the size of a Reader's input buffer, in bytes.
+const readBuffer = 4 << 10
+
+// byteOrderMark may stand at the start of a stream and is skipped.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// Reader reads events from a stream. It holds at most one line and one event
+// in memory. It is not safe for concurrent use.
+type Reader struct {
+	in       *bufio.Reader
+	maxLine  int
+	maxEvent int
+	started  bool
+	// skipLF tells that the last line ended with CR, so that an LF that follows
+	// belongs to the same line end. Reading it at once could block.
+	skipLF bool
+	line   []byte
+	data   []byte
+	err    error
+}
+
+// NewReader reads with the default bounds.
+func NewReader(r io.Reader) *Reader { return NewReaderSize(r, MaxLine, MaxEvent) }
+
+// NewReaderSize reads with bounds of its own, in bytes.
+func NewReaderSize(r io.Reader, maxLine, maxEvent int) *Reader {
+	return &Reader{in: bufio.NewReaderSize(r, readBuffer), maxLine: maxLine, maxEvent: maxEvent}
+}
+
+// Next returns the next event that has data. Its Data is valid until the
+// following call. The end of the stream between two events is io.EOF; after
+// any error the reader keeps returning it.
+func (r *Reader) Next() (Event, error) {
+	if r.err != nil {
+		return Event{}, r.err
+	}
+	e, err := r.next()
+	r.err = err
+	return e, err
+}
+
+// next reads lines up to the blank one that ends an event with data.
+func (r *Reader) next() (Event, error) {
+	var e Event
+	hasData, pending := false, false
+	r.data = r.data[:0]
+	for {
+		line, err := r.readLine()
+		if err == io.EOF && (pending || len(line) > 0) {
+			return Event{}, ErrTruncated
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			if hasData {
+				e.Data = r.data[:len(r.data)-1]
+				return e, nil
+			}
+			e, pending = Event{}, false
+			continue
+		}
+		name, value, isField := splitField(line)
+		if !isField {
+			continue
+		}
+		pending = true
+		switch name {
+		case "data":
+			if len(r.data)+len(value) > r.maxEvent {
+				return Event{}, ErrEventTooLarge
+			}
+			r.data = append(append(r.data, value...), '\n')
+			hasData = true
+		case "event":
+			e.Name = string(value)
+		case "id":
+			if bytes.IndexByte(value, 0) < 0 {
+				e.ID = string(value)
+			}
+		}
+	}
+}
+
+// splitField parses a line that is not blank; false means a comment.
+func splitField(line []byte) (name string, value []byte, isField bool) {
+	colon := bytes.IndexByte(line, ':')
+	if colon == 0 {
+		return "", nil, false
+	}
+	if colon < 0 {
+		return string(line), nil, true
+	}
+	value = line[colon+1:]
+	if len(value) > 0 && value[0] == ' ' {
+		value = value[1:]
+	}
+	return string(line[:colon]), value, true
+}
+
+// readLine returns a line without its end. With io.EOF it returns what stood
+// after the last line end.
+func (r *Reader) readLine() ([]byte, error) {
+	if err := r.skipMark(); err != nil {
+		return nil, err
+	}
+	r.line = r.line[:0]
+	for {
+		b, err := r.in.ReadByte()
+		if err != nil {
+			return r.line, err
+		}
+		if b == '\n' && r.skipLF {
+			r.skipLF = false
+			continue
+		}
+		r.skipLF = b == '\r'
+		if b == '\n' || b == '\r' {
+			return r.line, nil
+		}
+		if len(r.line) >= r.maxLine {
+			return nil, ErrLineTooLong
+		}
+		r.line = append(r.line, b)
+	}
+}
+
+// skipMark drops a byte order mark at the start of the stream.
+func (r *Reader) skipMark() error {
+	if r.started {
+		return nil
+	}
+	first, err := r.in.Peek(1)
+	if err != nil {
+		return err
+	}
+	r.started = true
+	if first[0] != byteOrderMark[0] {
+		return nil
+	}
+	mark, err := r.in.Peek(len(byteOrderMark))
+	if err != nil && err != io.EOF {
+		return err
+	}
+	if bytes.Equal(mark, byteOrderMark) {
+		_, err = r.in.Discard(len(byteOrderMark))
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/answer.go
@@ -0,0 +1,144 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// drainWait bounds how long Close reads on after the end mark of a stream, so
+// that the connection can be used again.
+const drainWait = 50 * time.Millisecond
+
+// Chunk is a part of an answer.
+type Chunk struct {
+	// Data is to be forwarded as it is. It is valid until the following Next.
+	Data []byte
+	// Tokens is how many tokens Data holds, for model services.
+	Tokens int
+	// Offset is the stream's offset after this chunk, 0 outside streams.
+	Offset uint64
+	// End tells that the answer is proven whole with this chunk.
+	End bool
+	// Cost is the final cost in the service's unit, with End: tokens for model
+	// services, milliseconds for plain ones.
+	Cost uint64
+}
+
+// Answer is an upstream's answer whose header has arrived. It is not safe for
+// concurrent use, but for Close.
+type Answer struct {
+	Status int
+	// Header holds the end-to-end headers.
+	Header http.Header
+	// Leaving tells that the upstream said it is leaving.
+	Leaving bool
+
+	client   *Client
+	addr     string
+	resp     *http.Response
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	guard    *guard
+	watchdog *watchdog
+	started  time.Time
+	body     body
+	ended    atomic.Bool
+	failed   *Failure
+}
+
+// body cuts an answer's body into chunks; its errors are causes of a Failure.
+type body interface {
+	next() (Chunk, error)
+	// streamID names the stream, empty if there is none.
+	streamID() string
+}
+
+// StreamID names the stream that the answer is, empty if it is none or its
+// first chunk has not arrived.
+func (a *Answer) StreamID() string { return a.body.streamID() }
+
+// Next returns the next chunk. After a chunk with End or a failure there are no
+// more. When ctx ends the attempt fails as cancelled.
+func (a *Answer) Next(ctx context.Context) (Chunk, *Failure) {
+	if a.failed != nil {
+		return Chunk{}, a.failed
+	}
+	detach := context.AfterFunc(ctx, func() { a.cancel(errClosed) })
+	defer detach()
+	a.watchdog.start()
+	c, err := a.body.next()
+	a.watchdog.stop()
+	if err != nil {
+		a.failed = a.failure(err)
+		return Chunk{}, a.failed
+	}
+	if c.End {
+		a.ended.Store(true)
+	}
+	return c, nil
+}
+
+// failure classifies an error after the header.
+func (a *Answer) failure(err error) *Failure {
+	f := &Failure{Kind: failKind(err), Sent: true, Status: a.Status, Leaving: a.Leaving, Err: err}
+	if kind, ok := cancelledKind(a.ctx); ok {
+		f.Kind = kind
+	}
+	a.abandon()
+	a.client.distrust(a.addr, a.guard, f)
+	return f
+}
+
+// read reads the body and counts each piece as a sign of life.
+func (a *Answer) read(p []byte) (int, error) {
+	n, err := a.resp.Body.Read(p)
+	if n > 0 {
+		a.watchdog.start()
+	}
+	return n, err
+}
+
+// Close ends the answer. Before the end was proven it breaks the connection.
+func (a *Answer) Close() {
+	if a.ended.Load() && a.drained() {
+		a.resp.Body.Close()
+		a.guard.finish()
+		a.cancel(errClosed)
+		return
+	}
+	a.abandon()
+}
+
+// drained reads what may follow an end mark, for a bounded time.
+func (a *Answer) drained() bool {
+	timer := time.AfterFunc(drainWait, func() { a.cancel(errClosed) })
+	defer timer.Stop()
+	var rest [64]byte
+	n, err := a.resp.Body.Read(rest[:])
+	return n == 0 && err == io.EOF
+}
+
+// abandon breaks the connection.
+func (a *Answer) abandon() {
+	a.cancel(errClosed)
+	a.guard.abandon()
+	a.resp.Body.Close()
+}
+
+// serviceTime is how long the request has run, in milliseconds, at least 1.
+func (a *Answer) serviceTime() uint64 {
+	return max(1, uint64(time.Since(a.started).Milliseconds()))
+}
+
+// failKind maps an error of a body to a failure.
+func failKind(err error) core.Failure {
+	if isTruncation(err) {
+		return core.FailTruncated
+	}
+	return core.FailReset
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,212 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// Options bound what a Client holds and waits for.
+type Options struct {
+	// DialTimeout bounds the making of a connection.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept.
+	IdleTimeout time.Duration
+	// IdlePerUpstream and Idle bound the unused connections.
+	IdlePerUpstream int
+	Idle            int
+	// HeaderBytes bounds the header of an answer.
+	HeaderBytes int64
+}
+
+// DefaultOptions returns the options that a router runs with.
+func DefaultOptions() Options {
+	return Options{
+		DialTimeout:     time.Second,
+		IdleTimeout:     30 * time.Second,
+		IdlePerUpstream: 16,
+		Idle:            512,
+		HeaderBytes:     64 << 10,
+	}
+}
+
+// keepAlive is the interval of TCP keep-alive probes.
+const keepAlive = 15 * time.Second
+
+// Client sends requests to upstreams. It is safe for concurrent use.
+type Client struct {
+	pool *pool
+	// pooled reuses connections; fresh never does.
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	c := &Client{pool: newPool()}
+	c.pooled = newTransport(o, c.pool)
+	c.fresh = newTransport(o, c.pool)
+	c.fresh.DisableKeepAlives = true
+	return c
+}
+
+func newTransport(o Options, p *pool) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAlive}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		raw, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return p.add(addr, raw), nil
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxIdleConns:           o.Idle,
+		MaxIdleConnsPerHost:    o.IdlePerUpstream,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxResponseHeaderBytes: o.HeaderBytes,
+		Protocols:              protocols,
+	}
+}
+
+// Close gives up the idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Do sends the request exactly once, or not at all, and returns when the header
+// of the answer is there. Either the answer or the failure is nil. The caller
+// closes the answer; when ctx ends the attempt fails as cancelled.
+func (c *Client) Do(ctx context.Context, r *Request) (*Answer, *Failure) {
+	started := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	g := &guard{cancel: cancel}
+	req, err := newHTTPRequest(httptrace.WithClientTrace(ctx, g.trace()), r)
+	if err != nil {
+		cancel(errClosed)
+		return nil, &Failure{Kind: core.FailDial, Err: err}
+	}
+	w := newWatchdog(r.SilentAfter, func() { cancel(errSilent) })
+	w.start()
+	resp, err := c.transport(r).RoundTrip(req)
+	w.stop()
+	if err != nil {
+		f := failedBeforeHeader(ctx, g, err)
+		cancel(errClosed)
+		c.distrust(r.Addr, g, f)
+		return nil, f
+	}
+	a := &Answer{
+		Status: resp.StatusCode, Header: endToEnd(resp.Header), Leaving: isLeaving(resp.Header),
+		client: c, addr: r.Addr, resp: resp, ctx: ctx, cancel: cancel, guard: g, watchdog: w, started: started,
+	}
+	if f := refusal(r, a); f != nil {
+		a.Close()
+		return nil, f
+	}
+	a.body = newBody(r, a)
+	return a, nil
+}
+
+// transport picks the pooled or the fresh one.
+func (c *Client) transport(r *Request) *http.Transport {
+	if r.Fresh || r.Resume != nil {
+		return c.fresh
+	}
+	return c.pooled
+}
+
+// distrust gives up the idle connections to an address when an old one has
+// failed or any has gone silent: what broke it has broken them as well.
+func (c *Client) distrust(addr string, g *guard, f *Failure) {
+	_, reused := g.connected()
+	if f.Kind == core.FailSilent || f.Kind == core.FailReset && reused {
+		c.pool.sealIdle(addr)
+	}
+}
+
+// failedBeforeHeader classifies an error of the transport. It stops the request
+// first, so that what it says about sent bytes stays true.
+func failedBeforeHeader(ctx context.Context, g *guard, err error) *Failure {
+	connected, _ := g.connected()
+	f := &Failure{Kind: core.FailReset, Sent: g.abandon(), Err: err}
+	if !connected {
+		f.Kind = core.FailDial
+	}
+	if kind, ok := cancelledKind(ctx); ok {
+		f.Kind = kind
+	}
+	return f
+}
+
+// cancelledKind tells whether the attempt's context ended, and as what.
+func cancelledKind(ctx context.Context) (core.Failure, bool) {
+	switch cause := context.Cause(ctx); {
+	case cause == nil || errors.Is(cause, errSecondUse):
+		return 0, false
+	case errors.Is(cause, errSilent):
+		return core.FailSilent, true
+	default:
+		return core.FailCancelled, true
+	}
+}
+
+// refusal tells whether the answer is no answer of the service but a failure:
+// the upstream did not run the request, or it is an engine's server error, or
+// it cannot continue the stream.
+func refusal(r *Request, a *Answer) *Failure {
+	f := &Failure{
+		Sent: true, Status: a.Status, Leaving: a.Leaving, RetryAfter: retryAfter(a.Header),
+		Err: errors.Errorf("upstream answered with status %d", a.Status),
+	}
+	switch {
+	case isNotRun(a.resp):
+		f.Kind, f.Sent = core.FailRefused, false
+	case r.Service == config.Model && a.Status >= http.StatusInternalServerError:
+		f.Kind = core.FailStatus
+	case r.Resume != nil && a.Status != http.StatusOK:
+		f.Kind = core.FailStatus
+	default:
+		return nil
+	}
+	return f
+}
+
+// retryAfter reads the seconds form of Retry-After.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseUint(h.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// CancelStream asks an engine to drop a stream. It is best effort: the engine
+// may have finished, or never have had it.
+func (c *Client) CancelStream(ctx context.Context, addr, streamID string) error {
+	r := &Request{Addr: addr, Method: http.MethodDelete, Path: "/v1/streams/" + streamID, Attempt: 1, SilentAfter: cancelTimeout}
+	a, f := c.Do(ctx, r)
+	if f != nil {
+		return f
+	}
+	a.Close()
+	if a.Status >= http.StatusBadRequest {
+		return errors.Errorf("cancel answered with status %d", a.Status)
+	}
+	return nil
+}
+
+// cancelTimeout bounds the wait for the answer to a cancel.
+const cancelTimeout = time.Second
