Connect routers: authenticated transport and a first membership reducer

Cause: the thin whole path needs two routers that find and talk to each other. The transport proves the fleet's key in both directions, carries envelopes on yamux streams and lets the smaller id decide which of two connections stands; the membership reducer dials, pings, suspects and buries.

Ruled out: a reconnect that replaces a standing connection in place, which would lose messages on the loser; an exchange of heartbeats among all routers, which is quadratic.

Faults are not tested yet.

--- /dev/null
+++ b/internal/membership/dial.go
@@ -0,0 +1,126 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+const (
+	minBackoff = 500 * time.Millisecond
+	maxBackoff = 8 * time.Second
+	// maxDials bounds the dials in one step, firstDials while nobody is known:
+	// each first contact sends its whole view.
+	maxDials   = 8
+	firstDials = 3
+)
+
+// target is an address that may be dialled.
+type target struct {
+	// listed tells that the seeds or the latest instance list name it.
+	listed  bool
+	next    time.Time
+	backoff time.Duration
+}
+
+func (t *target) reset() { t.next, t.backoff = time.Time{}, 0 }
+
+// list takes the addresses of a new instance list; an empty one is taken for an
+// outage of the platform and ignored.
+func (s *State) list(addrs []string) {
+	if len(addrs) == 0 {
+		return
+	}
+	for _, t := range s.targets {
+		t.listed = false
+	}
+	for _, addr := range addrs {
+		if addr != s.self.PeerAddr {
+			s.target(addr).listed = true
+		}
+	}
+	for addr, t := range s.targets {
+		if _, known := s.byAddr[addr]; !known && !t.listed {
+			delete(s.targets, addr)
+		}
+	}
+}
+
+func (s *State) target(addr string) *target {
+	t := s.targets[addr]
+	if t == nil {
+		t = &target{}
+		s.targets[addr] = t
+	}
+	return t
+}
+
+// dial connects to neighbours first, then to addresses whose router is unknown
+// or dead: it may have come back, or the cut may be over.
+func (s *State) dial(now time.Time) {
+	left := maxDials
+	if len(s.order) == 0 {
+		left = firstDials
+	}
+	for _, addr := range append(s.lostNeighbours(), s.strangers()...) {
+		if left == 0 {
+			return
+		}
+		if s.tryDial(now, addr) {
+			left--
+		}
+	}
+}
+
+func (s *State) lostNeighbours() []string {
+	var addrs []string
+	for _, id := range s.neighbours {
+		if r := s.members[id]; r != nil && !r.connected && r.isAlive() {
+			addrs = append(addrs, r.member.PeerAddr)
+		}
+	}
+	return addrs
+}
+
+// strangers returns, in random order, the listed addresses at which no live
+// router is known, and those of the dead that are still remembered.
+func (s *State) strangers() []string {
+	var addrs []string
+	for addr, t := range s.targets {
+		if r := s.members[s.byAddr[addr]]; r == nil && t.listed {
+			addrs = append(addrs, addr)
+		}
+	}
+	for addr, id := range s.byAddr {
+		if r := s.members[id]; r.state() == wire.MemberState_MEMBER_DEAD && !r.connected {
+			addrs = append(addrs, addr)
+		}
+	}
+	slices.Sort(addrs)
+	s.random.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs
+}
+
+// dialNow dials without waiting for the backoff of earlier failures.
+func (s *State) dialNow(now time.Time, addr string) {
+	t := s.target(addr)
+	if t.backoff <= minBackoff {
+		t.next = time.Time{}
+	}
+	s.tryDial(now, addr)
+}
+
+// tryDial dials an address unless its backoff still runs.
+func (s *State) tryDial(now time.Time, addr string) bool {
+	t := s.target(addr)
+	if now.Before(t.next) {
+		return false
+	}
+	t.backoff = min(max(2*t.backoff, minBackoff), maxBackoff)
+	jitter := time.Duration(s.random.Int64N(int64(t.backoff / 4)))
+	t.next = now.Add(t.backoff - jitter)
+	s.effects = append(s.effects, core.Dial{Addr: addr})
+	return true
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,401 @@
+package peer
+
+import (
+	"bufio"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+// streamKind is the first byte of a stream.
+type streamKind byte
+
+const (
+	streamControl streamKind = iota + 1
+	streamBulk
+)
+
+const (
+	// maxStreams is how many streams of one peer may be open for reading.
+	maxStreams = 8
+	// bulkTimeout bounds the transfer of one bulk frame.
+	bulkTimeout = 30 * time.Second
+	// lingerTimeout is how long a graceful close waits for the other end.
+	lingerTimeout = time.Second
+)
+
+var (
+	errSilent        = errors.New("peer is silent")
+	errReplaced      = errors.New("peer connected anew")
+	errRemoteClosed  = errors.New("peer closed the connection")
+	errClosing       = errors.New("closed by this router")
+	errSecondControl = errors.New("peer opened a second control stream")
+	errStreamKind    = errors.New("peer opened a stream of unknown kind")
+)
+
+// link is one authenticated connection. Its events reach the handler in order:
+// PeerUp, then messages, then PeerDown.
+type link struct {
+	transport *Transport
+	member    *wire.Member
+	id        core.RouterID
+	conn      *countingConn
+	session   *yamux.Session
+	queue     *queue
+	// previous is closed once the link that this one replaces has reported its
+	// PeerDown; nil if there is none.
+	previous <-chan struct{}
+	// done is closed after PeerDown was reported.
+	done chan struct{}
+	// broken is closed by fail, bulkDone once no bulk frame is left to send, and
+	// remoteDone once the peer has ended its control stream.
+	broken     chan struct{}
+	bulkDone   chan struct{}
+	remoteDone chan struct{}
+	once       sync.Once
+	readers    sync.WaitGroup
+	writers    sync.WaitGroup
+	control    sync.Once
+}
+
+func newLink(t *Transport, member *wire.Member, conn *countingConn) *link {
+	return &link{
+		transport:  t,
+		member:     member,
+		id:         core.RouterID(member.Id),
+		conn:       conn,
+		queue:      newQueue(),
+		done:       make(chan struct{}),
+		broken:     make(chan struct{}),
+		bulkDone:   make(chan struct{}),
+		remoteDone: make(chan struct{}),
+	}
+}
+
+// fail closes the link at once; the first reason is logged.
+func (l *link) fail(reason error) {
+	l.once.Do(func() {
+		klog.V(1).InfoS("peer: connection closed", "router", l.id, "reason", reason)
+		l.queue.close()
+		close(l.broken)
+		l.conn.Close()
+	})
+}
+
+// isBroken tells whether fail was called.
+func (l *link) isBroken() bool {
+	select {
+	case <-l.broken:
+		return true
+	default:
+		return false
+	}
+}
+
+// run carries the link until it breaks. The session is set before.
+func (l *link) run() {
+	if l.previous != nil {
+		<-l.previous
+	}
+	klog.V(1).InfoS("peer: connected", "router", l.id, "addr", l.member.PeerAddr)
+	l.transport.opts.Handler.PeerUp(l.member)
+	l.writers.Add(2)
+	l.readers.Add(1)
+	go l.writeControl()
+	go l.writeBulk()
+	go l.acceptStreams()
+	go l.closeAfterFlush()
+	l.watch()
+	l.session.Close()
+	l.writers.Wait()
+	l.readers.Wait()
+	l.transport.opts.Handler.PeerDown(l.id)
+	l.transport.remove(l)
+	close(l.done)
+}
+
+// watch returns when the link is broken. A peer from which nothing was read for
+// an interval is pinged; without an answer it is silent.
+func (l *link) watch() {
+	ticker := time.NewTicker(l.transport.opts.KeepAlive)
+	defer ticker.Stop()
+	last := l.conn.reads.Load()
+	for {
+		select {
+		case <-l.broken:
+			return
+		case <-l.session.CloseChan():
+			l.fail(errRemoteClosed)
+		case <-ticker.C:
+			if reads := l.conn.reads.Load(); reads != last {
+				last = reads
+				continue
+			}
+			l.probe()
+			last = l.conn.reads.Load()
+		}
+	}
+}
+
+// probe closes the link if the peer does not answer a ping.
+func (l *link) probe() {
+	answer := make(chan error, 1)
+	go func() {
+		_, err := l.session.Ping()
+		answer <- err
+	}()
+	select {
+	case err := <-answer:
+		if err != nil {
+			l.fail(errors.Wrap(errSilent, err.Error()))
+		}
+	case <-time.After(l.transport.opts.ProbeTimeout):
+		l.fail(errSilent)
+	}
+}
+
+// replaceable tells whether the link may give way to a new connection.
+func (l *link) replaceable() bool {
+	return l.isBroken() || l.queue.isClosed()
+}
+
+// send queues an envelope. It never blocks.
+func (l *link) send(env *wire.Envelope) bool {
+	frame, err := proto.Marshal(env)
+	if err != nil {
+		klog.ErrorS(err, "peer: message dropped", "router", l.id)
+		return false
+	}
+	if len(frame) >= bulkThreshold && travelsAlone(env) {
+		return len(frame) <= maxBulkSize && l.queue.addBulk(frame) && l.counted(env, len(frame))
+	}
+	if len(frame) > maxControlSize {
+		klog.ErrorS(ErrFrameTooLarge, "peer: message dropped", "router", l.id, "bytes", len(frame))
+		return false
+	}
+	ok, err := l.queue.addControl(frame)
+	if err != nil {
+		l.fail(err)
+	}
+	return ok && l.counted(env, len(frame))
+}
+
+func (l *link) counted(env *wire.Envelope, size int) bool {
+	l.transport.counters.countSent(env, size)
+	return true
+}
+
+// travelsAlone tells whether a large message of this kind gets a stream of its
+// own; its order against control messages is then open.
+func travelsAlone(env *wire.Envelope) bool {
+	switch env.Body.(type) {
+	case *wire.Envelope_ConfigParts, *wire.Envelope_QueryReply:
+		return true
+	default:
+		return false
+	}
+}
+
+// shutdown flushes what is queued and then closes the link.
+func (l *link) shutdown() { l.queue.close() }
+
+// closeAfterFlush closes the link once both writers are through: the end of
+// the control stream tells the peer, which flushes and closes in turn.
+func (l *link) closeAfterFlush() {
+	l.writers.Wait()
+	select {
+	case <-l.broken:
+	case <-l.remoteDone:
+	case <-l.session.CloseChan():
+	case <-time.After(lingerTimeout):
+	}
+	l.fail(errClosing)
+}
+
+// writeControl writes control frames until the queue is closed and empty. It
+// ends the stream only after the last bulk frame, since the end of the control
+// stream is the end of the link.
+func (l *link) writeControl() {
+	defer l.writers.Done()
+	stream, err := l.openStream(streamControl)
+	if err != nil {
+		l.fail(err)
+		return
+	}
+	defer stream.Close()
+	var spare []byte
+	for {
+		frames, done := l.queue.takeControl(spare)
+		if done {
+			l.wait(l.bulkDone)
+			return
+		}
+		if len(frames) == 0 {
+			spare = nil
+			if !l.wait(l.queue.controlReady) {
+				return
+			}
+			continue
+		}
+		stream.SetWriteDeadline(time.Now().Add(l.transport.opts.WriteTimeout))
+		if _, err := stream.Write(frames); err != nil {
+			l.fail(errors.Wrap(err, "write control"))
+			return
+		}
+		spare = frames
+	}
+}
+
+// writeBulk writes each bulk frame on a stream of its own.
+func (l *link) writeBulk() {
+	defer l.writers.Done()
+	defer close(l.bulkDone)
+	for {
+		frame, done := l.queue.takeBulk()
+		if done {
+			return
+		}
+		if frame == nil {
+			if !l.wait(l.queue.bulkReady) {
+				return
+			}
+			continue
+		}
+		if err := l.writeOneBulk(frame); err != nil {
+			l.fail(errors.Wrap(err, "write bulk"))
+			return
+		}
+	}
+}
+
+// writeOneBulk returns once the peer has read the frame and closed the stream.
+func (l *link) writeOneBulk(frame []byte) error {
+	stream, err := l.openStream(streamBulk)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	stream.SetDeadline(time.Now().Add(bulkTimeout))
+	if _, err := stream.Write(appendFrame(nil, frame)); err != nil {
+		return err
+	}
+	if _, err := stream.Read(make([]byte, 1)); err != io.EOF {
+		return errors.Wrap(err, "await end of bulk stream")
+	}
+	return nil
+}
+
+func (l *link) openStream(kind streamKind) (*yamux.Stream, error) {
+	stream, err := l.session.OpenStream()
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream")
+	}
+	if _, err := stream.Write([]byte{byte(kind)}); err != nil {
+		return nil, errors.Wrap(err, "start stream")
+	}
+	return stream, nil
+}
+
+// wait returns false if the link broke.
+func (l *link) wait(ready <-chan struct{}) bool {
+	select {
+	case <-ready:
+		return true
+	case <-l.broken:
+		return false
+	}
+}
+
+// acceptStreams reads the peer's streams until the link breaks.
+func (l *link) acceptStreams() {
+	defer l.readers.Done()
+	slots := make(chan struct{}, maxStreams)
+	for {
+		slots <- struct{}{}
+		stream, err := l.session.AcceptStream()
+		if err != nil {
+			l.fail(errors.Wrap(errRemoteClosed, err.Error()))
+			return
+		}
+		l.readers.Add(1)
+		go func() {
+			defer l.readers.Done()
+			defer func() { <-slots }()
+			defer stream.Close()
+			if err := l.readStream(stream); err != nil {
+				l.fail(err)
+			}
+		}()
+	}
+}
+
+// readStream reads one stream; an error breaks the link.
+func (l *link) readStream(stream *yamux.Stream) error {
+	reader := bufio.NewReader(stream)
+	kind, err := reader.ReadByte()
+	if err != nil {
+		return errors.Wrap(err, "read stream kind")
+	}
+	switch streamKind(kind) {
+	case streamControl:
+		first := false
+		l.control.Do(func() { first = true })
+		if !first {
+			return errSecondControl
+		}
+		return l.readControl(reader)
+	case streamBulk:
+		stream.SetReadDeadline(time.Now().Add(bulkTimeout))
+		return l.readBulk(reader)
+	default:
+		return errStreamKind
+	}
+}
+
+// readControl reads control frames; after the end of the stream the link is
+// flushed and closed.
+func (l *link) readControl(reader *bufio.Reader) error {
+	for {
+		frame, err := readFrame(reader, maxControlSize)
+		if err == io.EOF {
+			close(l.remoteDone)
+			l.shutdown()
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read control")
+		}
+		if err := l.deliver(frame); err != nil {
+			return err
+		}
+	}
+}
+
+// readBulk reads one bulk frame. The transport bounds how many are in memory.
+func (l *link) readBulk(reader *bufio.Reader) error {
+	l.transport.bulkSlots <- struct{}{}
+	defer func() { <-l.transport.bulkSlots }()
+	frame, err := readFrame(reader, maxBulkSize)
+	if err != nil {
+		return errors.Wrap(err, "read bulk")
+	}
+	return l.deliver(frame)
+}
+
+func (l *link) deliver(frame []byte) error {
+	env, err := decodeEnvelope(frame)
+	if err != nil {
+		return err
+	}
+	l.transport.counters.countReceived(env, len(frame))
+	l.transport.opts.Handler.Message(l.id, env)
+	return nil
+}
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+// patience is how long a test waits for what must come in the end.
+const patience = 20 * time.Second
+
+var testKey = []byte("the fleet's key")
+
+// node is a transport on a loopback port that records its events.
+type node struct {
+	*Transport
+	id   core.RouterID
+	addr string
+
+	mu       sync.Mutex
+	events   []string
+	messages []*wire.Envelope
+	// onMessage is called for each message, if it is set.
+	onMessage func()
+}
+
+func (n *node) note(format string, args ...any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.events = append(n.events, fmt.Sprintf(format, args...))
+}
+
+func (n *node) PeerUp(m *wire.Member)     { n.note("up %s", m.Id) }
+func (n *node) PeerDown(id core.RouterID) { n.note("down %s", id) }
+func (n *node) DialFailed(addr string)    { n.note("failed") }
+func (n *node) Message(_ core.RouterID, env *wire.Envelope) {
+	if n.onMessage != nil {
+		n.onMessage()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.messages = append(n.messages, env)
+}
+
+func (n *node) seen() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.events...)
+}
+
+func (n *node) received() []*wire.Envelope {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]*wire.Envelope(nil), n.messages...)
+}
+
+// start runs a node until the end of the test.
+func start(t *testing.T, name string, change func(*Options)) *node {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{id: core.RouterID(name + ".1"), addr: ln.Addr().String()}
+	member := &wire.Member{Id: string(n.id), Name: name, Domain: "a", PeerAddr: n.addr, Version: 1}
+	opts := Options{Self: func() *wire.Member { return member }, Key: testKey, Handler: n}
+	if change != nil {
+		change(&opts)
+	}
+	n.Transport = New(opts)
+	go n.Serve(ln)
+	t.Cleanup(func() { n.stopNow() })
+	return n
+}
+
+func (n *node) stopNow() {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	n.Close(ctx)
+}
+
+func seqMessage(seq uint64) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Ping{Ping: &wire.Ping{Seq: seq}}}
+}
+
+func TestConnectAndExchange(t *testing.T) {
+	g := NewWithT(t)
+	a, b := start(t, "a", nil), start(t, "b", nil)
+	a.Dial(b.addr)
+	g.Eventually(a.seen, patience).Should(Equal([]string{"up b.1"}))
+	g.Eventually(b.seen, patience).Should(Equal([]string{"up a.1"}))
+	const count = 1000
+	for i := range count {
+		g.Expect(a.Send(b.id, seqMessage(uint64(i)))).To(BeTrue())
+		g.Expect(b.Send(a.id, seqMessage(uint64(i)))).To(BeTrue())
+	}
+	for _, n := range []*node{a, b} {
+		g.Eventually(n.received, patience).Should(HaveLen(count))
+		for i, env := range n.received() {
+			g.Expect(env.GetPing().GetSeq()).To(Equal(uint64(i)))
+		}
+	}
+	stats := a.Stats()
+	g.Expect(stats.Connections).To(Equal(1))
+	g.Expect(stats.Kinds["ping"].SentMessages).To(Equal(uint64(count)))
+	g.Expect(stats.Kinds["ping"].ReceivedMessages).To(Equal(uint64(count)))
+	g.Expect(stats.SentBytes).To(BeNumerically(">", stats.Kinds["ping"].SentBytes))
+	g.Expect(a.Send("nobody.1", seqMessage(1))).To(BeFalse())
+}
