Add the load generator: open-loop runs of a scenario and their measures

Arrivals are a thinned Poisson process from a fixed seed; latency counts from the intended time of sending, so that a slow fleet cannot slow its own load. Ruled out: a closed loop of callers, which hides waiting at the crest, and judging answers by their status only, which cannot see a cut or a foreign one.

--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -1,6 +1,30 @@
-// Command loadgen is described in the README.
+// Command loadgen sends the load of a scenario to a fleet of routers on this
+// machine and prints the brief's measures.
 package main
 
-import "net"
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() { _ = net.IPv4len }
+	"github.com/google/subcommands"
+	"k8s.io/klog/v2"
+)
+
+func main() {
+	klog.InitFlags(nil)
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&compareCommand{}, "")
+	subcommands.Register(&plotCommand{}, "")
+	subcommands.Register(&configCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := subcommands.Execute(ctx)
+	stop()
+	klog.Flush()
+	os.Exit(int(status))
+}
--- /dev/null
+++ b/internal/loadgen/client/client_test.go
@@ -0,0 +1,96 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/loadgen/scenario"
+	"github.com/jujubeford/jujubeford/internal/loadgen/trace"
+)
+
+// words are the answer of the test's router to any prompt.
+func words(prompt string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s-%d", strings.ReplaceAll(prompt, " ", "_"), i)
+	}
+	return out
+}
+
+func event(w http.ResponseWriter, word string) {
+	fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", word+" ")
+}
+
+func TestDoJudgesAnswers(t *testing.T) {
+	const done = "data: [DONE]\n\n"
+	request := trace.Request{Prompt: "org asks 1", Tokens: 3}
+	stream := func(list []string, end string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", headerOutcome)
+			for _, word := range list {
+				event(w, word)
+			}
+			fmt.Fprint(w, end)
+			w.Header().Set(headerOutcome, "complete")
+		}
+	}
+	own := words(request.Prompt, 3)
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		end     End
+		outcome string
+	}{
+		{"whole", stream(own, done), Whole, "complete"},
+		{"no end mark", stream(own, ""), Cut, "complete"},
+		{"short with end mark", stream(own[:2], done), Cut, "complete"},
+		{"repeated token", stream(append(own[:1:1], own...), done), Foreign, "complete"},
+		{"another's answer", stream(words("other", 3), done), Foreign, "complete"},
+		{"error event", stream(own[:2], "data: {\"error\":{\"message\":\"upstream failed\"}}\n\n"), Failed, "complete"},
+		{"refusal", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerOutcome, "not-run")
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "queue full", http.StatusServiceUnavailable)
+		}, Refused, "not-run"},
+		{"broken connection", func(w http.ResponseWriter, _ *http.Request) {
+			event(w, own[0])
+			panic(http.ErrAbortHandler)
+		}, Failed, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := httptest.NewServer(test.handler)
+			defer server.Close()
+			c := New(time.Now(), words)
+			defer c.Close()
+			tr := &trace.Trace{Tenants: scenario.Tenants(1, 0)}
+			result := c.Do(context.Background(), strings.TrimPrefix(server.URL, "http://"), tr, request)
+			g.Expect(result.End).To(Equal(test.end), result.Error)
+			g.Expect(result.Outcome).To(Equal(test.outcome))
+			g.Expect(result.RetryAfter).To(Equal(test.end == Refused))
+		})
+	}
+}
+
+func TestDoSendsKeyAndOrganisation(t *testing.T) {
+	g := NewWithT(t)
+	var seen http.Header
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen = r.Header }))
+	defer server.Close()
+	c := New(time.Now(), nil)
+	defer c.Close()
+	tr := &trace.Trace{Tenants: scenario.Tenants(2, 0)}
+	request := trace.Request{Organisation: 1, Key: "once-1"}
+	result := c.Do(context.Background(), strings.TrimPrefix(server.URL, "http://"), tr, request)
+	g.Expect(result.End).To(Equal(Whole))
+	g.Expect(seen.Get("Authorization")).To(Equal("Bearer example-key-org-0002"))
+	g.Expect(seen.Get("Idempotency-Key")).To(Equal("once-1"))
+}
--- /dev/null
+++ b/internal/loadgen/measure/curves.go
@@ -0,0 +1,52 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/loadgen/ideal"
+	"github.com/jujubeford/jujubeford/internal/loadgen/run"
+)
+
+// Curves are what the plots show, in windows of Step.
+type Curves struct {
+	StepMillis int64 `json:"step_ms"`
+	// Organisations are the names behind Service.
+	Organisations []string `json:"organisations"`
+	// Service is the tokens per unit of share received up to each window.
+	Service [][]float64 `json:"service"`
+	// Demand, Served and Ideal are in tokens a second.
+	Demand []float64 `json:"demand"`
+	Served []float64 `json:"served"`
+	Ideal  []float64 `json:"ideal"`
+}
+
+// CurvesOf works out the curves of a run.
+func CurvesOf(r *run.Run) *Curves {
+	series := NewSeries(r)
+	central := IdealOf(r)
+	c := &Curves{
+		StepMillis:    Step.Milliseconds(),
+		Organisations: series.names,
+	}
+	for _, service := range series.Service {
+		c.Service = append(c.Service, cumulative(service))
+	}
+	for k, tokens := range series.Tokens {
+		begin := time.Duration(k) * Step
+		work := ideal.Work(central.Jobs, central.Served, begin, begin+Step, r.Fleet.TokenTime)
+		c.Demand = append(c.Demand, r.Trace.Offered(begin, begin+Step)/Step.Seconds())
+		c.Served = append(c.Served, tokens/Step.Seconds())
+		c.Ideal = append(c.Ideal, work/Step.Seconds())
+	}
+	return c
+}
+
+func cumulative(values []float64) []float64 {
+	sums := make([]float64, len(values))
+	sum := 0.0
+	for i, v := range values {
+		sum += v
+		sums[i] = sum
+	}
+	return sums
+}
--- /dev/null
+++ b/internal/loadgen/measure/measure.go
@@ -0,0 +1,141 @@
+// Package measure works out the brief's measures from what a run saw.
+package measure
+
+import (
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/loadgen/client"
+	"github.com/jujubeford/jujubeford/internal/loadgen/ideal"
+	"github.com/jujubeford/jujubeford/internal/loadgen/run"
+	"github.com/jujubeford/jujubeford/internal/loadgen/scenario"
+)
+
+// Step is the width of the windows in which service and waiting are compared.
+const Step = 100 * time.Millisecond
+
+// Measures are the measures of one run.
+type Measures struct {
+	Scenario string             `json:"scenario"`
+	Policy   string             `json:"policy"`
+	Seed     uint64             `json:"seed"`
+	Requests int                `json:"requests"`
+	Ends     map[client.End]int `json:"ends"`
+	Gap      Gap                `json:"gap"`
+	Use      Use                `json:"use"`
+	Nodes    Nodes              `json:"nodes"`
+	Phases   []Phase            `json:"phases"`
+	Crest    *Crest             `json:"crest,omitempty"`
+	// Contrast compares one kind of request between two phases.
+	Contrast *Contrast `json:"contrast,omitempty"`
+	Refusals []Refusal `json:"refusals"`
+	// Untrue is the number of refusals that said "not run" of work that ran.
+	Untrue int `json:"untrue_refusals"`
+	// Doubled is the number of runs of work that must run at most once beyond
+	// the first.
+	Doubled int `json:"doubled"`
+	Cut     int `json:"cut"`
+	Foreign int `json:"foreign"`
+	// Service is what each organisation received.
+	Service []Service `json:"service"`
+	Notes   []string  `json:"notes,omitempty"`
+}
+
+// Service is what one organisation received in the whole run.
+type Service struct {
+	Organisation string  `json:"organisation"`
+	Share        int     `json:"share"`
+	Answers      int     `json:"answers"`
+	Refused      int     `json:"refused"`
+	Tokens       int     `json:"tokens"`
+	PerShare     float64 `json:"tokens_per_share"`
+}
+
+// Of works out the measures of a run.
+func Of(r *run.Run) *Measures {
+	s := r.Trace.Scenario
+	series := NewSeries(r)
+	m := &Measures{
+		Scenario: s.Name,
+		Policy:   r.Fleet.Policy,
+		Seed:     s.Seed,
+		Requests: len(r.Results),
+		Ends:     make(map[client.End]int),
+		Gap:      series.gap(s.GapBound),
+		Use:      series.use(r),
+		Nodes:    nodes(r.Nodes),
+		Phases:   phases(r),
+		Crest:    crest(r),
+		Contrast: contrast(r),
+		Service:  service(r),
+		Notes:    r.Notes,
+	}
+	for _, result := range r.Results {
+		m.Ends[result.End]++
+	}
+	m.Cut = m.Ends[client.Cut]
+	m.Foreign = m.Ends[client.Foreign]
+	m.Refusals, m.Untrue = refusals(r)
+	m.Doubled = doubled(r)
+	return m
+}
+
+func service(r *run.Run) []Service {
+	rows := make([]Service, len(r.Trace.Tenants))
+	for i, t := range r.Trace.Tenants {
+		rows[i] = Service{Organisation: t.Name, Share: t.Share}
+	}
+	for _, result := range r.Results {
+		row := &rows[result.Organisation]
+		row.Tokens += len(result.Tokens)
+		switch result.End {
+		case client.Whole:
+			row.Answers++
+		case client.Refused:
+			row.Refused++
+		}
+	}
+	for i := range rows {
+		rows[i].PerShare = float64(rows[i].Tokens) / float64(rows[i].Share)
+	}
+	return rows
+}
+
+// Ideal is the central queue's schedule of the model requests of a run.
+type Ideal struct {
+	// Results holds the positions of the model requests in the run's results.
+	Results []int
+	Jobs    []ideal.Job
+	Served  []ideal.Served
+}
+
+// IdealOf schedules the model requests of a run on one central queue that has
+// all slots of the fleet at their full speed.
+func IdealOf(r *run.Run) Ideal {
+	var out Ideal
+	for i, request := range r.Trace.Requests {
+		if request.Prompt == "" {
+			continue
+		}
+		out.Results = append(out.Results, i)
+		out.Jobs = append(out.Jobs, ideal.Job{
+			At:           request.At,
+			Organisation: request.Organisation,
+			Tokens:       request.Tokens,
+		})
+	}
+	settings := ideal.Settings{
+		Slots:     r.Fleet.TotalSlots(),
+		TokenTime: r.Fleet.TokenTime,
+		Shares:    shares(r.Trace.Tenants),
+	}
+	out.Served = ideal.Schedule(out.Jobs, settings)
+	return out
+}
+
+func shares(tenants []scenario.Tenant) []int {
+	all := make([]int, len(tenants))
+	for i, t := range tenants {
+		all[i] = t.Share
+	}
+	return all
+}
--- /dev/null
+++ b/internal/loadgen/report/rows.go
@@ -0,0 +1,99 @@
+package report
+
+import "github.com/jujubeford/jujubeford/internal/loadgen/measure"
+
+// Row is one measure of a run, as a number.
+type Row struct {
+	Name string
+	Unit string
+	// Target is the aim for the current policy, for people.
+	Target string
+	// Value is false when the run does not have the measure.
+	Value func(*measure.Measures) (float64, bool)
+}
+
+// Rows are the measures of the brief.
+func Rows() []Row {
+	rows := fairnessRows()
+	rows = append(rows, crestRows()...)
+	rows = append(rows, nodeRows()...)
+	return append(rows, honestyRows()...)
+}
+
+func fairnessRows() []Row {
+	return []Row{
+		{"largest service gap", "tokens per share", "", func(m *measure.Measures) (float64, bool) {
+			return m.Gap.Largest, m.Gap.Seconds > 0
+		}},
+		{"largest gap over its bound", "", "<= 1", func(m *measure.Measures) (float64, bool) {
+			return m.Gap.OverBound, m.Gap.Bound > 0
+		}},
+		{"time with two backlogged", "s", "", func(m *measure.Measures) (float64, bool) {
+			return m.Gap.Seconds, true
+		}},
+		{"utilisation while work waits", "%", ">= 98", func(m *measure.Measures) (float64, bool) {
+			return m.Use.Fraction * percent, m.Use.Seconds > 0
+		}},
+		{"time while work waits", "s", "", func(m *measure.Measures) (float64, bool) {
+			return m.Use.Seconds, true
+		}},
+	}
+}
+
+func crestRows() []Row {
+	ofCrest := func(value func(*measure.Crest) float64) func(*measure.Measures) (float64, bool) {
+		return func(m *measure.Measures) (float64, bool) {
+			if m.Crest == nil {
+				return 0, false
+			}
+			return value(m.Crest), true
+		}
+	}
+	return []Row{
+		{"crest: served over ideal", "%", ">= 95", ofCrest(func(c *measure.Crest) float64 { return c.Served * percent })},
+		{"crest: wait p50", "ms", "", ofCrest(func(c *measure.Crest) float64 { return c.Wait.P50 })},
+		{"crest: wait p95", "ms", "", ofCrest(func(c *measure.Crest) float64 { return c.Wait.P95 })},
+		{"crest: wait p99", "ms", "", ofCrest(func(c *measure.Crest) float64 { return c.Wait.P99 })},
+		{"crest: wait p95 over ideal", "", "<= 1.3", ofCrest(func(c *measure.Crest) float64 { return c.P95Ratio })},
+		{"p99 with over without", "", "<= 1.25 short, 1.5 slowed", func(m *measure.Measures) (float64, bool) {
+			if m.Contrast == nil {
+				return 0, false
+			}
+			return m.Contrast.Ratio, m.Contrast.Without > 0
+		}},
+	}
+}
+
+func nodeRows() []Row {
+	ofNodes := func(value func(measure.Nodes) float64) func(*measure.Measures) (float64, bool) {
+		return func(m *measure.Measures) (float64, bool) {
+			return value(m.Nodes), m.Nodes.Measured > 0
+		}
+	}
+	return []Row{
+		{"control a node, mean", "KB/s", "<= 2", ofNodes(func(n measure.Nodes) float64 { return n.ControlMean / kilobyte })},
+		{"control a node, largest", "KB/s", "<= 2", ofNodes(func(n measure.Nodes) float64 { return n.ControlMax / kilobyte })},
+		{"processor a node, mean", "% of a core", "", ofNodes(func(n measure.Nodes) float64 { return n.CPUMean })},
+		{"processor a node, largest", "% of a core", "", ofNodes(func(n measure.Nodes) float64 { return n.CPUMax })},
+		{"memory a node, largest", "MB", "<= 256", ofNodes(func(n measure.Nodes) float64 { return n.MemoryMax / megabyte })},
+	}
+}
+
+func honestyRows() []Row {
+	count := func(value func(*measure.Measures) int) func(*measure.Measures) (float64, bool) {
+		return func(m *measure.Measures) (float64, bool) { return float64(value(m)), true }
+	}
+	return []Row{
+		{"refusals", "", "", count(func(m *measure.Measures) int {
+			n := 0
+			for _, r := range m.Refusals {
+				n += r.Count
+			}
+			return n
+		})},
+		{"refusals untrue", "", "0", count(func(m *measure.Measures) int { return m.Untrue })},
+		{"answers doubled", "", "0", count(func(m *measure.Measures) int { return m.Doubled })},
+		{"answers cut", "", "0", count(func(m *measure.Measures) int { return m.Cut })},
+		{"answers foreign", "", "0", count(func(m *measure.Measures) int { return m.Foreign })},
+	}
+}
--- /dev/null
+++ b/internal/loadgen/run/fault.go
@@ -0,0 +1,121 @@
+package run
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/internal/loadgen/scenario"
+)
+
+// inject carries out the events of the scenario, each at its time.
+func (r *runner) inject(ctx context.Context) {
+	for _, event := range r.run.Trace.Scenario.Events {
+		timer := time.NewTimer(time.Until(r.began.Add(event.At)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		if err := r.carryOut(ctx, event); err != nil {
+			r.note(fmt.Sprintf("%s at %s: %v", event.Action, event.At, err))
+		}
+	}
+}
+
+func (r *runner) carryOut(ctx context.Context, event scenario.Event) error {
+	switch event.Action {
+	case scenario.Slow:
+		return r.slow(ctx, event)
+	case scenario.Kill:
+		return r.kill(event)
+	default:
+		return errors.New("there is no means on this machine to cut a failure domain off; not done")
+	}
+}
+
+type slowOrder struct {
+	Factor float64 `json:"factor"`
+	Millis int64   `json:"for_ms"`
+}
+
+func (r *runner) slow(ctx context.Context, event scenario.Event) error {
+	for _, target := range event.Targets {
+		if target < 0 || target >= len(r.run.Fleet.Engines) {
+			return errors.Errorf("there is no engine %d", target)
+		}
+		control := r.run.Fleet.Engines[target].Control
+		order := slowOrder{Factor: event.Factor, Millis: event.For.Milliseconds()}
+		if err := post(ctx, "http://"+control+"/slow", order); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// kill ends a router by the process id in its file. scripts/fleet.sh starts a
+// killed router again when it is told to.
+func (r *runner) kill(event scenario.Event) error {
+	for _, target := range event.Targets {
+		if target < 0 || target >= len(r.run.Fleet.Routers) {
+			return errors.Errorf("there is no router %d", target)
+		}
+		pid, err := readPID(r.run.Fleet.Routers[target].PIDFile)
+		if err != nil {
+			return err
+		}
+		if err := syscall.Kill(pid, syscall.SIGKILL); err != nil {
+			return errors.Wrapf(err, "kill %d", pid)
+		}
+	}
+	return nil
+}
+
+func readPID(path string) (int, error) {
+	if path == "" {
+		return 0, errors.New("the router has no file with a process id")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0, errors.Wrap(err, "read process id")
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	if err != nil || pid <= 1 {
+		return 0, errors.Errorf("%s holds no process id", path)
+	}
+	return pid, nil
+}
+
+func post(ctx context.Context, url string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(text))
+	if err != nil {
+		return errors.Wrap(err, "make order")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "send order")
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return errors.Errorf("%s: %s", response.Status, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loadgen/scenario/check.go
@@ -0,0 +1,97 @@
+package scenario
+
+import "github.com/pkg/errors"
+
+// Check reports the first fault of a scenario.
+func (s *Scenario) Check() error {
+	switch {
+	case s.Name == "":
+		return errors.New("name is missing")
+	case s.Organisations < 1 || s.Large < 0 || s.Large > s.Organisations:
+		return errors.New("organisations must be at least 1 and at least large")
+	case len(s.Phases) == 0 || len(s.Kinds) == 0:
+		return errors.New("phases and kinds must not be empty")
+	case s.Duration() > MaxDuration || s.Drain > MaxDuration:
+		return errors.Errorf("longer than %s", MaxDuration)
+	case s.Pinned.Organisations > 0 && s.Pinned.Routers < 1:
+		return errors.New("pinned organisations need at least 1 router")
+	}
+	for _, p := range s.Phases {
+		if p.Duration <= 0 || p.Factor < 0 || p.Ramp < 0 || p.Ramp > p.Duration {
+			return errors.Errorf("phase %q: bad duration, factor or ramp", p.Name)
+		}
+	}
+	for _, k := range s.Kinds {
+		if err := k.check(); err != nil {
+			return errors.Wrapf(err, "kind %q", k.Name)
+		}
+	}
+	if err := s.checkNames(); err != nil {
+		return err
+	}
+	for _, e := range s.Events {
+		if err := e.check(); err != nil {
+			return errors.Wrapf(err, "event at %s", e.At)
+		}
+	}
+	return nil
+}
+
+// checkNames reports a phase or kind that is named but does not exist.
+func (s *Scenario) checkNames() error {
+	phases := []string{}
+	if s.Crest != "" {
+		phases = append(phases, s.Crest)
+	}
+	if c := s.Contrast; c != nil {
+		phases = append(phases, c.With, c.Without)
+		if s.KindIndex(c.Kind) < 0 {
+			return errors.Errorf("contrast: no kind %q", c.Kind)
+		}
+	}
+	for _, name := range phases {
+		if _, _, ok := s.Window(name); !ok {
+			return errors.Errorf("no phase %q", name)
+		}
+	}
+	for _, p := range s.Phases {
+		for _, kind := range p.Only {
+			if s.KindIndex(kind) < 0 {
+				return errors.Errorf("phase %q: no kind %q", p.Name, kind)
+			}
+		}
+	}
+	return nil
+}
+
+func (k Kind) check() error {
+	switch k.Service {
+	case ModelService:
+		if k.Load <= 0 || k.MinTokens < 1 || k.MaxTokens < k.MinTokens {
+			return errors.New("a model request needs load, min_tokens and max_tokens")
+		}
+	case PlainService:
+		if k.Rate <= 0 {
+			return errors.New("a plain request needs a rate")
+		}
+	default:
+		return errors.Errorf("unknown service %q", k.Service)
+	}
+	if k.Again < 0 || k.Again > 1 {
+		return errors.New("again must be between 0 and 1")
+	}
+	return nil
+}
+
+func (e Event) check() error {
+	switch e.Action {
+	case Slow:
+		if e.Factor <= 1 || e.For <= 0 {
+			return errors.New("slow needs a factor above 1 and a duration")
+		}
+	case Kill, Partition:
+	default:
+		return errors.Errorf("unknown action %q", e.Action)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loadgen/trace/trace.go
@@ -0,0 +1,216 @@
+// Package trace turns a scenario into the requests of a run. The same scenario,
+// capacity and number of routers give the same requests.
+package trace
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/internal/loadgen/scenario"
+)
+
+// Request is one request and when, by whom and where it is sent.
+type Request struct {
+	ID int
+	// At is the intended time of sending, from the begin of the run.
+	At           time.Duration
+	Phase        int
+	Organisation int
+	Kind         int
+	Router       int
+	// Tokens is the length of the answer; 0 for a plain request.
+	Tokens int
+	// Prompt is the text of a model request; it is unique in the run.
+	Prompt string
+	// Key is the idempotency key, if any.
+	Key string
+	// Again marks the second sending of an earlier request.
+	Again bool
+}
+
+// Trace is all requests of a run, by time.
+type Trace struct {
+	Scenario *scenario.Scenario
+	Tenants  []scenario.Tenant
+	Requests []Request
+}
+
+// Site is what a trace depends on besides the scenario.
+type Site struct {
+	Routers int
+	// TokenRate is the capacity of the engines in tokens a second.
+	TokenRate float64
+	// Salt makes prompts and keys of different runs differ.
+	Salt string
+}
+
+// againAfter is the time between the first and the second sending of a request.
+const againAfter = 30 * time.Millisecond
+
+// New makes the trace of a scenario.
+func New(s *scenario.Scenario, site Site) (*Trace, error) {
+	if site.Routers < 1 || site.TokenRate <= 0 {
+		return nil, errors.New("a trace needs routers and a token rate")
+	}
+	g := &generator{
+		scenario: s,
+		site:     site,
+		tenants:  s.Tenants(),
+		rand:     rand.New(rand.NewPCG(s.Seed, s.Seed^0x6a756a75)),
+	}
+	g.weigh()
+	for kind := range s.Kinds {
+		g.arrivals(kind)
+		if len(g.requests) > scenario.MaxRequests {
+			return nil, errors.Errorf("more than %d requests", scenario.MaxRequests)
+		}
+	}
+	slices.SortStableFunc(g.requests, func(a, b Request) int { return cmp.Compare(a.At, b.At) })
+	for i := range g.requests {
+		g.requests[i].ID = i
+	}
+	return &Trace{Scenario: s, Tenants: g.tenants, Requests: g.requests}, nil
+}
+
+type generator struct {
+	scenario *scenario.Scenario
+	site     Site
+	tenants  []scenario.Tenant
+	rand     *rand.Rand
+	// demand is the cumulative demand of the organisations.
+	demand   []float64
+	requests []Request
+}
+
+func (g *generator) weigh() {
+	total := 0.0
+	for _, t := range g.tenants {
+		weight := float64(t.Share)
+		if g.scenario.Equal {
+			weight = 1
+		}
+		if factor, ok := g.scenario.Demand[t.Name]; ok {
+			weight *= factor
+		}
+		total += weight
+		g.demand = append(g.demand, total)
+	}
+}
+
+// base is the demand of the organisations without the factors of Demand, over
+// the demand with them: a flood adds load, it does not take it from others.
+func (g *generator) extra() float64 {
+	base := 0.0
+	for _, t := range g.tenants {
+		if g.scenario.Equal {
+			base++
+		} else {
+			base += float64(t.Share)
+		}
+	}
+	return g.demand[len(g.demand)-1] / base
+}
+
+// rate is the number of requests a second of a kind before the phase's factor.
+func (g *generator) rate(k scenario.Kind) float64 {
+	if k.Service == scenario.PlainService {
+		return k.Rate
+	}
+	mean := float64(k.MinTokens+k.MaxTokens) / 2
+	return k.Load * g.site.TokenRate / mean * g.extra()
+}
+
+// factor is the level of demand of a kind at a time.
+func (g *generator) factor(kind scenario.Kind, t time.Duration) float64 {
+	at := g.scenario.PhaseAt(t)
+	phase := g.scenario.Phases[at]
+	if len(phase.Only) > 0 && !slices.Contains(phase.Only, kind.Name) {
+		return 0
+	}
+	begin, _, _ := g.scenario.Window(phase.Name)
+	if since := t - begin; at > 0 && since < phase.Ramp {
+		before := g.scenario.Phases[at-1].Factor
+		done := since.Seconds() / phase.Ramp.Seconds()
+		return before + (phase.Factor-before)*done
+	}
+	return phase.Factor
+}
+
+// arrivals adds a Poisson process whose rate follows the phases.
+func (g *generator) arrivals(kind int) {
+	k := g.scenario.Kinds[kind]
+	peak := 0.0
+	for _, p := range g.scenario.Phases {
+		peak = max(peak, p.Factor)
+	}
+	rate := g.rate(k) * peak
+	end := g.scenario.Duration()
+	for t := 0.0; ; {
+		t += g.rand.ExpFloat64() / rate
+		at := time.Duration(t * float64(time.Second))
+		if at >= end || len(g.requests) > scenario.MaxRequests {
+			return
+		}
+		if g.rand.Float64()*peak < g.factor(k, at) {
+			g.add(kind, at)
+		}
+	}
+}
+
+func (g *generator) add(kind int, at time.Duration) {
+	k := g.scenario.Kinds[kind]
+	organisation := g.organisation()
+	r := Request{
+		At:           at,
+		Phase:        g.scenario.PhaseAt(at),
+		Organisation: organisation,
+		Kind:         kind,
+		Router:       g.router(organisation),
+	}
+	name := fmt.Sprintf("%s-%s-%d", g.site.Salt, k.Name, len(g.requests))
+	if k.Service == scenario.ModelService {
+		r.Tokens = k.MinTokens + g.rand.IntN(k.MaxTokens-k.MinTokens+1)
+		r.Prompt = fmt.Sprintf("%s asks %s", g.tenants[organisation].Name, name)
+	}
+	if k.Once {
+		r.Key = name
+	}
+	g.requests = append(g.requests, r)
+	if k.Again > 0 && g.rand.Float64() < k.Again {
+		r.At += againAfter
+		r.Router = (r.Router + 1) % g.site.Routers
+		r.Again = true
+		g.requests = append(g.requests, r)
+	}
+}
+
+func (g *generator) organisation() int {
+	at := g.rand.Float64() * g.demand[len(g.demand)-1]
+	i, _ := slices.BinarySearch(g.demand, at)
+	return min(i, len(g.tenants)-1)
+}
+
+func (g *generator) router(organisation int) int {
+	pinned := g.scenario.Pinned
+	if first := len(g.tenants) - pinned.Organisations; organisation >= first {
+		return organisation % min(pinned.Routers, g.site.Routers)
+	}
+	return g.rand.IntN(g.site.Routers)
+}
+
+// Offered is the work of the requests sent in a window, in tokens.
+func (t *Trace) Offered(begin, end time.Duration) float64 {
+	sum := 0.0
+	for _, r := range t.Requests {
+		if r.At >= begin && r.At < end {
+			sum += float64(r.Tokens)
+		}
+	}
+	return math.Round(sum)
+}
