--- a/internal/loadgen/scenario/scenario.go
+++ b/internal/loadgen/scenario/scenario.go
@@ -3,6 +3,7 @@
 package scenario
 
 import (
+	"bytes"
 	"os"
 	"slices"
 	"time"
@@ -130,7 +131,9 @@
 // Parse reads and checks a scenario.
 func Parse(text []byte) (*Scenario, error) {
 	s := &Scenario{Seed: 1, Organisations: 16, Large: 3, Drain: 20 * time.Second}
-	if err := yaml.Unmarshal(text, s); err != nil {
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(s); err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
 	for i := range s.Phases {
