--- a/internal/loadgen/client/client.go
+++ b/internal/loadgen/client/client.go
@@ -21,6 +21,8 @@
 	headerOutcome   = "Jujubeford-Outcome"
 	headerReason    = "Jujubeford-Reason"
 	headerRequestID = "Jujubeford-Request-Id"
+	// headerCallerID is the caller's own name of a request; routers pass it on.
+	headerCallerID = "X-Request-Id"
 )
 
 // Limits of one answer and of the connections to one router.
@@ -32,6 +34,9 @@
 	maxErrorText = 200
 )
 
+// plainPath is the path of plain requests; their body is the request's name.
+const plainPath = scenario.PlainPrefix + "reserve"
+
 // Tokens returns the words of the whole answer to a prompt.
 type Tokens func(prompt string, n int) []string
 
@@ -67,8 +72,9 @@
 		Router:       r.Router,
 		Intended:     r.At,
 		Want:         r.Tokens,
+		Name:         r.Name,
 		Key:          r.Key,
-		Prompt:       r.Prompt,
+		Model:        r.Prompt != "",
 	}
 	request, err := c.request(ctx, addr, t, r)
 	if err != nil {
@@ -86,7 +92,7 @@
 	case response.StatusCode >= http.StatusBadRequest:
 		return c.refused(ctx, result, response)
 	case r.Prompt != "":
-		return c.stream(ctx, result, response)
+		return c.stream(ctx, result, r.Prompt, response)
 	default:
 		return c.plain(ctx, result, response)
 	}
@@ -105,7 +111,7 @@
 }
 
 func (c *Client) request(ctx context.Context, addr string, t *trace.Trace, r trace.Request) (*http.Request, error) {
-	path, body := scenario.PlainPrefix+"reserve", []byte(`{"kiosk":"7"}`)
+	path, body := plainPath, []byte(r.Name)
 	if r.Prompt != "" {
 		var err error
 		path = "/v1/chat/completions"
@@ -128,6 +134,7 @@
 	request.GetBody = nil
 	request.Header.Set("Authorization", "Bearer "+t.Tenants[r.Organisation].Key())
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(headerCallerID, r.Name)
 	if r.Key != "" {
 		request.Header.Set("Idempotency-Key", r.Key)
 	}
@@ -147,7 +154,7 @@
 }
 
 func (c *Client) plain(ctx context.Context, result Result, response *http.Response) Result {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBody))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	result.takeHeader(response.Trailer)
 	if err != nil {
 		return c.fail(result, brokenEnd(ctx), err)
@@ -155,9 +162,21 @@
 	result.First = c.since()
 	result.Last = result.First
 	result.End = Whole
+	var answer echo
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return c.fail(result, Cut, errors.Wrap(err, "decode answer"))
+	}
+	if answer.Body != result.Name {
+		return c.fail(result, Foreign, errors.Errorf("answer to %q", answer.Body))
+	}
 	return result
 }
 
+// echo is the part of a plain stand-in's answer that is checked.
+type echo struct {
+	Body string `json:"body"`
+}
+
 func (c *Client) since() time.Duration { return time.Since(c.began) }
 
 func (c *Client) fail(result Result, end End, err error) Result {
--- a/internal/loadgen/client/result.go
+++ b/internal/loadgen/client/result.go
@@ -46,10 +46,11 @@
 	Tokens []time.Duration `json:"tokens,omitempty"`
 	// Want is how many tokens make a whole answer.
 	Want int `json:"want"`
-	// Key is the idempotency key, if any.
-	Key string `json:"key,omitempty"`
-	// Prompt identifies a model request.
-	Prompt string `json:"prompt,omitempty"`
+	// Name is the request's name in the trace, Key its idempotency key, if any.
+	Name string `json:"name"`
+	Key  string `json:"key,omitempty"`
+	// Model tells a model request from a plain one.
+	Model bool `json:"model"`
 	// Error is what broke, for people.
 	Error string `json:"error,omitempty"`
 }
--- a/internal/loadgen/client/stream.go
+++ b/internal/loadgen/client/stream.go
@@ -30,7 +30,7 @@
 
 // stream reads server-sent events up to the end of the body, which brings the
 // trailer.
-func (c *Client) stream(ctx context.Context, result Result, response *http.Response) Result {
+func (c *Client) stream(ctx context.Context, result Result, prompt string, response *http.Response) Result {
 	var words []string
 	var failure error
 	ended := false
@@ -59,7 +59,7 @@
 	if failure != nil {
 		return c.fail(result, brokenEnd(ctx), failure)
 	}
-	return c.judge(result, words, ended)
+	return c.judge(result, prompt, words, ended)
 }
 
 // decode reads one event; an error event is an error.
@@ -89,7 +89,7 @@
 }
 
 // judge compares a stream that ended without an error with the whole answer.
-func (c *Client) judge(result Result, words []string, ended bool) Result {
+func (c *Client) judge(result Result, prompt string, words []string, ended bool) Result {
 	result.Last = c.since()
 	want := result.Want
 	switch {
@@ -99,7 +99,7 @@
 	case len(words) < want:
 		result.End = Cut
 		result.Error = errors.Errorf("%d of %d tokens", len(words), want).Error()
-	case len(words) > want || !c.own(result.Prompt, words):
+	case len(words) > want || !c.own(prompt, words):
 		result.End = Foreign
 		result.Error = "tokens of another answer or repeated tokens"
 	default:
--- a/internal/loadgen/measure/measure.go
+++ b/internal/loadgen/measure/measure.go
@@ -33,8 +33,10 @@
 	// Doubled is the number of runs of work that must run at most once beyond
 	// the first.
 	Doubled int `json:"doubled"`
-	Cut     int `json:"cut"`
-	Foreign int `json:"foreign"`
+	// Checked tells whether the plain services could be asked what they ran.
+	Checked bool `json:"doubled_checked"`
+	Cut     int  `json:"cut"`
+	Foreign int  `json:"foreign"`
 	// Service is what each organisation received.
 	Service []Service `json:"service"`
 	Notes   []string  `json:"notes,omitempty"`
@@ -76,6 +78,7 @@
 	m.Foreign = m.Ends[client.Foreign]
 	m.Refusals, m.Untrue = refusals(r)
 	m.Doubled = doubled(r)
+	m.Checked = r.Ran.Plain != nil
 	return m
 }
 
--- a/internal/loadgen/report/rows.go
+++ b/internal/loadgen/report/rows.go
@@ -92,7 +92,9 @@
 			return n
 		})},
 		{"refusals untrue", "", "0", count(func(m *measure.Measures) int { return m.Untrue })},
-		{"answers doubled", "", "0", count(func(m *measure.Measures) int { return m.Doubled })},
+		{"answers doubled", "", "0", func(m *measure.Measures) (float64, bool) {
+			return float64(m.Doubled), m.Checked
+		}},
 		{"answers cut", "", "0", count(func(m *measure.Measures) int { return m.Cut })},
 		{"answers foreign", "", "0", count(func(m *measure.Measures) int { return m.Foreign })},
 	}
--- a/internal/loadgen/run/fault.go
+++ b/internal/loadgen/run/fault.go
@@ -45,9 +45,10 @@
 	}
 }
 
+// slowOrder is the fault of an engine stand-in that makes it slow for a while.
 type slowOrder struct {
-	Factor float64 `json:"factor"`
-	Millis int64   `json:"for_ms"`
+	Factor float64 `json:"slow_factor"`
+	Millis int64   `json:"slow_for_ms"`
 }
 
 func (r *runner) slow(ctx context.Context, event scenario.Event) error {
@@ -57,7 +58,7 @@
 		}
 		control := r.run.Fleet.Engines[target].Control
 		order := slowOrder{Factor: event.Factor, Millis: event.For.Milliseconds()}
-		if err := post(ctx, "http://"+control+"/slow", order); err != nil {
+		if err := post(ctx, "http://"+control+"/faults", order); err != nil {
 			return err
 		}
 	}
--- a/internal/loadgen/run/upstream.go
+++ b/internal/loadgen/run/upstream.go
@@ -10,46 +10,37 @@
 	"github.com/jujubeford/jujubeford/internal/loadgen/fleet"
 )
 
-// Ran counts what upstreams say they ran.
+// Ran is what upstreams say they ran.
 type Ran struct {
-	// Keys counts the runs of each idempotency key at the plain services.
-	Keys map[string]int `json:"keys"`
-	// Requests counts the runs of each request id at all upstreams.
-	Requests map[string]int `json:"requests"`
-	// Known tells whether the upstreams could be asked.
-	Known bool `json:"known"`
+	// Plain and Model count the runs of each idempotency key or else request
+	// id; nil if not all upstreams of the kind could be asked.
+	Plain map[string]int `json:"plain,omitempty"`
+	Model map[string]int `json:"model,omitempty"`
 }
 
-// ranRecord is one line of a stand-in's list of runs.
-type ranRecord struct {
-	Key     string `json:"key"`
-	Request string `json:"request"`
+func readRan(ctx context.Context, f *fleet.Fleet) Ran {
+	return Ran{Plain: countRuns(ctx, f.Plain), Model: countRuns(ctx, f.Engines)}
 }
 
-func readRan(ctx context.Context, f *fleet.Fleet) Ran {
-	ran := Ran{Keys: make(map[string]int), Requests: make(map[string]int)}
-	for _, u := range f.Plain {
-		if u.Control == "" {
-			continue
-		}
-		records, err := readRuns(ctx, u.Control)
+// countRuns adds up the runs at some upstreams.
+func countRuns(ctx context.Context, upstreams []fleet.Upstream) map[string]int {
+	if len(upstreams) == 0 {
+		return nil
+	}
+	total := make(map[string]int)
+	for _, u := range upstreams {
+		runs, err := readRuns(ctx, u.Control)
 		if err != nil {
-			continue
+			return nil
 		}
-		ran.Known = true
-		for _, r := range records {
-			if r.Key != "" {
-				ran.Keys[r.Key]++
-			}
-			if r.Request != "" {
-				ran.Requests[r.Request]++
-			}
+		for id, n := range runs {
+			total[id] += n
 		}
 	}
-	return ran
+	return total
 }
 
-func readRuns(ctx context.Context, control string) ([]ranRecord, error) {
+func readRuns(ctx context.Context, control string) (map[string]int, error) {
 	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+"/runs", nil)
@@ -61,7 +52,10 @@
 		return nil, errors.Wrap(err, "read runs")
 	}
 	defer response.Body.Close()
-	var records []ranRecord
-	err = json.NewDecoder(response.Body).Decode(&records)
-	return records, errors.Wrap(err, "decode runs")
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("read runs: %s", response.Status)
+	}
+	var runs map[string]int
+	err = json.NewDecoder(response.Body).Decode(&runs)
+	return runs, errors.Wrap(err, "decode runs")
 }
--- a/internal/loadgen/trace/trace.go
+++ b/internal/loadgen/trace/trace.go
@@ -26,7 +26,10 @@
 	Router       int
 	// Tokens is the length of the answer; 0 for a plain request.
 	Tokens int
-	// Prompt is the text of a model request; it is unique in the run.
+	// Name is unique in the run, but for the second sending of a request with a
+	// key; upstreams see it as the request's id.
+	Name string
+	// Prompt is the text of a model request; it holds the name.
 	Prompt string
 	// Key is the idempotency key, if any.
 	Key string
@@ -173,13 +176,13 @@
 		Kind:         kind,
 		Router:       g.router(organisation),
 	}
-	name := fmt.Sprintf("%s-%s-%d", g.site.Salt, k.Name, len(g.requests))
+	r.Name = fmt.Sprintf("%s-%s-%d", g.site.Salt, k.Name, len(g.requests))
 	if k.Service == scenario.ModelService {
 		r.Tokens = k.MinTokens + g.rand.IntN(k.MaxTokens-k.MinTokens+1)
-		r.Prompt = fmt.Sprintf("%s asks %s", g.tenants[organisation].Name, name)
+		r.Prompt = fmt.Sprintf("%s asks %s", g.tenants[organisation].Name, r.Name)
 	}
 	if k.Once {
-		r.Key = name
+		r.Key = r.Name
 	}
 	g.requests = append(g.requests, r)
 	if k.Again > 0 && g.rand.Float64() < k.Again {
