Print the configuration of load runs through the config library

Bookings that must run once and lookups that may repeat now have their own paths, because a rule on all of /booking/ would refuse lookups without a key.

--- a/cmd/loadgen/config.go
+++ b/cmd/loadgen/config.go
@@ -10,15 +10,13 @@
 	"github.com/google/subcommands"
 	"k8s.io/klog/v2"
 
+	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/loadgen/scenario"
 )
 
 // configCommand prints the configuration that the scenarios assume.
 type configCommand struct{ sizes scenario.Sizes }
 
-// maxOrganisations bounds the size of a configuration.
-const maxOrganisations = 10_000
-
 func (*configCommand) Name() string     { return "config" }
 func (*configCommand) Synopsis() string { return "print the configuration that the scenarios assume" }
 func (*configCommand) Usage() string {
@@ -35,11 +33,16 @@
 }
 
 func (c *configCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if n := c.sizes.Organisations; n < 1 || n > maxOrganisations || c.sizes.Large > n {
-		fmt.Fprintf(os.Stderr, "loadgen config: -organisations must be 1 to %d and at least -large\n", maxOrganisations)
+	if n := c.sizes.Organisations; n < 1 || n > config.MaxOrganisations || c.sizes.Large > n {
+		fmt.Fprintf(os.Stderr, "loadgen config: -organisations must be 1 to %d and at least -large\n", config.MaxOrganisations)
+		return subcommands.ExitUsageError
+	}
+	settings, err := scenario.Config(c.sizes)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "loadgen config: %v\n", err)
 		return subcommands.ExitUsageError
 	}
-	text, err := printConfig(scenario.Config(c.sizes))
+	text, err := settings.Print()
 	if err != nil {
 		klog.Errorf("loadgen: %v", err)
 		return subcommands.ExitFailure
--- a/internal/loadgen/client/client.go
+++ b/internal/loadgen/client/client.go
@@ -34,9 +34,6 @@
 	maxErrorText = 200
 )
 
-// plainPath is the path of plain requests; their body is the request's name.
-const plainPath = scenario.PlainPrefix + "reserve"
-
 // Tokens returns the words of the whole answer to a prompt.
 type Tokens func(prompt string, n int) []string
 
@@ -111,19 +108,9 @@
 }
 
 func (c *Client) request(ctx context.Context, addr string, t *trace.Trace, r trace.Request) (*http.Request, error) {
-	path, body := plainPath, []byte(r.Name)
-	if r.Prompt != "" {
-		var err error
-		path = "/v1/chat/completions"
-		body, err = json.Marshal(chatRequest{
-			Model:     scenario.ModelName,
-			Stream:    true,
-			MaxTokens: r.Tokens,
-			Messages:  []chatMessage{{Role: "user", Content: r.Prompt}},
-		})
-		if err != nil {
-			return nil, errors.Wrap(err, "encode request")
-		}
+	path, body, err := content(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
@@ -141,6 +128,25 @@
 	return request, nil
 }
 
+// content is the path and the body of a request. The body of a plain request is
+// its name.
+func content(r trace.Request) (path string, body []byte, err error) {
+	switch {
+	case r.Prompt != "":
+		body, err = json.Marshal(chatRequest{
+			Model:     scenario.ModelName,
+			Stream:    true,
+			MaxTokens: r.Tokens,
+			Messages:  []chatMessage{{Role: "user", Content: r.Prompt}},
+		})
+		return "/v1/chat/completions", body, err
+	case r.Key != "":
+		return scenario.OncePath, []byte(r.Name), nil
+	default:
+		return scenario.RepeatPath, []byte(r.Name), nil
+	}
+}
+
 func (c *Client) refused(ctx context.Context, result Result, response *http.Response) Result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	result.takeHeader(response.Trailer)
--- a/internal/loadgen/scenario/scenario_test.go
+++ b/internal/loadgen/scenario/scenario_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/config"
 )
 
 func TestScenarioFilesAreSound(t *testing.T) {
@@ -62,9 +64,10 @@
 
 func TestConfigHasAKeyForEachOrganisation(t *testing.T) {
 	g := NewWithT(t)
-	c := Config(Sizes{Organisations: 3400, Large: 100, ModelSlots: 8, PlainSlots: 16, MaxQueued: 10, MaxWait: time.Second})
+	c, err := Config(Sizes{Organisations: 3400, Large: 100, ModelSlots: 8, PlainSlots: 16, MaxQueued: 10, MaxWait: time.Second})
+	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(c.Organisations).To(HaveLen(3400))
 	g.Expect(c.Organisations[0].Share).To(Equal(LargeShare))
 	g.Expect(c.Organisations[100].Share).To(Equal(1))
-	g.Expect(c.Organisations[3399].Keys).To(ConsistOf(digest("example-key-org-3400")))
+	g.Expect(c.Organisations[3399].Keys).To(ConsistOf(config.KeyDigest("example-key-org-3400")))
 }
--- a/internal/loadgen/scenario/tenant.go
+++ b/internal/loadgen/scenario/tenant.go
@@ -34,9 +34,13 @@
 // The services of a load run.
 const (
 	ModelService = "assistant"
+	ModelName    = "assistant-1"
 	PlainService = "booking"
 	PlainPrefix  = "/booking/"
-	ModelName    = "assistant-1"
+	// OncePath is the path of plain requests that must run at most once,
+	// RepeatPath that of the others.
+	OncePath   = PlainPrefix + "reserve"
+	RepeatPath = PlainPrefix + "lookup"
 )
 
 // Sizes are the sizes of a configuration for load runs.
@@ -49,60 +53,39 @@
 	MaxWait       time.Duration
 }
 
-// Config returns the configuration that load runs need.
-func Config(s Sizes) *config.Config {
-	c := &config.Config{
-		Fleet: "loadgen",
-		Services: []config.Service{
-			modelService(s),
-			plainService(s),
-		},
-	}
+// Config returns the configuration that load runs need. The error names every
+// size that is out of bounds.
+func Config(s Sizes) (*config.Config, error) {
+	b := config.New("loadgen")
+	b.Service(
+		config.ModelService(ModelService, ModelName).
+			WithSlots(s.ModelSlots).
+			WithWait(s.MaxWait).
+			WithObjectives(config.Objectives{
+				FirstToken: firstToken,
+				TokenGap:   tokenGap,
+				Target:     target,
+			}),
+		config.PlainService(PlainService, PlainPrefix).
+			WithSlots(s.PlainSlots).
+			WithWait(s.MaxWait).
+			Repeatable().
+			RunOnce("POST", OncePath, "a booking must not be made twice").
+			WithObjectives(config.Objectives{Answer: plainAnswer, Target: target}),
+	)
 	for _, t := range Tenants(s.Organisations, s.Large) {
-		c.Organisations = append(c.Organisations, config.Organisation{
-			Name:      t.Name,
-			Share:     t.Share,
-			Keys:      []string{digest(t.Key())},
-			Services:  []string{ModelService, PlainService},
-			MaxQueued: s.MaxQueued,
-		})
-	}
-	return c
-}
-
-func modelService(s Sizes) config.Service {
-	return config.Service{
-		Name:        ModelService,
-		Kind:        config.Model,
-		Model:       ModelName,
-		Slots:       s.ModelSlots,
-		MaxWait:     s.MaxWait,
-		SilentAfter: silentAfter,
-		Idempotent:  true,
-		Objectives: config.Objectives{
-			FirstToken: 1600 * time.Millisecond,
-			TokenGap:   42 * time.Millisecond,
-			Target:     0.95,
-		},
+		b.Organisation(config.NewOrganisation(t.Name, t.Share).
+			WithKey(t.Key()).
+			WithQueue(s.MaxQueued).
+			Reaching(ModelService, PlainService))
 	}
+	return b.Build()
 }
 
-func plainService(s Sizes) config.Service {
-	return config.Service{
-		Name:        PlainService,
-		Kind:        config.Plain,
-		Prefix:      PlainPrefix,
-		Slots:       s.PlainSlots,
-		MaxWait:     s.MaxWait,
-		SilentAfter: silentAfter,
-		Idempotent:  true,
-		Once: []config.Once{{
-			Method: "POST",
-			Path:   PlainPrefix,
-			Why:    "a booking must not be made twice",
-		}},
-		Objectives: config.Objectives{Answer: time.Second, Target: 0.95},
-	}
-}
-
-const silentAfter = 5 * time.Second
+// The objectives of the services.
+const (
+	firstToken  = 1600 * time.Millisecond
+	tokenGap    = 42 * time.Millisecond
+	plainAnswer = time.Second
+	target      = 0.95
+)
