--- a/internal/loadgen/measure/measure.go
+++ b/internal/loadgen/measure/measure.go
@@ -15,16 +15,19 @@
 
 // Measures are the measures of one run.
 type Measures struct {
-	Scenario string             `json:"scenario"`
-	Policy   string             `json:"policy"`
-	Seed     uint64             `json:"seed"`
-	Requests int                `json:"requests"`
-	Ends     map[client.End]int `json:"ends"`
-	Gap      Gap                `json:"gap"`
-	Use      Use                `json:"use"`
-	Nodes    Nodes              `json:"nodes"`
-	Phases   []Phase            `json:"phases"`
-	Crest    *Crest             `json:"crest,omitempty"`
+	Scenario string `json:"scenario"`
+	Policy   string `json:"policy"`
+	Seed     uint64 `json:"seed"`
+	Requests int    `json:"requests"`
+	// SendLag is the longest time by which a request was sent too late, in
+	// milliseconds; a large one means that the load generator was overloaded.
+	SendLag float64            `json:"send_lag_ms"`
+	Ends    map[client.End]int `json:"ends"`
+	Gap     Gap                `json:"gap"`
+	Use     Use                `json:"use"`
+	Nodes   Nodes              `json:"nodes"`
+	Phases  []Phase            `json:"phases"`
+	Crest   *Crest             `json:"crest,omitempty"`
 	// Contrast compares one kind of request between two phases.
 	Contrast *Contrast `json:"contrast,omitempty"`
 	Refusals []Refusal `json:"refusals"`
@@ -61,6 +64,7 @@
 		Policy:   r.Fleet.Policy,
 		Seed:     s.Seed,
 		Requests: len(r.Results),
+		SendLag:  milliseconds(r.SendLag.Microseconds()),
 		Ends:     make(map[client.End]int),
 		Gap:      series.gap(s.GapBound),
 		Use:      series.use(r),
--- a/internal/loadgen/report/rows.go
+++ b/internal/loadgen/report/rows.go
@@ -1,6 +1,9 @@
 package report
 
-import "github.com/jujubeford/jujubeford/internal/loadgen/measure"
+import (
+	"github.com/jujubeford/jujubeford/internal/loadgen/client"
+	"github.com/jujubeford/jujubeford/internal/loadgen/measure"
+)
 
 // Row is one measure of a run, as a number.
 type Row struct {
@@ -95,7 +98,10 @@
 		{"answers doubled", "", "0", func(m *measure.Measures) (float64, bool) {
 			return float64(m.Doubled), m.Checked
 		}},
+		{"answers failed", "", "", count(func(m *measure.Measures) int { return m.Ends[client.Failed] })},
+		{"answers missing", "", "", count(func(m *measure.Measures) int { return m.Ends[client.Unanswered] })},
 		{"answers cut", "", "0", count(func(m *measure.Measures) int { return m.Cut })},
 		{"answers foreign", "", "0", count(func(m *measure.Measures) int { return m.Foreign })},
+		{"latest sending", "ms", "", func(m *measure.Measures) (float64, bool) { return m.SendLag, true }},
 	}
 }
--- a/internal/loadgen/run/run.go
+++ b/internal/loadgen/run/run.go
@@ -26,8 +26,8 @@
 	Ran Ran `json:"ran"`
 	// Notes are things that could not be done, such as a fault without means.
 	Notes []string `json:"notes"`
-	// Longest is the longest time by which a request was sent too late.
-	Longest time.Duration `json:"longest_send_lag"`
+	// SendLag is the longest time by which a request was sent too late.
+	SendLag time.Duration `json:"send_lag"`
 }
 
 // maxInFlight bounds the requests that wait for an answer at a time; more are
@@ -48,16 +48,13 @@
 	callers, cancel := context.WithDeadline(ctx, r.began.Add(limit))
 	defer cancel()
 
-	faults, stop := context.WithCancel(ctx)
-	var faultsDone sync.WaitGroup
-	faultsDone.Go(func() { r.inject(faults) })
+	var faults sync.WaitGroup
+	faults.Go(func() { r.inject(ctx) })
 	r.send(callers)
 	r.wait.Wait()
-	elapsed := time.Since(r.began)
-	stop()
-	faultsDone.Wait()
+	faults.Wait()
 
-	r.run.Nodes = usage(before, readAll(ctx, f), elapsed)
+	r.run.Nodes = usage(before, readAll(ctx, f), time.Since(r.began))
 	r.run.Ran = readRan(ctx, f)
 	return r.run
 }
@@ -83,7 +80,7 @@
 			r.skip(i)
 			continue
 		}
-		r.run.Longest = max(r.run.Longest, time.Since(r.began)-request.At)
+		r.run.SendLag = max(r.run.SendLag, time.Since(r.began)-request.At)
 		select {
 		case r.slots <- struct{}{}:
 		default:
--- a/internal/loadgen/scenario/check.go
+++ b/internal/loadgen/scenario/check.go
@@ -33,6 +33,9 @@
 		if err := e.check(); err != nil {
 			return errors.Wrapf(err, "event at %s", e.At)
 		}
+		if e.At < 0 || e.At >= s.Duration() {
+			return errors.Errorf("event at %s is outside of the run", e.At)
+		}
 	}
 	return nil
 }
--- a/internal/loadgen/scenario/scenario_test.go
+++ b/internal/loadgen/scenario/scenario_test.go
@@ -41,6 +41,7 @@
 		{"crest", "name: x", "name: x\ncrest: high", `no phase "high"`},
 		{"contrast", "name: x", "name: x\ncontrast: {kind: long}", `no kind "long"`},
 		{"action", "name: x", "name: x\nevents: [{action: melt}]", "unknown action"},
+		{"event time", "name: x", "name: x\nevents: [{action: kill, at: 1s}]", "outside of the run"},
 		{"slow", "name: x", "name: x\nevents: [{action: slow, factor: 1}]", "factor above 1"},
 	}
 	for _, test := range tests {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,13 +28,13 @@
 
 # words prints the text of a stream of server-sent events and its end.
 words() {
-	local line data
+	local line
 	while IFS= read -r line; do
-		data=${line#data: }
-		case "$line" in
-		"data: [DONE]"*) printf ' [whole]' ;;
-		"data: "*) jq -j '.choices[0].delta.content // empty, (.error.message // empty)' <<<"$data" ;;
-		esac
+		if [[ $line == "data: [DONE]"* ]]; then
+			printf ' [whole]'
+		elif [[ $line =~ \"(content|message)\":\ ?\"([^\"]*)\" ]]; then
+			printf '%s' "${BASH_REMATCH[2]}"
+		fi
 	done
 	echo
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -153,6 +153,7 @@
 }
 
 up() {
+	command -v curl >/dev/null || fail "curl is needed"
 	[ ! -e "$DIR/platform.pid" ] || fail "$DIR is in use; run down first"
 	mkdir -p "$DIR"
 	rm -f "$DIR"/*.log
