--- /dev/null
+++ b/internal/loadgen/measure/honesty.go
@@ -0,0 +1,148 @@
+package measure
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jujubeford/jujubeford/internal/loadgen/client"
+	"github.com/jujubeford/jujubeford/internal/loadgen/run"
+)
+
+// Refusal counts the refusals with one reason and outcome.
+type Refusal struct {
+	Reason  string `json:"reason"`
+	Outcome string `json:"outcome"`
+	Count   int    `json:"count"`
+	// Untrue is how many said "not run" of a request that an upstream ran.
+	Untrue int `json:"untrue"`
+	// Unchecked is how many could not be compared with what upstreams ran.
+	Unchecked int `json:"unchecked"`
+	// WithRetryAfter is how many said when to come back.
+	WithRetryAfter int `json:"with_retry_after"`
+}
+
+const outcomeNotRun = "not-run"
+
+func refusals(r *run.Run) (rows []Refusal, untrue int) {
+	type kind struct{ reason, outcome string }
+	counts := make(map[kind]*Refusal)
+	truth := newTruth(r)
+	for _, result := range r.Results {
+		if result.End != client.Refused {
+			continue
+		}
+		k := kind{result.Reason, result.Outcome}
+		if counts[k] == nil {
+			counts[k] = &Refusal{Reason: k.reason, Outcome: k.outcome}
+		}
+		row := counts[k]
+		row.Count++
+		if result.RetryAfter {
+			row.WithRetryAfter++
+		}
+		switch {
+		case !notRun(result):
+		case !truth.known(result):
+			row.Unchecked++
+		case truth.ran(result):
+			row.Untrue++
+			untrue++
+		}
+	}
+	for _, row := range counts {
+		rows = append(rows, *row)
+	}
+	slices.SortFunc(rows, func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Outcome, b.Outcome))
+	})
+	return rows, untrue
+}
+
+func notRun(r client.Result) bool {
+	return r.End == client.Refused && r.Outcome == outcomeNotRun
+}
+
+// id is the name under which plain services know a request.
+func id(r client.Result) string { return cmp.Or(r.Key, r.Name) }
+
+// truth compares refusals with what upstreams ran.
+type truth struct {
+	seen run.Ran
+	// others counts, by id, the sendings that may have run.
+	others map[string]int
+}
+
+func newTruth(r *run.Run) truth {
+	t := truth{seen: r.Ran, others: make(map[string]int)}
+	for _, result := range r.Results {
+		if !notRun(result) {
+			t.others[id(result)]++
+		}
+	}
+	return t
+}
+
+func (t truth) counts(r client.Result) map[string]int {
+	if r.Model {
+		return t.seen.Model
+	}
+	return t.seen.Plain
+}
+
+func (t truth) known(r client.Result) bool { return t.counts(r) != nil }
+
+// ran tells whether a request that was refused as not run did run: there are
+// runs of it that no other sending of the same request accounts for.
+func (t truth) ran(r client.Result) bool {
+	runs := t.counts(r)
+	return runs[r.RequestID] > 0 || runs[id(r)] > 0 && t.others[id(r)] == 0
+}
+
+// doubled counts the runs beyond the first of each key of this run.
+func doubled(r *run.Run) int {
+	keys := make(map[string]bool)
+	for _, result := range r.Results {
+		if result.Key != "" {
+			keys[result.Key] = true
+		}
+	}
+	n := 0
+	for key := range keys {
+		n += max(0, r.Ran.Plain[key]-1)
+	}
+	return n
+}
+
+// Nodes is what the routers spent.
+type Nodes struct {
+	// Measured is how many routers gave their metrics before and after.
+	Measured int `json:"measured"`
+	// ControlMean and ControlMax are bytes a second in both directions.
+	ControlMean float64 `json:"control_bytes_per_second_mean"`
+	ControlMax  float64 `json:"control_bytes_per_second_max"`
+	// CPUMean and CPUMax are in percent of a core.
+	CPUMean float64 `json:"cpu_percent_mean"`
+	CPUMax  float64 `json:"cpu_percent_max"`
+	// MemoryMax is the largest resident memory, in bytes.
+	MemoryMax float64 `json:"memory_bytes_max"`
+}
+
+func nodes(all []*run.Usage) Nodes {
+	var n Nodes
+	for _, u := range all {
+		if u == nil {
+			continue
+		}
+		n.Measured++
+		n.ControlMean += u.ControlBytes
+		n.ControlMax = max(n.ControlMax, u.ControlBytes)
+		n.CPUMean += u.CPU
+		n.CPUMax = max(n.CPUMax, u.CPU)
+		n.MemoryMax = max(n.MemoryMax, u.Memory)
+	}
+	if n.Measured > 0 {
+		n.ControlMean /= float64(n.Measured)
+		n.CPUMean /= float64(n.Measured)
+	}
+	return n
+}
