Prove claims at most once over several routers and a faulty store

Mended by keeping the index of the own record apart from that of the record in the way. Ruled out: late writes as the cause, by the printed history.

--- a/internal/claims/ask.go
+++ b/internal/claims/ask.go
@@ -28,7 +28,7 @@
 	switch state {
 	case wire.ClaimState_CLAIM_NEVER_SENT:
 		c.foreign = false
-		c.write(s, c.index)
+		c.write(s, c.heldAt)
 	case wire.ClaimState_CLAIM_IN_FLIGHT:
 		c.end(s, inProgress(c.request))
 	default:
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -39,11 +39,13 @@
 	doubt bool
 	// foreign tells that another attempt is known that may have run.
 	foreign bool
-	// index is the modify index of the record as last seen.
+	// index is the modify index of the claim's own record, 0 if it is not known.
 	index uint64
-	// holder and held are the router and nonce of a record that is in the way.
+	// holder, held and heldAt are the router, the nonce and the modify index of
+	// a record that is in the way. Only a takeover may write at heldAt.
 	holder core.RouterID
 	held   string
+	heldAt uint64
 	// tries counts calls without an answer.
 	tries    int
 	askUntil time.Time
@@ -133,13 +135,13 @@
 
 // examine decides by the record that was read.
 func (c *claim) examine(s *State, now time.Time, r core.KVResult) {
-	c.index = r.Index
 	rec, err := decode(r.Value)
 	if err != nil {
 		c.end(s, unknown(c.request, 0))
 		return
 	}
 	if rec.Nonce == c.nonce || s.faults.ignoreNonce {
+		c.index = r.Index
 		c.grant(s)
 		return
 	}
@@ -148,7 +150,7 @@
 		return
 	}
 	c.foreign = true
-	c.holder, c.held = rec.Router, rec.Nonce
+	c.holder, c.held, c.heldAt = rec.Router, rec.Nonce, r.Index
 	if c.holder == s.self {
 		c.answered(s, s.stateOf(c.key, c.held))
 		return
@@ -196,7 +198,7 @@
 func (c *claim) timeout(s *State, now time.Time) {
 	switch {
 	case c.phase == phaseAsk && !now.Before(c.askUntil) && s.faults.takeUnasked:
-		c.write(s, c.index)
+		c.write(s, c.heldAt)
 	case c.phase == phaseAsk && (!now.Before(c.askUntil) || !now.Before(c.deadline)):
 		c.end(s, unknown(c.request, retryUnknown))
 	case !now.Before(c.deadline):
--- a/internal/claims/outcome.go
+++ b/internal/claims/outcome.go
@@ -90,5 +90,9 @@
 
 // release removes a claim's record, so that others need not ask about it.
 func (s *State) release(now time.Time, c *claim) {
-	s.amend(now, &amendment{key: c.key, nonce: c.nonce, index: c.index, until: now.Add(releaseTimeout)})
+	index := c.index
+	if s.faults.releaseHeld {
+		index = c.heldAt
+	}
+	s.amend(now, &amendment{key: c.key, nonce: c.nonce, index: index, until: now.Add(releaseTimeout)})
 }
--- a/internal/claims/state.go
+++ b/internal/claims/state.go
@@ -69,6 +69,8 @@
 	reviveNonce bool
 	// takeUnasked takes a record over when its holder does not answer.
 	takeUnasked bool
+	// releaseHeld removes the record that was in a claim's way, not its own.
+	releaseHeld bool
 }
 
 // New returns a router's state, which knows nothing of earlier incarnations.
--- /dev/null
+++ b/internal/claims/store_test.go
@@ -0,0 +1,87 @@
+package claims
+
+import (
+	"fmt"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// fakeStore is a key-value service with compare-and-swap and an index that
+// grows with each write. It counts the calls that reach it.
+type fakeStore struct {
+	entries map[string]entry
+	last    uint64
+	reads   int
+	writes  int
+	// takeovers counts claims written over another one.
+	takeovers int
+	// tellsIndex makes a write answer with its index.
+	tellsIndex bool
+}
+
+type entry struct {
+	value []byte
+	index uint64
+}
+
+// opOf returns the id of a key-value effect.
+func opOf(e core.Effect) core.OpID {
+	switch e := e.(type) {
+	case core.KVGet:
+		return e.Op
+	case core.KVCAS:
+		return e.Op
+	case core.KVDelete:
+		return e.Op
+	}
+	panic(fmt.Sprintf("not a key-value effect: %T", e))
+}
+
+// apply carries a call out.
+func (s *fakeStore) apply(e core.Effect) core.KVResult {
+	switch e := e.(type) {
+	case core.KVGet:
+		return s.get(e)
+	case core.KVCAS:
+		return s.cas(e)
+	case core.KVDelete:
+		return s.delete(e)
+	}
+	panic(fmt.Sprintf("not a key-value effect: %T", e))
+}
+
+func (s *fakeStore) get(e core.KVGet) core.KVResult {
+	s.reads++
+	found, ok := s.entries[e.Key]
+	if !ok {
+		return core.KVResult{Op: e.Op, Status: core.KVNotFound, Key: e.Key}
+	}
+	return core.KVResult{Op: e.Op, Status: core.KVOK, Key: e.Key, Value: found.value, Index: found.index}
+}
+
+func (s *fakeStore) cas(e core.KVCAS) core.KVResult {
+	s.writes++
+	if s.entries[e.Key].index != e.Index {
+		return core.KVResult{Op: e.Op, Status: core.KVConflict, Key: e.Key}
+	}
+	if rec, err := decode(e.Value); err == nil && e.Index != 0 && rec.State == stateClaimed {
+		s.takeovers++
+	}
+	s.last++
+	s.entries[e.Key] = entry{e.Value, s.last}
+	r := core.KVResult{Op: e.Op, Status: core.KVOK, Key: e.Key}
+	if s.tellsIndex {
+		r.Index = s.last
+	}
+	return r
+}
+
+func (s *fakeStore) delete(e core.KVDelete) core.KVResult {
+	s.writes++
+	if s.entries[e.Key].index != e.Index {
+		return core.KVResult{Op: e.Op, Status: core.KVConflict, Key: e.Key}
+	}
+	s.last++
+	delete(s.entries, e.Key)
+	return core.KVResult{Op: e.Op, Status: core.KVOK, Key: e.Key}
+}
