--- a/internal/claims/world_test.go
+++ b/internal/claims/world_test.go
@@ -161,18 +161,18 @@
 	w.runs[g.key] = []byte("answer of " + string(g.request))
 }
 
-// end reports to the router how a granted request ended.
-func (w *world) end(i int, whole bool) {
+// end tells the router how a granted request ended, or leaves it in doubt.
+func (w *world) end(i int, clear bool) {
 	g := w.ready[i]
 	w.ready = slices.Delete(w.ready, i, i+1)
 	var effects []core.Effect
 	switch {
-	case g.reached && whole:
+	case g.reached && clear:
 		effects = g.node.state.Finish(w.now, g.request, 200, w.runs[g.key])
 	case g.reached:
 		effects = g.node.state.Failed(w.now, g.request, true)
 	default:
-		effects = g.node.state.Failed(w.now, g.request, !whole)
+		effects = g.node.state.Failed(w.now, g.request, !clear)
 	}
 	w.take(g.node)(effects, nil)
 }
