Add the commands config print, check, diff, submit and show

Cause: operators submit the printed text from a command line, must see every mistake with its place, and learn whether, and where, it is in force. The exit status tells accepted (0), not accepted (1), faulty (2) and not known (3) apart.

Ruled out: importing the adapter of the key-value service (the command takes a function that opens it, so that tests run on a small fake); printing generation and submission into the text of show (the bytes would differ from what print gives, so they go to the standard error).

--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,144 @@
+// Package cli holds the commands of the program jujubeford.
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// The exit statuses beside success.
+const (
+	// exitFailure: the command could not do what it was asked for; nothing was
+	// changed. For diff: there are differences.
+	exitFailure = subcommands.ExitFailure
+	// exitUsage: flags, arguments or the configuration have faults.
+	exitUsage = subcommands.ExitUsageError
+	// exitUnsettled: it is not known whether the configuration is accepted.
+	exitUnsettled = subcommands.ExitStatus(3)
+)
+
+// OpenStore opens the key-value service at an address.
+type OpenStore func(addr string) platform.Store
+
+// ConfigCommand is the command "config" with its subcommands.
+func ConfigCommand(open func(addr string) platform.Store) subcommands.Command {
+	return &configCommand{&console{in: os.Stdin, out: os.Stdout, err: os.Stderr, env: os.Getenv, open: open}}
+}
+
+// console is what commands share: streams, environment and store.
+type console struct {
+	in       io.Reader
+	out, err io.Writer
+	env      func(string) string
+	open     OpenStore
+}
+
+// configCommand dispatches to the subcommands of "config".
+type configCommand struct{ *console }
+
+// Name is the command's name.
+func (*configCommand) Name() string { return "config" }
+
+// Synopsis is the command in one line.
+func (*configCommand) Synopsis() string {
+	return "print, check, compare, submit or show a configuration"
+}
+
+// Usage is the command's help.
+func (*configCommand) Usage() string {
+	return `config print|check|diff|submit|show [flags] [arguments]:
+  Work with the configuration of a fleet. "config help" lists the subcommands.
+`
+}
+
+// SetFlags registers no flag: the subcommands have their own.
+func (*configCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute runs the subcommand that the arguments name.
+func (c *configCommand) Execute(ctx context.Context, fs *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	commander := subcommands.NewCommander(fs, "jujubeford config")
+	commander.Output, commander.Error = c.out, c.err
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(&printCommand{c.console}, "")
+	commander.Register(&checkCommand{c.console}, "")
+	commander.Register(&diffCommand{console: c.console}, "")
+	commander.Register(&submitCommand{console: c.console}, "")
+	commander.Register(&showCommand{console: c.console}, "")
+	return commander.Execute(ctx, args...)
+}
+
+// fail reports an error and returns the exit status for it.
+func (c *console) fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(c.err, err)
+	return exitFailure
+}
+
+// refuse reports faults of the flags or arguments.
+func (c *console) refuse(err error) subcommands.ExitStatus {
+	fmt.Fprintln(c.err, err)
+	return exitUsage
+}
+
+// standardInput names the standard input among the arguments.
+const standardInput = "-"
+
+// read reads a file, or the standard input, at most one byte above the limit,
+// which config.Parse then refuses.
+func (c *console) read(name string) ([]byte, error) {
+	in := c.in
+	if name != standardInput {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		in = file
+	}
+	return io.ReadAll(io.LimitReader(in, config.MaxSize+1))
+}
+
+// load reads and parses a configuration. When it returns false, the faults are
+// already reported, each with the file and the place.
+func (c *console) load(name string) (*config.Config, bool) {
+	text, err := c.read(name)
+	if err != nil {
+		c.refuse(err)
+		return nil, false
+	}
+	cfg, err := config.Parse(text)
+	if err == nil {
+		return cfg, true
+	}
+	if name == standardInput {
+		name = "standard input"
+	}
+	var faults config.Faults
+	if !errors.As(err, &faults) {
+		c.refuse(errors.WithMessage(err, name))
+		return nil, false
+	}
+	for _, fault := range faults {
+		fmt.Fprintf(c.err, "%s: %s\n", name, fault)
+	}
+	return nil, false
+}
+
+// oneFile is the only argument, or the standard input if there is none.
+func oneFile(fs *flag.FlagSet) (string, error) {
+	switch fs.NArg() {
+	case 0:
+		return standardInput, nil
+	case 1:
+		return fs.Arg(0), nil
+	}
+	return "", errors.Errorf("%d files, at most one fits", fs.NArg())
+}
--- /dev/null
+++ b/internal/cli/config_text.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/configstore"
+	"github.com/jujubeford/jujubeford/internal/settings"
+)
+
+// printCommand prints the canonical text of a configuration.
+type printCommand struct{ *console }
+
+// Name is the command's name.
+func (*printCommand) Name() string { return "print" }
+
+// Synopsis is the command in one line.
+func (*printCommand) Synopsis() string { return "print the canonical text of a configuration" }
+
+// Usage is the command's help.
+func (*printCommand) Usage() string {
+	return `print [FILE]:
+  Print the canonical text with its digest. Without FILE, or with -, read the
+  standard input.
+`
+}
+
+// SetFlags registers no flag.
+func (*printCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute runs the command.
+func (c *printCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	name, err := oneFile(fs)
+	if err != nil {
+		return c.refuse(err)
+	}
+	cfg, ok := c.load(name)
+	if !ok {
+		return exitUsage
+	}
+	return c.write(cfg)
+}
+
+// write prints a configuration.
+func (c *console) write(cfg *config.Config) subcommands.ExitStatus {
+	text, err := cfg.Print()
+	if err == nil {
+		_, err = c.out.Write(text)
+	}
+	if err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// checkCommand names every fault of a configuration.
+type checkCommand struct{ *console }
+
+// Name is the command's name.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis is the command in one line.
+func (*checkCommand) Synopsis() string { return "name every fault of a configuration" }
+
+// Usage is the command's help.
+func (*checkCommand) Usage() string {
+	return `check [FILE]:
+  Name every fault with its place, and exit with status 2 if there is one.
+  Without FILE, or with -, read the standard input.
+`
+}
+
+// SetFlags registers no flag.
+func (*checkCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute runs the command.
+func (c *checkCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	name, err := oneFile(fs)
+	if err != nil {
+		return c.refuse(err)
+	}
+	cfg, ok := c.load(name)
+	if !ok {
+		return exitUsage
+	}
+	digest, err := cfg.Digest()
+	if err != nil {
+		return c.fail(err)
+	}
+	fmt.Fprintf(c.out, "no fault: fleet %s, services %d, organisations %d, digest %s\n",
+		cfg.Fleet, len(cfg.Services), len(cfg.Organisations), digest)
+	return subcommands.ExitSuccess
+}
+
+// diffCommand compares configurations.
+type diffCommand struct {
+	*console
+	set   *settings.Set
+	store string
+}
+
+// Name is the command's name.
+func (*diffCommand) Name() string { return "diff" }
+
+// Synopsis is the command in one line.
+func (*diffCommand) Synopsis() string { return "list what differs between two configurations" }
+
+// Usage is the command's help.
+func (*diffCommand) Usage() string {
+	return `diff OLD NEW, or diff -store IP:port NEW:
+  List the changes from OLD, or from what is in force, to NEW. Exit with status 0
+  if there is none, 1 if there are some, 2 on faults.
+`
+}
+
+// SetFlags registers the flags.
+func (c *diffCommand) SetFlags(fs *flag.FlagSet) {
+	c.set = settings.New(fs)
+	c.set.Addr(&c.store, "store", storeUsage)
+}
+
+// Execute runs the command.
+func (c *diffCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.set.Resolve(c.env); err != nil {
+		return c.refuse(err)
+	}
+	switch {
+	case fs.NArg() == 2:
+		before, ok := c.load(fs.Arg(0))
+		after, okAfter := c.load(fs.Arg(1))
+		if !ok || !okAfter {
+			return exitUsage
+		}
+		return c.differences(before, after)
+	case fs.NArg() == 1 && c.store != "":
+		return c.againstForce(ctx, fs.Arg(0))
+	}
+	return c.refuse(errors.New("name two files, or one file and -store"))
+}
+
+// againstForce compares a file with what is in force.
+func (c *diffCommand) againstForce(ctx context.Context, name string) subcommands.ExitStatus {
+	after, ok := c.load(name)
+	if !ok {
+		return exitUsage
+	}
+	head, err := configstore.Load(ctx, c.open(c.store))
+	if err != nil {
+		return c.fail(err)
+	}
+	before := head.Config
+	if before == nil {
+		before = &config.Config{}
+	}
+	return c.differences(before, after)
+}
+
+// differences prints the changes.
+func (c *console) differences(before, after *config.Config) subcommands.ExitStatus {
+	changes := config.Diff(before, after)
+	for _, change := range changes {
+		fmt.Fprintln(c.out, change)
+	}
+	if len(changes) > 0 {
+		return exitFailure
+	}
+	return subcommands.ExitSuccess
+}
