Ask owners in rounds, hedge before the first token, read settings for the daemon

Cause: telling every owner of a service at once costs a message each where a fleet has dozens of owners, and most work is served by the first one asked.

A request without a first token may ask for a second slot while nothing else of its queue waits; the budget for it is still closed. The daemon's flags are environment variables too.

Ruled out: sampling two owners once and for all (work would wait beside idle slots until an owner asks).

--- a/internal/cli/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package cli holds the subcommands of jujubeford.
-package cli
--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -1,3 +1,4 @@
+// Package cli holds the commands of the program jujubeford.
 package cli
 
 import (
@@ -13,60 +14,78 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/jujubeford/jujubeford/internal/settings"
 	"github.com/jujubeford/jujubeford/platform"
 	"github.com/jujubeford/jujubeford/router"
 )
 
-// Platform opens the platform at an address, IP:port.
-type Platform func(addr string) (platform.Store, platform.Directory)
+// OpenPlatform opens the platform at an address, IP:port.
+type OpenPlatform func(addr string) (platform.Store, platform.Directory)
 
-// RouterCommand is "jujubeford router": the daemon.
-func RouterCommand(open Platform) subcommands.Command {
+// RouterCommand is the command "router": the daemon.
+func RouterCommand(open OpenPlatform) subcommands.Command {
 	return &routerCommand{open: open}
 }
 
 type routerCommand struct {
-	open       Platform
+	open       OpenPlatform
+	settings   *settings.Set
 	options    router.Options
 	store      string
 	clusterKey string
-	peers      string
 	policy     string
+	caller     tlsFiles
+	peer       tlsFiles
 }
 
-// Name is the name of the subcommand.
+// Name is the command's name.
 func (*routerCommand) Name() string { return "router" }
 
-// Synopsis is one line of help.
+// Synopsis is the command in one line.
 func (*routerCommand) Synopsis() string { return "run one instance of the router fleet" }
 
-// Usage is the head of the command's help.
+// Usage is the command's help.
 func (*routerCommand) Usage() string {
-	return "jujubeford router [flags]\n\nRuns one router until SIGTERM drains it; a second SIGTERM ends what is left.\nEach flag is also an environment variable: -peer-listen is JUJUBEFORD_PEER_LISTEN.\n\n"
+	return `router [flags]:
+  Run one router until SIGTERM drains it; a second SIGTERM ends what is left.
+  Each flag is also an environment variable: -peer-listen is
+  JUJUBEFORD_PEER_LISTEN.
+`
 }
 
-// SetFlags defines the settings.
-func (c *routerCommand) SetFlags(f *flag.FlagSet) {
+// SetFlags registers the settings.
+func (c *routerCommand) SetFlags(fs *flag.FlagSet) {
 	o := &c.options
-	f.StringVar(&o.Name, "name", "", "`name` of this instance, unique in the fleet")
-	f.StringVar(&o.Domain, "domain", "", "failure `domain` of this instance, such as ga-east/a")
-	f.StringVar(&o.Listen, "listen", "127.0.0.1:8100", "`IP:port` for callers")
-	f.StringVar(&o.PeerListen, "peer-listen", "127.0.0.1:8200", "`IP:port` for other routers")
-	f.StringVar(&o.AdminListen, "admin-listen", "127.0.0.1:8300", "`IP:port` for operators")
-	f.StringVar(&o.PeerAdvertise, "peer-advertise", "", "`IP:port` that other routers reach this one at (default: -peer-listen)")
-	f.StringVar(&o.AdminAdvertise, "admin-advertise", "", "`IP:port` that operators reach this one at (default: -admin-listen)")
-	f.StringVar(&c.peers, "peers", "", "peer `addresses` of other routers to start from, separated by commas")
-	f.StringVar(&c.store, "store", "127.0.0.1:8500", "`IP:port` of the platform's key-value service")
-	f.StringVar(&c.clusterKey, "cluster-key", "", "`file` with the fleet's shared key, at least 16 bytes")
-	f.StringVar(&c.policy, "policy", string(router.PolicyOwner), "`policy` of sharing: owner, or baseline to measure against")
-	f.IntVar(&o.Routers, "routers", 1, "`number` of routers that slice the upstreams under -policy baseline")
-	f.Int64Var(&o.MaxBody, "max-body", router.DefaultMaxBody, "largest request body, `bytes`")
-	f.DurationVar(&o.DrainTimeout, "drain-timeout", router.DefaultDrainTimeout, "how long a drain may last, `duration`")
+	o.Listen, o.PeerListen, o.AdminListen = "127.0.0.1:8100", "127.0.0.1:8200", "127.0.0.1:8300"
+	o.Routers, o.MaxBody, o.DrainTimeout = 1, router.DefaultMaxBody, router.DefaultDrainTimeout
+	c.store, c.policy = "127.0.0.1:8500", string(router.PolicyOwner)
+
+	s := settings.New(fs)
+	s.String(&o.Name, "name", "`name` of this instance, unique in the fleet", settings.Required)
+	s.String(&o.Domain, "domain", "failure `domain` of this instance, such as ga-east/a", settings.Required)
+	s.Addr(&o.Listen, "listen", "`IP:port` for callers", settings.Required)
+	s.Addr(&o.PeerListen, "peer-listen", "`IP:port` for other routers", settings.Required)
+	s.Addr(&o.AdminListen, "admin-listen", "`IP:port` for operators", settings.Required)
+	s.Addr(&o.PeerAdvertise, "peer-advertise", "`IP:port` at which other routers reach this one, if not -peer-listen")
+	s.Addr(&o.AdminAdvertise, "admin-advertise", "`IP:port` at which operators reach this one, if not -admin-listen")
+	s.Addrs(&o.Peers, "peers", "`addresses` of other routers to start from, divided by commas")
+	s.Addr(&c.store, "store", "`IP:port` of the platform's key-value service", settings.Required)
+	s.String(&c.clusterKey, "cluster-key", "`file` with the fleet's shared key", settings.Required)
+	s.String(&c.caller.cert, "tls-cert", "PEM `file` with the certificate shown to callers; none means plain HTTP")
+	s.String(&c.caller.key, "tls-key", "PEM `file` with the key of -tls-cert")
+	s.String(&c.peer.cert, "peer-cert", "PEM `file` with the certificate shown to other routers; none means plain TCP")
+	s.String(&c.peer.key, "peer-key", "PEM `file` with the key of -peer-cert")
+	s.String(&c.peer.ca, "peer-ca", "PEM `file` with the authorities that other routers' certificates come from")
+	s.String(&c.policy, "policy", "`policy` of sharing: owner, or baseline to measure against")
+	s.Int(&o.Routers, "routers", "`number` of routers that slice the upstreams under -policy baseline", settings.Positive)
+	s.Int(&o.MaxBody, "max-body", "largest request body, `bytes`", settings.Positive)
+	s.Duration(&o.DrainTimeout, "drain-timeout", "how long a drain may last, `duration`", settings.Positive)
+	c.settings = s
 }
 
-// Execute runs the router.
-func (c *routerCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := c.settings(f); err != nil {
+// Execute runs the router until it has drained.
+func (c *routerCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.complete(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
@@ -90,43 +109,23 @@
 	return subcommands.ExitSuccess
 }
 
-// settings completes the options from the environment and the files they name.
-func (c *routerCommand) settings(f *flag.FlagSet) error {
-	if err := fromEnvironment(f); err != nil {
+// complete resolves the settings and reads what they name.
+func (c *routerCommand) complete() error {
+	if err := c.settings.Resolve(os.Getenv); err != nil {
 		return err
 	}
-	if c.clusterKey != "" {
-		key, err := os.ReadFile(c.clusterKey)
-		if err != nil {
-			return errors.Wrap(err, "cluster-key")
-		}
-		c.options.ClusterKey = []byte(strings.TrimSpace(string(key)))
+	key, err := os.ReadFile(c.clusterKey)
+	if err != nil {
+		return errors.Wrap(err, "cluster-key")
+	}
+	c.options.ClusterKey = []byte(strings.TrimSpace(string(key)))
+	if c.options.TLS, err = c.caller.server(); err != nil {
+		return errors.Wrap(err, "tls-cert")
 	}
-	if c.peers != "" {
-		c.options.Peers = strings.Split(c.peers, ",")
+	if c.options.PeerTLS, err = c.peer.mutual(); err != nil {
+		return errors.Wrap(err, "peer-cert")
 	}
 	c.options.Policy = router.Policy(c.policy)
 	c.options.Store, c.options.Directory = c.open(c.store)
 	return nil
 }
-
-// fromEnvironment sets the flags that were not given from the environment.
-func fromEnvironment(f *flag.FlagSet) error {
-	given := make(map[string]bool)
-	f.Visit(func(x *flag.Flag) { given[x.Name] = true })
-	var faults []string
-	f.VisitAll(func(x *flag.Flag) {
-		name := "JUJUBEFORD_" + strings.ToUpper(strings.ReplaceAll(x.Name, "-", "_"))
-		value, ok := os.LookupEnv(name)
-		if !ok || given[x.Name] {
-			return
-		}
-		if err := f.Set(x.Name, value); err != nil {
-			faults = append(faults, fmt.Sprintf("%s: %v", name, err))
-		}
-	})
-	if len(faults) > 0 {
-		return errors.New(strings.Join(faults, "\n"))
-	}
-	return nil
-}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -39,6 +39,8 @@
 		core.Observe{Metric: core.MetricFirst, Service: r.Service, Organisation: r.Organisation, Value: now.Sub(r.arrived).Seconds()},
 	}
 	r.commit, r.state = a, committed
+	s.unhedge(r)
+	s.gates.First(now, r.Service, a.slot.upstream, now.Sub(a.sentAt))
 	for _, other := range r.live() {
 		if other != a {
 			effects = append(effects, s.cancel(r, other)...)
@@ -117,6 +119,7 @@
 	if len(r.live()) > 0 || r.commit != nil {
 		return effects
 	}
+	s.unhedge(r)
 	return append(effects, s.afterFailure(now, r, a, ev)...)
 }
 
@@ -162,10 +165,7 @@
 		r.attempts = append(r.attempts, next)
 		r.commit = next
 		return []core.Effect{
-			core.Send{
-				Request: r.Request, Attempt: next.number, Upstream: u.ID, Addr: u.Addr,
-				SilentAfter: s.services[r.Service].SilentAfter, Resume: true,
-			},
+			s.sendTo(r, next, u, true),
 			core.Record{Request: r.Request, What: "resumed", Upstream: u.ID},
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,8 +36,11 @@
 	draining bool
 }
 
+// timer is due for one of: a request's deadline, a request's hedge, a queue's
+// next word to owners.
 type timer struct {
 	request core.RequestID
+	hedge   core.RequestID
 	queue   queueKey
 }
 
@@ -164,10 +167,13 @@
 		if !ok {
 			break
 		}
-		if t.request != "" {
+		switch {
+		case t.request != "":
 			effects = append(effects, s.expire(now, t.request)...)
-		} else {
-			s.ask(now, t.queue)
+		case t.hedge != "":
+			s.hedge(now, t.hedge)
+		default:
+			s.nextRound(now, t.queue)
 		}
 	}
 	s.reportProgress(now)
@@ -227,6 +233,7 @@
 }
 
 func (s *State) end(r *request, why core.Reason) []core.Effect {
+	s.unhedge(r)
 	delete(s.requests, r.Request)
 	return []core.Effect{core.Record{Request: r.Request, What: "ended", Detail: string(why)}}
 }
--- a/internal/entry/gates.go
+++ b/internal/entry/gates.go
@@ -23,6 +23,13 @@
 	GiveUp(now time.Time, id core.RequestID) []core.Effect
 	// Crash tells that a request was in flight when an upstream crashed.
 	Crash(now time.Time, org string, fingerprint [32]byte, upstream string) []core.Effect
+	// First tells how long an upstream took to its first token.
+	First(now time.Time, service, upstream string, latency time.Duration)
 	// Retry takes from the retry budget of a service.
 	Retry(now time.Time, service string) bool
+	// HedgeDelay is how long to wait for a first token before a second send;
+	// zero means never.
+	HedgeDelay(now time.Time, service string) time.Duration
+	// Hedge takes from the hedge budget of a service.
+	Hedge(now time.Time, service string) bool
 }
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -101,17 +101,30 @@
 	if r.Once {
 		s.gates.Sent(now, r.Request)
 	}
+	if r.hedging {
+		r.hedging = false
+		return []core.Effect{
+			s.sendTo(r, a, u, false),
+			core.Record{Request: r.Request, What: "hedged", Upstream: u.ID, Detail: "No token came in time; sent a second time."},
+			core.Observe{Metric: core.MetricHedged, Service: r.Service, Organisation: r.Organisation, Value: 1},
+		}
+	}
+	s.planHedge(now, r)
 	waited := now.Sub(r.arrived)
 	return []core.Effect{
-		core.Send{
-			Request: r.Request, Attempt: a.number, Upstream: u.ID, Addr: u.Addr,
-			SilentAfter: s.services[r.Service].SilentAfter,
-		},
+		s.sendTo(r, a, u, false),
 		core.Record{Request: r.Request, What: "sent", Upstream: u.ID, Detail: fmt.Sprintf("Sent after waiting %s.", waited)},
 		core.Observe{Metric: core.MetricWait, Service: r.Service, Organisation: r.Organisation, Value: waited.Seconds()},
 	}
 }
 
+func (s *State) sendTo(r *request, a *attempt, u core.Upstream, resume bool) core.Send {
+	return core.Send{
+		Request: r.Request, Attempt: a.number, Upstream: u.ID, Addr: u.Addr,
+		SilentAfter: s.services[r.Service].SilentAfter, Resume: resume,
+	}
+}
+
 // release gives a slot back with its cost.
 func (s *State) release(a *attempt, cost uint64) {
 	a.finished = true
--- /dev/null
+++ b/internal/entry/hedge.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// planHedge sets the time at which a sent request may ask for a second slot.
+func (s *State) planHedge(now time.Time, r *request) {
+	if !s.hedgeable(r) {
+		return
+	}
+	if delay := s.gates.HedgeDelay(now, r.Service); delay > 0 {
+		s.timers.Add(now.Add(delay), timer{hedge: r.Request})
+	}
+}
+
+// hedgeable tells whether a second send could do no harm: model work that may
+// be repeated and whose answer has not begun.
+func (s *State) hedgeable(r *request) bool {
+	return r.Idempotent && !r.Once && r.state == sent && !r.hedging &&
+		s.services[r.Service].Kind == config.Model && len(r.attempts) < attemptsMost && len(r.live()) == 1
+}
+
+// hedge asks for a second slot while nothing else of its queue waits, so that
+// hedges never take slots from first sends.
+func (s *State) hedge(now time.Time, id core.RequestID) {
+	r := s.requests[id]
+	if r == nil || !s.hedgeable(r) {
+		return
+	}
+	k := r.key()
+	q := s.queue(k)
+	if q.len() > 0 || !s.gates.Hedge(now, r.Service) {
+		return
+	}
+	r.hedging = true
+	r.avoid[r.live()[0].slot.upstream] = r.deadline
+	q.requests = append(q.requests, r)
+	s.ask(now, k)
+}
+
+// unhedge takes back the wish for a second slot.
+func (s *State) unhedge(r *request) {
+	if r.hedging {
+		r.hedging = false
+		s.dequeue(r)
+	}
+}
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/placement"
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
@@ -15,7 +16,11 @@
 	// spillAfter is how long a request waits for its own failure domain before
 	// owners elsewhere are asked too.
 	spillAfter = 10 * time.Millisecond
-	// repeatAfter is how often demand is repeated while anything waits.
+	// fanout is how many more owners of either kind are asked each round, and
+	// roundEvery the time between two rounds.
+	fanout     = 4
+	roundEvery = 25 * time.Millisecond
+	// repeatAfter is how often demand is repeated once all owners were asked.
 	repeatAfter = time.Second
 	// rateWindow is the time over which grants to a queue are counted.
 	rateWindow = 4 * time.Second
@@ -33,7 +38,12 @@
 	requests []*request
 	// asked is what each owner was last told.
 	asked map[core.RouterID]*asked
-	// repeat is when the demand is due to be told again.
+	// near and far are the owners in the order in which they are asked; nil
+	// after a change of owners.
+	near, far []core.RouterID
+	// round counts how often more owners were asked since the queue was empty.
+	round int
+	// repeat is when the next round is due.
 	repeat time.Time
 	// grants are the times of recent grants.
 	grants []time.Time
@@ -46,7 +56,10 @@
 
 func (q *queue) len() int { return len(q.requests) }
 
-func (q *queue) forgetOwners() { q.asked = make(map[core.RouterID]*asked) }
+func (q *queue) forgetOwners() {
+	q.asked = make(map[core.RouterID]*asked)
+	q.near, q.far = nil, nil
+}
 
 func (q *queue) granted(now time.Time, owner core.RouterID) {
 	if a := q.asked[owner]; a != nil && a.count > 0 {
@@ -125,37 +138,79 @@
 	if q.len() == 0 {
 		return
 	}
-	near, _ := s.view.Owners(k.service)
-	if slices.Contains(near, s.self) {
+	s.findOwners(k, q)
+	if slices.Contains(q.near, s.self) {
 		s.tell(now, k, q, s.self, false)
 	}
 	s.unasked[k] = true
 }
 
 // AskOthers tells other owners what still waits after this router's own slots
-// were lent: those of its failure domain at once, those elsewhere after a short
-// wait.
+// were lent: a few of its failure domain at once, and more each round, also
+// elsewhere. So a fleet of any size hears of work that waits long, and of work
+// that is served at once nobody needs to.
 func (s *State) AskOthers(now time.Time) {
 	for _, k := range sortedKeys(s.unasked) {
 		delete(s.unasked, k)
 		q := s.queue(k)
 		if q.len() == 0 {
+			q.round = 0
 			continue
 		}
-		near, far := s.view.Owners(k.service)
-		spill := len(near) == 0 || now.Sub(q.requests[0].arrived) >= spillAfter
-		for _, owner := range near {
+		s.findOwners(k, q)
+		for _, owner := range first(q.near, (q.round+1)*fanout) {
 			s.tell(now, k, q, owner, false)
 		}
-		if spill {
-			for _, owner := range far {
-				s.tell(now, k, q, owner, true)
-			}
+		for _, owner := range first(q.far, q.farAsked(now)) {
+			s.tell(now, k, q, owner, true)
+		}
+		s.again(now, k, q)
+	}
+}
+
+// Sought tells an idle owner what waits here for it.
+func (s *State) Sought(now time.Time, owner core.RouterID, m *wire.Seek) {
+	idle := make(map[string]bool, len(m.Idle))
+	for _, i := range m.Idle {
+		idle[i.Service] = true
+	}
+	waiting := make(map[queueKey]bool)
+	for k, q := range s.queues {
+		waiting[k] = idle[k.service] && q.len() > 0
+	}
+	for _, k := range sortedKeys(waiting) {
+		if waiting[k] {
+			s.tell(now, k, s.queue(k), owner, true)
 		}
-		s.again(now, k, q, spill)
 	}
 }
 
+// farAsked is how many owners elsewhere may be asked by now.
+func (q *queue) farAsked(now time.Time) int {
+	if len(q.near) == 0 {
+		return (q.round + 1) * fanout
+	}
+	if now.Sub(q.requests[0].arrived) < spillAfter {
+		return 0
+	}
+	return q.round * fanout
+}
+
+// findOwners puts the owners of a service into this queue's own order, so that
+// the queues of a fleet do not all ask the same ones first.
+func (s *State) findOwners(k queueKey, q *queue) {
+	if q.near != nil || q.far != nil {
+		return
+	}
+	near, far := s.view.Owners(k.service)
+	key := k.service + "/" + k.organisation + "/" + string(s.self)
+	q.near, q.far = placement.Order(key, near), placement.Order(key, far)
+}
+
+func first(owners []core.RouterID, n int) []core.RouterID {
+	return owners[:min(n, len(owners))]
+}
+
 func sortedKeys(m map[queueKey]bool) []queueKey {
 	return slices.SortedFunc(maps.Keys(m), func(a, b queueKey) int {
 		return cmp.Or(
@@ -166,17 +221,31 @@
 	})
 }
 
-// again sets the timer for the next word to owners.
-func (s *State) again(now time.Time, k queueKey, q *queue, spilled bool) {
-	next := now.Add(repeatAfter)
-	if !spilled {
-		next = now.Add(spillAfter)
+// again sets the timer for the next round.
+func (s *State) again(now time.Time, k queueKey, q *queue) {
+	if q.repeat.After(now) {
+		return
 	}
-	if q.repeat.After(now) && !q.repeat.After(next) {
+	wait := repeatAfter
+	switch {
+	case q.round == 0:
+		wait = spillAfter
+	case q.round*fanout < max(len(q.near), len(q.far)):
+		wait = roundEvery
+	}
+	q.repeat = now.Add(wait)
+	s.timers.Add(q.repeat, timer{queue: k})
+}
+
+// nextRound asks more owners for what still waits.
+func (s *State) nextRound(now time.Time, k queueKey) {
+	q := s.queue(k)
+	if q.len() == 0 {
+		q.round = 0
 		return
 	}
-	q.repeat = next
-	s.timers.Add(next, timer{queue: k})
+	q.round++
+	s.ask(now, k)
 }
 
 // tell sends demand to an owner if what it knows is far from the truth.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -35,6 +35,8 @@
 	// avoid are upstreams that failed this request, until a time.
 	avoid      map[string]time.Time
 	callerGone bool
+	// hedging tells that a sent request waits for a second slot.
+	hedging bool
 	// claimSlot is the slot held while the claim is decided.
 	claimSlot heldKey
 	attempts  []*attempt
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -15,6 +15,8 @@
 // Queue holds the accounts of one service. It is not safe for concurrent use.
 type Queue struct {
 	accounts map[string]*account
+	// shares are those of the organisations that differ from 1.
+	shares map[string]float64
 	// now is the virtual time of the last organisation picked; it never falls.
 	now float64
 }
@@ -35,11 +37,17 @@
 }
 
 // New returns an empty queue.
-func New() *Queue { return &Queue{accounts: make(map[string]*account)} }
+func New() *Queue {
+	return &Queue{accounts: make(map[string]*account), shares: make(map[string]float64)}
+}
 
-// SetShare sets an organisation's share; shares under 1 count as 1.
+// SetShare sets an organisation's share; shares under 1 count as 1. It makes no
+// account: most organisations are idle at most owners.
 func (q *Queue) SetShare(org string, share int) {
-	q.account(org).share = float64(max(share, 1))
+	q.shares[org] = float64(max(share, 1))
+	if a := q.accounts[org]; a != nil {
+		a.share = q.shares[org]
+	}
 }
 
 // SetBacklogged tells whether the organisation has requests waiting here. One
@@ -130,6 +138,9 @@
 	a := q.accounts[org]
 	if a == nil {
 		a = &account{share: 1}
+		if share, ok := q.shares[org]; ok {
+			a.share = share
+		}
 		q.accounts[org] = a
 	}
 	return a
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -37,6 +37,8 @@
 	services  map[string]*service
 	upstreams map[string]*upstream
 	next      time.Time
+	// turn is the entry that was last asked for work.
+	turn int
 	// slices divides the slots of each upstream, at least 1.
 	slices int
 }
@@ -273,12 +275,11 @@
 func (s *State) Counters() []*wire.Counter {
 	var out []*wire.Counter
 	for _, name := range sorted(s.services) {
-		for _, a := range s.services[name].queue.Accounts() {
-			if a.Backlogged {
-				out = append(out, &wire.Counter{
-					Service: name, Organisation: a.Organisation, Served: a.Own, Backlogged: true,
-				})
-			}
+		sv := s.services[name]
+		for _, org := range sorted(sv.demand) {
+			out = append(out, &wire.Counter{
+				Service: name, Organisation: org, Served: sv.queue.Own(org), Backlogged: true,
+			})
 		}
 	}
 	return out
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,9 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jujubeford/jujubeford/internal/core"
@@ -38,6 +41,17 @@
 	return Pick(u.ID, all)
 }
 
+// Order returns the routers by falling weight for key.
+func Order(key string, routers []core.RouterID) []core.RouterID {
+	weights := make(map[core.RouterID]uint64, len(routers))
+	for _, r := range routers {
+		weights[r] = weight(key, r)
+	}
+	return slices.SortedFunc(slices.Values(routers), func(a, b core.RouterID) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+}
+
 func weight(key string, r core.RouterID) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -116,4 +116,10 @@
 	return g.s.quarantine.Crash(now, org, fingerprint, upstream)
 }
 
+func (g *gates) First(time.Time, string, string, time.Duration) {}
+
 func (g *gates) Retry(time.Time, string) bool { return true }
+
+func (g *gates) HedgeDelay(time.Time, string) time.Duration { return 0 }
+
+func (g *gates) Hedge(time.Time, string) bool { return false }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -181,6 +181,8 @@
 		s.emit(s.owner.Release(now, from, m.Release))
 	case *wire.Envelope_Progress:
 		s.emit(s.owner.Progress(now, from, m.Progress))
+	case *wire.Envelope_Seek:
+		s.entry.Sought(now, from, m.Seek)
 	case *wire.Envelope_CounterReport:
 		totals := s.counters.Merge(now, from, m.CounterReport.Counters)
 		s.emit([]core.Effect{core.SendPeer{To: from, Message: &wire.Envelope{Body: &wire.Envelope_CounterTotals{
@@ -208,7 +210,7 @@
 	}
 }
 
-// report exchanges service counters.
+// report exchanges service counters and asks for work, once a period.
 func (s *State) report(now time.Time) {
 	if s.options.Policy == PolicyBaseline || !s.counters.Due(now) {
 		return
@@ -216,6 +218,7 @@
 	effects, remotes := s.counters.Report(now, s.owner.Counters(), s.view.RouterIDs())
 	s.emit(effects)
 	s.addRemote(remotes)
+	s.emit(s.owner.Seek(now, s.view.RouterIDs()))
 }
 
 func (s *State) addRemote(remotes []counters.Remote) {
--- a/router/callers.go
+++ b/router/callers.go
@@ -77,7 +77,7 @@
 	if !ok {
 		return nil, nil, refusal(http.StatusUnauthorized, core.ReasonUnknownKey)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, req.Body, r.options.MaxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, req.Body, int64(r.options.MaxBody)))
 	if err != nil {
 		if _, large := err.(*http.MaxBytesError); large {
 			return nil, nil, refusal(http.StatusRequestEntityTooLarge, core.ReasonTooLarge)
--- a/router/options.go
+++ b/router/options.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
 	"strings"
@@ -46,6 +47,11 @@
 	Peers []string
 	// ClusterKey is the fleet's shared key.
 	ClusterKey []byte
+	// TLS serves callers over TLS, and with it HTTP/2; nil means plain HTTP.
+	TLS *tls.Config
+	// PeerTLS wraps the connections between routers, besides the proof of the
+	// shared key; nil means plain TCP.
+	PeerTLS *tls.Config
 	// Store and Directory are the platform.
 	Store     platform.Store
 	Directory platform.Directory
@@ -54,7 +60,7 @@
 	// Routers is the number of routers under PolicyBaseline.
 	Routers int
 	// MaxBody bounds a request's body, in bytes.
-	MaxBody int64
+	MaxBody int
 	// DrainTimeout is how long a drain may last before what is left is ended
 	// with an explicit error.
 	DrainTimeout time.Duration
--- a/router/router.go
+++ b/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -89,7 +90,7 @@
 	r.state = reducer.New(reducer.Options{
 		Self: r.self, Seeds: o.Peers, Seed: seed, Policy: o.Policy, Routers: o.Routers,
 	})
-	r.peers = peer.New(peer.Options{Self: r.member, Key: o.ClusterKey, Handler: handler{r}})
+	r.peers = peer.New(peer.Options{Self: r.member, Key: o.ClusterKey, TLS: o.PeerTLS, Handler: handler{r}})
 	r.metrics, err = newMetrics(r)
 	return r, err
 }
@@ -132,7 +133,7 @@
 	serve := func(f func() error) {
 		go func() { failed <- f() }()
 	}
-	serve(func() error { return callers.Serve(listeners[0]) })
+	serve(func() error { return serveCallers(callers, listeners[0], r.options.TLS) })
 	serve(func() error { return r.peers.Serve(listeners[1]) })
 	serve(func() error { return admin.Serve(listeners[2]) })
 	go r.loop(ctx)
@@ -150,6 +151,14 @@
 	return err
 }
 
+func serveCallers(s *http.Server, ln net.Listener, conf *tls.Config) error {
+	if conf == nil {
+		return s.Serve(ln)
+	}
+	s.TLSConfig = conf
+	return s.ServeTLS(ln, "", "")
+}
+
 func (r *Router) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
