--- a/config/build.go
+++ b/config/build.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"net/http"
 	"time"
 )
 
@@ -101,6 +102,14 @@
 	return s
 }
 
+// RunWritesOnce adds rules for all requests under path that change something.
+func (s Service) RunWritesOnce(path, why string) Service {
+	for _, method := range []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+		s = s.RunOnce(method, path, why)
+	}
+	return s
+}
+
 // WithObjectives sets the service-level objectives.
 func (s Service) WithObjectives(objectives Objectives) Service {
 	s.Objectives = objectives
--- a/config/index.go
+++ b/config/index.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/binary"
@@ -56,10 +57,12 @@
 	} else {
 		x.prefixes[s.Prefix] = s
 	}
-	for _, rule := range s.Once {
-		rule.Path = strings.ToLower(rule.Path)
-		x.once[s.Name] = append(x.once[s.Name], rule)
+	rules := slices.Clone(s.Once)
+	for i := range rules {
+		rules[i].Path = strings.ToLower(rules[i].Path)
 	}
+	slices.SortStableFunc(rules, func(a, b Once) int { return cmp.Compare(len(b.Path), len(a.Path)) })
+	x.once[s.Name] = rules
 }
 
 func (x *Index) addOrganisation(o *Organisation) error {
@@ -116,8 +119,9 @@
 	return nil, false
 }
 
-// Once finds the rule that a request of a service falls under. It errs on the
-// safe side: neither case nor a detour in the path evades a rule.
+// Once finds the rule with the longest path that a request of a service falls
+// under. It errs on the safe side: neither case nor a detour in the path evades a
+// rule. The path is decoded.
 func (x *Index) Once(service, method, requestPath string) (Once, bool) {
 	rules := x.once[service]
 	if len(rules) == 0 {
--- a/config/index_test.go
+++ b/config/index_test.go
@@ -32,6 +32,24 @@
 	g.Expect(ok).To(BeTrue())
 }
 
+func TestLongestRuleIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	x, err := NewIndex(&New("fleet").Service(PlainService("registry", "/registry/").
+		RunWritesOnce("/registry/", "changes the registry").
+		RunOnce("POST", "/registry/transfers", "transfers a title")).cfg)
+	g.Expect(err).NotTo(HaveOccurred())
+	for path, why := range map[string]string{
+		"/registry/transfers/7": "transfers a title",
+		"/registry/fees":        "changes the registry",
+	} {
+		rule, ok := x.Once("registry", "POST", path)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(rule.Why).To(Equal(why))
+	}
+	_, ok := x.Once("registry", "GET", "/registry/transfers/7")
+	g.Expect(ok).To(BeFalse())
+}
+
 func TestIndexPaths(t *testing.T) {
 	cfg := sample().cfg
 	x, err := NewIndex(&cfg)
--- a/config/print.go
+++ b/config/print.go
@@ -96,26 +96,35 @@
 	return out
 }
 
+// legend explains the fields to readers of the text.
+const legend = `
+services: what can be called.
+  slots: requests that one replica runs at a time
+  max_wait: longest wait before a request is refused
+  silent_after: how long a replica may say nothing before its work has failed
+  checks_fencing: whether replicas refuse outdated orders
+  idempotent: whether work that "once" does not list may be sent again
+  once: work that never runs twice
+  objectives: what is aimed at; target 0.95 means 95 in 100 requests
+organisations: who may call.
+  share: weight when all want service at once, out of %d in all
+  keys: fingerprints of the access keys, which cannot be found from them
+  services: all that the organisation may call
+  max_queued: requests that may wait at one router
+
+`
+
 // header writes the comment that explains the text to its readers.
 func (c *Config) header(out *bytes.Buffer, digest string) {
 	shares := 0
 	for _, o := range c.Organisations {
 		shares += o.Share
 	}
-	lines := []string{
-		fmt.Sprintf("Configuration of the fleet %q: %d services, %d organisations.",
-			c.Fleet, len(c.Services), len(c.Organisations)),
-		"",
-		"services: what can be called. slots: requests one upstream runs at a time;",
-		"max_wait: the longest wait before a refusal; once: work that never runs twice.",
-		"",
-		"organisations: who may call. share: the part of the capacity when all want",
-		fmt.Sprintf("service at once, out of %d in all; keys: fingerprints of the access keys,", shares),
-		"from which the keys cannot be found; services: all that the organisation may",
-		"reach; max_queued: requests that may wait at one router.",
-	}
-	for _, line := range lines {
+	text := fmt.Sprintf("Configuration of the fleet %q; services: %d, organisations: %d.\n",
+		c.Fleet, len(c.Services), len(c.Organisations))
+	text += fmt.Sprintf(legend, shares)
+	for _, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
 		out.WriteString(strings.TrimRight("# "+line, " ") + "\n")
 	}
-	out.WriteString("#\n" + digestPrefix + digest + "\n")
+	out.WriteString(digestPrefix + digest + "\n")
 }
--- /dev/null
+++ b/examples/planos/main.go
@@ -0,0 +1,98 @@
+// Command planos prints the configuration of Planos del Reposo Unificados: a
+// drafting model, and the registry with its plot lookups and grave-title
+// transfers. Compare it with config.yaml, which it printed.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jujubeford/jujubeford/config"
+)
+
+// The services of Planos.
+const (
+	drafting = "drafting"
+	registry = "registry"
+)
+
+func main() {
+	text, err := printed()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Stdout.Write(text)
+}
+
+// printed builds the configuration and returns its canonical text.
+func printed() ([]byte, error) {
+	cfg, err := config.New("planos-del-reposo").
+		Service(services()...).
+		Organisation(organisations()...).
+		Build()
+	if err != nil {
+		return nil, err
+	}
+	return cfg.Print()
+}
+
+// services returns the drafting model, whose section drafts may run long, and
+// the registry, where a transfer must never run twice.
+func services() []config.Service {
+	return []config.Service{
+		config.ModelService(drafting, "section-drafter").
+			WithSlots(6).
+			WithWait(20 * time.Second).
+			WithSilence(6 * time.Second).
+			WithObjectives(config.Objectives{
+				FirstToken: 1600 * time.Millisecond,
+				TokenGap:   42 * time.Millisecond,
+				Target:     0.95,
+			}),
+		config.PlainService(registry, "/registry/").
+			WithSlots(12).
+			WithWait(5*time.Second).
+			Repeatable().
+			RunWritesOnce("/registry/", "changes the registry").
+			RunOnce("POST", "/registry/transfers", "transfers the title of a grave").
+			RunOnce("PUT", "/registry/titles", "enters a title").
+			RunOnce("POST", "/registry/fees", "charges a fee").
+			WithObjectives(config.Objectives{Answer: 300 * time.Millisecond, Target: 0.99}),
+	}
+}
+
+// organisations returns the registries, offices and homes. Funeral homes look
+// plots up and have sections drafted, but do so under small shares.
+func organisations() []config.Organisation {
+	shares := []struct {
+		name  string
+		share int
+	}{
+		{"registro-rosario", 220},
+		{"registro-la-plata", 180},
+		{"registro-colonia", 150},
+		{"registro-quilmes", 60},
+		{"registro-tigre", 60},
+		{"parroquia-san-telmo", 40},
+		{"parroquia-san-isidro", 40},
+		{"parroquia-del-pilar", 35},
+		{"parroquia-santa-lucia", 35},
+		{"parroquia-carmelo", 30},
+		{"casa-funebre-aurora", 30},
+		{"casa-funebre-del-sur", 30},
+		{"casa-funebre-ibarra", 25},
+		{"casa-funebre-la-paz", 25},
+		{"casa-funebre-olivos", 20},
+		{"casa-funebre-rio", 20},
+	}
+	var list []config.Organisation
+	for _, s := range shares {
+		list = append(list, config.NewOrganisation(s.name, s.share).
+			WithKey("example-key-"+s.name).
+			Reaching(drafting, registry).
+			WithQueue(400))
+	}
+	return list
+}
