--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -47,6 +46,9 @@
 	// pooled reuses connections; fresh never does.
 	pooled *http.Transport
 	fresh  *http.Transport
+	// unguarded lets the transport send again by itself, for tests that show
+	// that the checks notice it. It is never set outside tests.
+	unguarded bool
 }
 
 // New returns a client.
@@ -61,6 +63,9 @@
 func newTransport(o Options, p *pool) *http.Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAlive}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if !mayDial(ctx) {
+			return nil, errSecondUse
+		}
 		raw, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
@@ -92,8 +97,8 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, *Failure) {
 	started := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
-	g := &guard{cancel: cancel}
-	req, err := newHTTPRequest(httptrace.WithClientTrace(ctx, g.trace()), r)
+	g := &guard{cancel: cancel, off: c.unguarded}
+	req, err := newHTTPRequest(g.attach(ctx), r)
 	if err != nil {
 		cancel(errClosed)
 		return nil, &Failure{Kind: core.FailDial, Err: err}
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,278 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// TestHeaders: what reaches the upstream and the caller, and what does not.
+func TestHeaders(t *testing.T) {
+	g := NewWithT(t)
+	var got http.Header
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set(HeaderLeaving, LeavingTrue)
+		w.Header().Set("X-Kiosk", "7")
+	})
+	a, f := newClient(t).Do(context.Background(), &Request{
+		Addr: addr, Method: "GET", Path: "/", Service: config.Plain, RequestID: "r9", Attempt: 3,
+		Header: http.Header{
+			"Authorization": {"Bearer secret"}, "Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"},
+			"Upgrade": {"websocket"}, HeaderOutcome: {"complete"}, "X-Request-Id": {"forged"}, "X-Keep": {"1"},
+		},
+	})
+	g.Expect(f).To(BeNil())
+	defer a.Close()
+	g.Expect(got).To(Equal(http.Header{"X-Request-Id": {"r9"}, "X-Attempt": {"3"}, "X-Keep": {"1"}}))
+	g.Expect(a.Leaving).To(BeTrue())
+	g.Expect(a.Header.Get("X-Kiosk")).To(Equal("7"))
+	g.Expect(a.Header).NotTo(HaveKey("Keep-Alive"))
+	g.Expect(a.Header).NotTo(HaveKey(HeaderLeaving))
+}
+
+// TestStatuses: which statuses are answers and which are failures.
+func TestStatuses(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		kind   config.Kind
+		status int
+		notRun bool
+		fail   core.Failure
+		sent   bool
+	}{
+		{name: "plain error is an answer", kind: config.Plain, status: 500},
+		{name: "plain busy is an answer", kind: config.Plain, status: 503},
+		{name: "plain word of not run", kind: config.Plain, status: 503, notRun: true, fail: core.FailRefused},
+		{name: "not run counts with 503 only", kind: config.Plain, status: 502, notRun: true},
+		{name: "engine error", kind: config.Model, status: 500, fail: core.FailStatus, sent: true},
+		{name: "engine word of not run", kind: config.Model, status: 503, notRun: true, fail: core.FailRefused},
+		{name: "engine rejects", kind: config.Model, status: 400},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				if tc.notRun {
+					w.Header().Set(HeaderOutcome, OutcomeNotRun)
+				}
+				w.Header().Set("Retry-After", "2")
+				w.WriteHeader(tc.status)
+				_, _ = io.WriteString(w, "text")
+			})
+			a, f := newClient(t).Do(context.Background(), &Request{Addr: addr, Method: "POST", Path: "/", Service: tc.kind})
+			if tc.fail != 0 {
+				g.Expect(a).To(BeNil())
+				g.Expect(*f).To(And(HaveField("Kind", tc.fail), HaveField("Sent", tc.sent), HaveField("RetryAfter", 2*time.Second)))
+				return
+			}
+			g.Expect(f).To(BeNil())
+			g.Expect(a.Status).To(Equal(tc.status))
+			data, _, f := readAll(a)
+			g.Expect(f).To(BeNil())
+			g.Expect(data).To(Equal("text"))
+		})
+	}
+}
+
+// hang keeps a connection open without a word until the test ends.
+func hang(t *testing.T, part string) func(net.Conn, *bufio.Reader, *http.Request) {
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	return func(c net.Conn, _ *bufio.Reader, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, part)
+		<-over
+	}
+}
+
+// TestSilence: an open connection without a word fails by the router's own
+// deadline, and none that stood then is used again.
+func TestSilence(t *testing.T) {
+	for name, part := range map[string]string{
+		"no answer":          "",
+		"in the header":      "HTTP/1.1 200 OK\r\nConte",
+		"in a stated length": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal",
+		"in a stream":        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + token("s/1", "a"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s, c := newCutServer(t, hang(t, part)), newClient(t)
+			r := modelRequest(s.ln.Addr().String())
+			_, f := try(c, r)
+			g.Expect(f).To(BeNil())
+			r.RequestID = cutID
+			_, f = try(c, r)
+			g.Expect(*f).To(And(HaveField("Kind", core.FailSilent), HaveField("Sent", true)))
+			g.Expect(c.pool.list(r.Addr)).To(BeEmpty())
+			r.RequestID = "after"
+			data, f := try(c, r)
+			g.Expect(f).To(BeNil())
+			g.Expect(data).To(Equal("ok"))
+			g.Expect(s.connections()).To(Equal(2))
+			g.Expect(s.count(cutID)).To(Equal(1))
+		})
+	}
+}
+
+// TestSlowCallerIsNoSilence: time in which the caller reads nothing does not
+// count against the upstream.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	g := NewWithT(t)
+	r := modelRequest(serve(t, stream(token("s/1", "a"), token("s/2", "b"), done)))
+	a, f := newClient(t).Do(context.Background(), r)
+	g.Expect(f).To(BeNil())
+	_, f = a.Next(context.Background())
+	g.Expect(f).To(BeNil())
+	time.Sleep(2 * silentAfter)
+	_, _, f = readAll(a)
+	g.Expect(f).To(BeNil())
+}
+
+// TestConnectionsAreReused: whole answers leave their connection to the next
+// request; a request that asks for a fresh one gets it.
+func TestConnectionsAreReused(t *testing.T) {
+	g := NewWithT(t)
+	s, c := newCutServer(t, nil), newClient(t)
+	r := &Request{Addr: s.ln.Addr().String(), Method: "GET", Path: "/", Service: config.Plain}
+	for i := range 3 {
+		r.RequestID = core.RequestID(fmt.Sprint(i))
+		_, f := try(c, r)
+		g.Expect(f).To(BeNil())
+	}
+	g.Expect(s.connections()).To(Equal(1))
+	r.Fresh = true
+	_, f := try(c, r)
+	g.Expect(f).To(BeNil())
+	g.Expect(s.connections()).To(Equal(2))
+}
+
+// TestStreamsReuseConnections: the same for streams that ended with their mark.
+func TestStreamsReuseConnections(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	from := map[string]bool{}
+	answer := stream(token("s/1", "a"), done)
+	r := modelRequest(serve(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		from[r.RemoteAddr] = true
+		mu.Unlock()
+		answer(w, r)
+	}))
+	c := newClient(t)
+	for range 3 {
+		_, f := try(c, r)
+		g.Expect(f).To(BeNil())
+	}
+	g.Expect(from).To(HaveLen(1))
+}
+
+// TestResumeOnANewConnection: a broken stream is continued after its offset.
+func TestResumeOnANewConnection(t *testing.T) {
+	g := NewWithT(t)
+	var ids []string
+	r := modelRequest(serve(t, func(w http.ResponseWriter, r *http.Request) {
+		ids = append(ids, r.Header.Get(HeaderLastEventID))
+		if len(ids) == 1 {
+			stream(token("s/1", "a"))(w, r)
+			return
+		}
+		stream(token("s/2", "b"), done)(w, r)
+	}))
+	c := newClient(t)
+	a, f := c.Do(context.Background(), r)
+	g.Expect(f).To(BeNil())
+	data, last, f := readAll(a)
+	g.Expect(f.Kind).To(Equal(core.FailTruncated))
+	g.Expect(a.StreamID()).To(Equal("s"))
+	r.Resume = &Resume{StreamID: a.StreamID(), Offset: last.Offset}
+	rest, f := try(c, r)
+	g.Expect(f).To(BeNil())
+	g.Expect(data + rest).To(Equal(token("s/1", "a") + token("s/2", "b") + done))
+	g.Expect(ids).To(Equal([]string{"", "s/1"}))
+}
+
+// TestCancelStream sends the order to the engine.
+func TestCancelStream(t *testing.T) {
+	g := NewWithT(t)
+	var got string
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) { got = r.Method + " " + r.URL.Path })
+	c := newClient(t)
+	g.Expect(c.CancelStream(context.Background(), addr, "s1")).To(Succeed())
+	g.Expect(got).To(Equal("DELETE /v1/streams/s1"))
+	gone := serve(t, func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	g.Expect(c.CancelStream(context.Background(), gone, "s1")).NotTo(Succeed())
+}
+
+// TestWholeModelAnswer: the cost of an answer that is no stream.
+func TestWholeModelAnswer(t *testing.T) {
+	g := NewWithT(t)
+	body := `{"choices":[],"usage":{"total_tokens":17}}`
+	r := modelRequest(serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, body) }))
+	a, f := newClient(t).Do(context.Background(), r)
+	g.Expect(f).To(BeNil())
+	data, last, f := readAll(a)
+	g.Expect(f).To(BeNil())
+	g.Expect(data).To(Equal(body))
+	g.Expect(last.Cost).To(BeEquivalentTo(17))
+}
+
+// TestHeaderIsBounded: an endless header is a failure, not memory.
+func TestHeaderIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Big", strings.Repeat("x", 1<<20)) })
+	_, f := try(newClient(t), &Request{Addr: addr, Method: "GET", Path: "/"})
+	g.Expect(*f).To(And(HaveField("Kind", core.FailReset), HaveField("Sent", true)))
+}
+
+// TestBadPath: a path that is none is never sent.
+func TestBadPath(t *testing.T) {
+	_, f := try(newClient(t), &Request{Addr: "127.0.0.1:1", Method: "GET", Path: "http://other/"})
+	NewWithT(t).Expect(f.Sent).To(BeFalse())
+}
+
+// TestUnsentIsTrue cancels requests at all moments: one that is reported as not
+// sent was never seen, also not later.
+func TestUnsentIsTrue(t *testing.T) {
+	const seed, tries = 7, 300
+	t.Logf("seed %d", seed)
+	g, random := NewWithT(t), rand.New(rand.NewPCG(seed, seed))
+	s, c := newCutServer(t, nil), newClient(t)
+	var unsent []string
+	for i := range tries {
+		ctx, cancel := context.WithCancel(context.Background())
+		delay := time.Duration(random.IntN(200)) * time.Microsecond
+		stop := time.AfterFunc(delay, cancel)
+		id := fmt.Sprint("r", i)
+		a, f := c.Do(ctx, &Request{Addr: s.ln.Addr().String(), Method: "POST", Path: "/", Body: []byte("x"), Service: config.Plain, RequestID: core.RequestID(id)})
+		if f == nil {
+			_, _, f = readAll(a)
+		}
+		if f != nil && !f.Sent {
+			unsent = append(unsent, id)
+		}
+		stop.Stop()
+		cancel()
+	}
+	g.Consistently(func() int {
+		seen := 0
+		for _, id := range unsent {
+			seen += s.count(id)
+		}
+		return seen
+	}, "100ms").Should(BeZero())
+	t.Logf("%d of %d reported as not sent", len(unsent), tries)
+}
--- /dev/null
+++ b/internal/upstream/conn_test.go
@@ -0,0 +1,55 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// newPipe returns a guarded connection and its far end.
+func newPipe(t *testing.T) (*conn, net.Conn) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return newPool().add("a", near), far
+}
+
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c, far := newPipe(t)
+	user := &guard{}
+	c.lend(user)
+	g.Expect(c.seal(user)).To(BeFalse())
+	_, err := c.Write([]byte("late"))
+	g.Expect(err).To(MatchError(errSealed))
+	_, err = far.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(io.EOF))
+}
+
+func TestWriteThatBeganCounts(t *testing.T) {
+	g := NewWithT(t)
+	c, far := newPipe(t)
+	user := &guard{}
+	c.lend(user)
+	go func() { _, _ = far.Read(make([]byte, 1)) }()
+	_, err := c.Write([]byte("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.seal(user)).To(BeTrue())
+}
+
+func TestOnlyTheUserSeals(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newPipe(t)
+	old, next := &guard{}, &guard{}
+	c.lend(old)
+	c.lend(next)
+	g.Expect(c.seal(old)).To(BeTrue())
+	c.giveBack(old)
+	c.sealIdle()
+	g.Expect(c.beginWrite()).To(BeTrue())
+	c.giveBack(next)
+	c.sealIdle()
+	g.Expect(c.beginWrite()).To(BeFalse())
+	g.Expect(c.pool.conns).To(BeEmpty())
+}
--- a/internal/upstream/guard.go
+++ b/internal/upstream/guard.go
@@ -14,23 +14,54 @@
 	mu     sync.Mutex
 	conn   *conn
 	reused bool
-	// over tells that the request was abandoned.
+	// asked tells that the transport has asked for a connection.
+	asked bool
+	// over tells that the request may have no connection any more.
 	over bool
+	// off switches the guard off.
+	off bool
 }
 
-// trace hooks the guard into the transport.
-func (g *guard) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: g.gotConn}
+// guardKey is the context key of a request's guard.
+type guardKey struct{}
+
+// attach hooks the guard into the transport and into the dialling for it.
+func (g *guard) attach(ctx context.Context) context.Context {
+	ctx = context.WithValue(ctx, guardKey{}, g)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: g.getConn, GotConn: g.gotConn})
+}
+
+// mayDial tells whether a connection may be made for the request of ctx.
+func mayDial(ctx context.Context) bool {
+	g, ok := ctx.Value(guardKey{}).(*guard)
+	if !ok {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.over
+}
+
+// getConn runs when the transport looks for a connection. The second time it is
+// about to send again by itself, which ends the request.
+func (g *guard) getConn(string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.asked && !g.off {
+		g.over = true
+		g.cancel(errSecondUse)
+	}
+	g.asked = true
 }
 
 // gotConn runs before the transport writes to the connection. The first one
-// is lent to the request; any other is the transport sending again by itself.
+// is lent to the request; any other is sealed.
 func (g *guard) gotConn(info httptrace.GotConnInfo) {
 	c := info.Conn.(*conn)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.lend(g)
-	if g.conn != nil || g.over {
+	if (g.conn != nil || g.over) && !g.off {
 		c.seal(g)
 		g.cancel(errSecondUse)
 		return
