Keep the requests in flight below the usual limit of open files

Cause: one request in flight is one connection, and this kind of machine allows 20,000 open files; 20,000 requests in flight would have failed on connecting.

Ruled out: raising the limit, which a plain process cannot count on.

--- a/internal/loadgen/run/run.go
+++ b/internal/loadgen/run/run.go
@@ -32,7 +32,7 @@
 
 // maxInFlight bounds the requests that wait for an answer at a time; more are
 // an error of the run and are noted.
-const maxInFlight = 20_000
+const maxInFlight = 8_000
 
 // Do runs a trace.
 func Do(ctx context.Context, f *fleet.Fleet, t *trace.Trace, tokens client.Tokens) *Run {
