Write the record of a run before its table

Cause: a run whose output went into a closed pipe ended on printing and left no record; seen in a trial with head(1) behind it.

Ruled out: ignoring SIGPIPE, which would hide a full disk as well. The record is written first, so that a run of some minutes is not lost to its table.

Conclusion: the same trial leaves its record; plots and comparison read it.

--- a/cmd/loadgen/run.go
+++ b/cmd/loadgen/run.go
@@ -94,13 +94,13 @@
 	klog.Infof("loadgen: scenario %s, seed %d, %d requests in %s", s.Name, s.Seed, len(t.Requests), s.Duration())
 	seen := run.Do(ctx, f, t, answerTokens)
 	m := measure.Of(seen)
-	if err := report.Print(os.Stdout, m); err != nil {
-		return errors.Wrap(err, "print")
-	}
-	if c.out == "" {
-		return nil
+	if c.out != "" {
+		record := &report.Record{Measures: m, Curves: measure.CurvesOf(seen)}
+		if err := report.WriteJSON(c.out, record); err != nil {
+			return err
+		}
 	}
-	return report.WriteJSON(c.out, &report.Record{Measures: m, Curves: measure.CurvesOf(seen)})
+	return errors.Wrap(report.Print(os.Stdout, m), "print")
 }
 
 // describe reads the fleet file or makes the fleet from flags.
