Read server-sent events through the sse package

Cause: the reader of events stood twice, once for the routers and once for the load generator, with different bounds.

A stream that ends inside an event without a broken connection still counts as cut. Ruled out: treating it as an explicit failure, which would pass over a router that ends answers early.

--- a/internal/loadgen/client/stream.go
+++ b/internal/loadgen/client/stream.go
@@ -1,21 +1,21 @@
 package client
 
 import (
-	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 
 	"github.com/pkg/errors"
-)
 
-const (
-	dataPrefix = "data: "
-	endMark    = "[DONE]"
-	maxLine    = 64 << 10
+	"github.com/jujubeford/jujubeford/internal/sse"
 )
 
+// endMark is the data of the last event of a whole answer.
+const endMark = "[DONE]"
+
 type chunk struct {
 	Choices []struct {
 		Delta struct {
@@ -31,41 +31,42 @@
 // stream reads server-sent events up to the end of the body, which brings the
 // trailer.
 func (c *Client) stream(ctx context.Context, result Result, prompt string, response *http.Response) Result {
-	var words []string
-	var failure error
-	ended := false
-	lines := bufio.NewScanner(response.Body)
-	lines.Buffer(nil, maxLine)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), dataPrefix)
-		if !ok {
-			continue
-		}
-		if data == endMark {
+	words, ended, failure := c.events(&result, response.Body)
+	result.takeHeader(response.Trailer)
+	if failure != nil {
+		return c.fail(result, brokenEnd(ctx), failure)
+	}
+	return c.judge(result, prompt, words, ended)
+}
+
+// events reads all events. An explicit error or a broken connection is the
+// failure; a body that just ends is none, and is judged by its words.
+func (c *Client) events(result *Result, body io.Reader) (words []string, ended bool, failure error) {
+	events := sse.NewReader(body)
+	for {
+		event, err := events.Next()
+		switch {
+		case errors.Is(err, io.EOF) || errors.Is(err, sse.ErrTruncated):
+			return words, ended, failure
+		case err != nil:
+			return words, ended, cmp.Or(failure, err)
+		case string(event.Data) == endMark:
 			ended = true
 			continue
 		}
-		event, err := decode(data)
+		piece, err := decode(event.Data)
 		if err != nil {
 			failure = err
 			continue
 		}
-		words = c.take(&result, words, event)
-	}
-	result.takeHeader(response.Trailer)
-	if failure == nil {
-		failure = lines.Err()
+		words = c.take(result, words, piece)
 	}
-	if failure != nil {
-		return c.fail(result, brokenEnd(ctx), failure)
-	}
-	return c.judge(result, prompt, words, ended)
 }
 
 // decode reads one event; an error event is an error.
-func decode(data string) (chunk, error) {
+func decode(data []byte) (chunk, error) {
 	var event chunk
-	if err := json.Unmarshal([]byte(data), &event); err != nil {
+	if err := json.Unmarshal(data, &event); err != nil {
 		return chunk{}, errors.Wrap(err, "decode event")
 	}
 	if event.Error != nil {
