Cut failure domains off with relays between the routers

Cause: the partition scenario had no means; routers share one loopback address, so that nothing outside tells which of them opened a connection.

Relays stand before each router's peer port, which it advertises, and before the platform. The router behind a connection is found by its socket in /proc; bytes are held back during the cut and go on after it, as with lost packets. Ruled out: packet filters, which need privileges, and SIGSTOP, which is a pause and no cut. Callers and upstreams connect without relays and are not cut.

--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&compareCommand{}, "")
 	subcommands.Register(&plotCommand{}, "")
 	subcommands.Register(&configCommand{}, "")
+	subcommands.Register(&relayCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
--- a/internal/loadgen/fleet/fleet.go
+++ b/internal/loadgen/fleet/fleet.go
@@ -19,6 +19,10 @@
 	Plain   []Upstream `yaml:"plain" json:"plain"`
 	// Slots is how many requests one engine runs at a time.
 	Slots int `yaml:"slots" json:"slots"`
+	// Relay is where orders to cut failure domains are given; empty if the
+	// routers reach each other and the platform, at Store, without relays.
+	Relay string `yaml:"relay" json:"relay"`
+	Store string `yaml:"store" json:"store"`
 	// TokenTime is the time an engine takes for a token of a running request.
 	TokenTime time.Duration `yaml:"token_time" json:"token_time"`
 }
@@ -31,6 +35,11 @@
 	Addr string `yaml:"addr" json:"addr"`
 	// Admin is where metrics are read; it may be empty.
 	Admin string `yaml:"admin" json:"admin"`
+	// Peer is where the router takes connections of other routers, PeerRelay
+	// where these connect, and StoreRelay where the router reaches the platform.
+	Peer       string `yaml:"peer" json:"peer"`
+	PeerRelay  string `yaml:"peer_relay" json:"peer_relay"`
+	StoreRelay string `yaml:"store_relay" json:"store_relay"`
 	// PIDFile holds the id of the process; it may be empty.
 	PIDFile string `yaml:"pid_file" json:"pid_file"`
 }
@@ -63,25 +72,19 @@
 		return errors.New("no routers")
 	}
 	for _, r := range f.Routers {
-		if err := checkAddr(r.Addr); err != nil {
-			return errors.Wrapf(err, "router %s", r.Name)
-		}
-		if r.Admin == "" {
-			continue
+		if r.Addr == "" {
+			return errors.Errorf("router %s has no address", r.Name)
 		}
-		if err := checkAddr(r.Admin); err != nil {
-			return errors.Wrapf(err, "router %s, admin", r.Name)
+		if err := checkAddrs(r.Addr, r.Admin, r.Peer, r.PeerRelay, r.StoreRelay); err != nil {
+			return errors.Wrapf(err, "router %s", r.Name)
 		}
 	}
 	for _, u := range append(append([]Upstream{}, f.Engines...), f.Plain...) {
-		if u.Control == "" {
-			continue
-		}
-		if err := checkAddr(u.Control); err != nil {
+		if err := checkAddrs(u.Control); err != nil {
 			return errors.Wrapf(err, "upstream %s", u.Name)
 		}
 	}
-	return nil
+	return errors.Wrap(checkAddrs(f.Relay, f.Store), "platform")
 }
 
 // TotalSlots is how many model requests the fleet runs at a time.
@@ -95,13 +98,20 @@
 	return float64(f.TotalSlots()) / f.TokenTime.Seconds()
 }
 
-func checkAddr(addr string) error {
-	ap, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return errors.Errorf("%q is not IP:port", addr)
-	}
-	if !ap.Addr().Unmap().IsLoopback() {
-		return errors.Errorf("%s is not a loopback address", addr)
+// checkAddrs reports the first address that is given and is not a loopback
+// address.
+func checkAddrs(addrs ...string) error {
+	for _, addr := range addrs {
+		if addr == "" {
+			continue
+		}
+		ap, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			return errors.Errorf("%q is not IP:port", addr)
+		}
+		if !ap.Addr().Unmap().IsLoopback() {
+			return errors.Errorf("%s is not a loopback address", addr)
+		}
 	}
 	return nil
 }
--- a/internal/loadgen/fleet/fleet_test.go
+++ b/internal/loadgen/fleet/fleet_test.go
@@ -41,7 +41,9 @@
 		{"none", Fleet{}, "no routers"},
 		{"router", Fleet{Routers: []Router{{Name: "r1", Addr: "10.0.0.1:80"}}}, "not a loopback"},
 		{"name", Fleet{Routers: []Router{{Name: "r1", Addr: "localhost:80"}}}, "not IP:port"},
-		{"admin", Fleet{Routers: []Router{{Name: "r1", Addr: "[::1]:80", Admin: "0.0.0.0:80"}}}, "admin"},
+		{"admin", Fleet{Routers: []Router{{Name: "r1", Addr: "[::1]:80", Admin: "0.0.0.0:80"}}}, "not a loopback"},
+		{"no address", Fleet{Routers: []Router{{Name: "r1"}}}, "no address"},
+		{"relay", Fleet{Routers: []Router{local}, Relay: "192.0.2.1:1"}, "not a loopback"},
 		{"engine", Fleet{Routers: []Router{local}, Engines: []Upstream{{Control: "192.0.2.1:1"}}}, "not a loopback"},
 		{"plain", Fleet{Routers: []Router{local}, Plain: []Upstream{{Control: "192.0.2.1:1"}}}, "not a loopback"},
 	}
--- /dev/null
+++ b/internal/loadgen/relay/relay_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/loadgen/fleet"
+)
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// echo answers each connection with the bytes that it gets.
+func echo(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			_, _ = io.Copy(conn, conn)
+		}()
+	}
+}
+
+func TestRelayHoldsBytesBackWhileCut(t *testing.T) {
+	g := NewWithT(t)
+	target, front := listen(t), listen(t)
+	go echo(target)
+	gate := NewGate()
+	r := &Relay{Gate: gate, Target: target.Addr().String(), From: fixed("a"), To: "b"}
+	go func() { _ = r.Serve(t.Context(), front) }()
+	conn, err := net.Dial("tcp", front.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	answers := bufio.NewReader(conn)
+
+	fmt.Fprintln(conn, "before")
+	g.Expect(answers.ReadString('\n')).To(Equal("before\n"))
+
+	gate.Cut([]string{"b"})
+	fmt.Fprintln(conn, "during")
+	_, open := gate.look("a", "b")
+	g.Expect(open).To(BeFalse())
+	_, open = gate.look("a", "c")
+	g.Expect(open).To(BeTrue())
+	_, open = gate.look("b", "b")
+	g.Expect(open).To(BeTrue())
+
+	gate.Cut(nil)
+	g.Expect(answers.ReadString('\n')).To(Equal("during\n"))
+}
+
+func TestPassEndsWhenTheConnectionEnds(t *testing.T) {
+	gate := NewGate()
+	gate.Cut([]string{"a"})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	NewWithT(t).Expect(gate.Pass("a", "", ctx.Done())).To(BeFalse())
+}
+
+func TestDomainOfRouterFindsTheProcess(t *testing.T) {
+	g := NewWithT(t)
+	pidFile := filepath.Join(t.TempDir(), "r1.pid")
+	g.Expect(os.WriteFile(pidFile, fmt.Appendln(nil, os.Getpid()), 0o600)).To(Succeed())
+	f := &fleet.Fleet{Routers: []fleet.Router{
+		{Domain: "other", PIDFile: pidFile + ".missing"},
+		{Domain: "ga-east/a", PIDFile: pidFile},
+	}}
+	server := listen(t)
+	client, err := net.Dial("tcp", server.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer client.Close()
+	conn, err := server.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	g.Expect(DomainOfRouter(f)(conn)).To(Equal("ga-east/a"))
+}
--- a/internal/loadgen/run/fault.go
+++ b/internal/loadgen/run/fault.go
@@ -15,17 +15,15 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujubeford/jujubeford/internal/loadgen/relay"
 	"github.com/jujubeford/jujubeford/internal/loadgen/scenario"
 )
 
 // inject carries out the events of the scenario, each at its time.
 func (r *runner) inject(ctx context.Context) {
 	for _, event := range r.run.Trace.Scenario.Events {
-		timer := time.NewTimer(time.Until(r.began.Add(event.At)))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		sleep(ctx, time.Until(r.began.Add(event.At)))
+		if ctx.Err() != nil {
 			return
 		}
 		if err := r.carryOut(ctx, event); err != nil {
@@ -41,7 +39,44 @@
 	case scenario.Kill:
 		return r.kill(event)
 	default:
-		return errors.New("there is no means on this machine to cut a failure domain off; not done")
+		return r.partition(ctx, event)
+	}
+}
+
+// partition cuts off the failure domains of the target routers for a while.
+// Callers and upstreams are not cut off, as they connect without relays.
+func (r *runner) partition(ctx context.Context, event scenario.Event) error {
+	f := r.run.Fleet
+	if f.Relay == "" {
+		return errors.New("the fleet has no relays that could cut a failure domain off; not done")
+	}
+	var order relay.Order
+	for _, target := range event.Targets {
+		if target < 0 || target >= len(f.Routers) {
+			return errors.Errorf("there is no router %d", target)
+		}
+		order.Domains = append(order.Domains, f.Routers[target].Domain)
+	}
+	url := "http://" + f.Relay + "/cut"
+	if err := post(ctx, url, order); err != nil {
+		return err
+	}
+	r.faults.Go(func() {
+		sleep(ctx, event.For)
+		if err := post(context.WithoutCancel(ctx), url, relay.Order{}); err != nil {
+			r.note(fmt.Sprintf("rejoin: %v", err))
+		}
+	})
+	return nil
+}
+
+// sleep waits for a duration or the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/loadgen/run/run.go
+++ b/internal/loadgen/run/run.go
@@ -48,11 +48,10 @@
 	callers, cancel := context.WithDeadline(ctx, r.began.Add(limit))
 	defer cancel()
 
-	var faults sync.WaitGroup
-	faults.Go(func() { r.inject(ctx) })
+	r.faults.Go(func() { r.inject(ctx) })
 	r.send(callers)
-	r.wait.Wait()
-	faults.Wait()
+	r.answers.Wait()
+	r.faults.Wait()
 
 	r.run.Nodes = usage(before, readAll(ctx, f), time.Since(r.began))
 	r.run.Ran = readRan(ctx, f)
@@ -64,8 +63,11 @@
 	client *client.Client
 	began  time.Time
 	slots  chan struct{}
-	wait   sync.WaitGroup
+	// answers and faults are the requests and the events under way.
+	answers sync.WaitGroup
+	faults  sync.WaitGroup
 
+	// mu guards the notes.
 	mu sync.Mutex
 }
 
@@ -88,7 +90,7 @@
 			r.skip(i)
 			continue
 		}
-		r.wait.Go(func() {
+		r.answers.Go(func() {
 			addr := r.run.Fleet.Routers[request.Router].Addr
 			r.run.Results[i] = r.client.Do(ctx, addr, r.run.Trace, request)
 			<-r.slots
--- a/internal/loadgen/run/run_test.go
+++ b/internal/loadgen/run/run_test.go
@@ -109,7 +109,7 @@
 	g.Expect(r.Nodes[0].ControlBytes).To(BeNumerically(">", 0))
 	g.Expect(r.Notes).To(ConsistOf(
 		ContainSubstring("no file with a process id"),
-		ContainSubstring("no means"),
+		ContainSubstring("no relays"),
 	))
 }
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -23,6 +23,9 @@
 LARGE=${LARGE:-3}
 # CONFIG names a configuration to submit in place of loadgen's own.
 CONFIG=${CONFIG:-}
+# RELAYS=1 puts relays between routers and before the platform, so that loadgen
+# can cut a failure domain off.
+RELAYS=${RELAYS:-}
 # All ports lie between PORT_BASE and PORT_BASE + 1999.
 PORT_BASE=${PORT_BASE:-8000}
 READY_SECONDS=${READY_SECONDS:-20}
@@ -33,6 +36,7 @@
 HOST=127.0.0.1
 STORE=$HOST:$((PORT_BASE + 500))
 STORE_CONTROL=$HOST:$((PORT_BASE + 600))
+RELAY=$HOST:$((PORT_BASE + 690))
 LETTERS=abcdefgh
 
 domain() { echo "ga-east/${LETTERS:$1:1}"; }
@@ -105,11 +109,22 @@
 	done
 }
 
+# peer_address N and store_address N are where router N is reached by others and
+# where it reaches the platform.
+peer_address() { echo "$HOST:$((PORT_BASE + (${RELAYS:-0} ? 400 : 200) + $1))"; }
+store_address() {
+	if [ -n "$RELAYS" ]; then
+		echo "$HOST:$((PORT_BASE + 700 + $1))"
+	else
+		echo "$STORE"
+	fi
+}
+
 start_routers() {
 	local i peers=""
 	# A few peers are enough to find the others.
 	for ((i = 1; i <= ROUTERS && i <= 8; i++)); do
-		peers+="${peers:+,}$HOST:$((PORT_BASE + 200 + i))"
+		peers+="${peers:+,}$(peer_address "$i")"
 	done
 	for ((i = 1; i <= ROUTERS; i++)); do
 		start "r$i" bin/jujubeford router -name "r$i" \
@@ -117,8 +132,9 @@
 			-listen "$HOST:$((PORT_BASE + 100 + i))" \
 			-peer-listen "$HOST:$((PORT_BASE + 200 + i))" \
 			-admin-listen "$HOST:$((PORT_BASE + 300 + i))" \
-			-store "$STORE" -cluster-key "$DIR/cluster.key" \
-			-peers "$peers" -policy "$POLICY"
+			-peer-advertise "$(peer_address "$i")" \
+			-store "$(store_address "$i")" -cluster-key "$DIR/cluster.key" \
+			-peers "$peers" -policy "$POLICY" -routers "$ROUTERS"
 	done
 }
 
@@ -128,11 +144,16 @@
 		echo "policy: $POLICY"
 		echo "slots: $SLOTS"
 		echo "token_time: $TOKEN_TIME"
+		echo "store: $STORE"
+		[ -z "$RELAYS" ] || echo "relay: $RELAY"
 		echo "routers:"
 		for ((i = 1; i <= ROUTERS; i++)); do
 			echo "  - {name: r$i, domain: $(domain $(((i - 1) % DOMAINS)))," \
 				"addr: '$HOST:$((PORT_BASE + 100 + i))'," \
 				"admin: '$HOST:$((PORT_BASE + 300 + i))'," \
+				"peer: '$HOST:$((PORT_BASE + 200 + i))'," \
+				"peer_relay: '$(peer_address "$i")'," \
+				"store_relay: '$(store_address "$i")'," \
 				"pid_file: $DIR/r$i.pid}"
 		done
 		echo "engines:"
@@ -164,8 +185,12 @@
 		$((PORT_BASE + 1500)) -slots "$SLOTS" -token-time "$TOKEN_TIME"
 	start_upstreams plain "$PLAIN" booking p $((PORT_BASE + 1200)) $((PORT_BASE + 1700))
 	submit_config
-	start_routers
 	write_fleet
+	if [ -n "$RELAYS" ]; then
+		start relay bin/loadgen relay -fleet "$DIR/fleet.yaml"
+		wait_for "$READY_SECONDS" answers "$RELAY/" || fail "the relays do not answer"
+	fi
+	start_routers
 	local i
 	for ((i = 1; i <= ROUTERS; i++)); do
 		wait_for "$READY_SECONDS" ready "$HOST:$((PORT_BASE + 300 + i))" ||
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -44,15 +44,35 @@
 	fi
 }
 
-records=()
-for policy in $POLICIES; do
-	POLICY=$policy scripts/fleet.sh up
-	for scenario in $SCENARIOS; do
+# run_all POLICY RELAYS SCENARIO... runs the rounds of some scenarios on one
+# fleet.
+run_all() {
+	local policy=$1 relays=$2 scenario round
+	shift 2
+	[ $# -gt 0 ] || return 0
+	POLICY=$policy RELAYS=$relays scripts/fleet.sh up
+	for scenario in "$@"; do
 		for ((round = 1; round <= ROUNDS; round++)); do
 			run "$scenario" "$policy" "$round"
 		done
 	done
 	scripts/fleet.sh down
+}
+
+# Only scenarios with a partition need relays between the routers.
+plain=() cut=()
+for scenario in $SCENARIOS; do
+	if grep -q 'action: partition' "scenarios/$scenario.yaml"; then
+		cut+=("$scenario")
+	else
+		plain+=("$scenario")
+	fi
+done
+
+records=()
+for policy in $POLICIES; do
+	run_all "$policy" "" ${plain[@]+"${plain[@]}"}
+	run_all "$policy" 1 ${cut[@]+"${cut[@]}"}
 done
 
 for record in "${records[@]}"; do
