--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,20 +25,28 @@
 	return best
 }
 
-// Owner returns the owner of an upstream among the routers alive: one of the
-// upstream's own failure domain, or any if none of those is alive.
-func Owner(u core.Upstream, alive []core.Peer) core.RouterID {
-	var near, all []core.RouterID
+// domains groups the live routers by failure domain.
+type domains struct {
+	all []core.RouterID
+	of  map[string][]core.RouterID
+}
+
+func group(alive []core.Peer) domains {
+	d := domains{of: make(map[string][]core.RouterID)}
 	for _, p := range alive {
-		all = append(all, p.ID)
-		if p.Domain == u.Domain {
-			near = append(near, p.ID)
-		}
+		d.all = append(d.all, p.ID)
+		d.of[p.Domain] = append(d.of[p.Domain], p.ID)
 	}
-	if len(near) > 0 {
+	return d
+}
+
+// owner returns the owner of an upstream: one of the routers of its own failure
+// domain, or of all if none of those is alive.
+func (d domains) owner(u core.Upstream) core.RouterID {
+	if near := d.of[u.Domain]; len(near) > 0 {
 		return Pick(u.ID, near)
 	}
-	return Pick(u.ID, all)
+	return Pick(u.ID, d.all)
 }
 
 // Order returns the routers by falling weight for key.
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -61,12 +61,13 @@
 
 func (v *View) assign() {
 	v.owners = make(map[string]core.RouterID, len(v.upstreams))
+	routers := group(v.alive)
 	for id, u := range v.upstreams {
 		if v.alone {
 			v.owners[id] = v.self
 			continue
 		}
-		v.owners[id] = Owner(u, v.alive)
+		v.owners[id] = routers.owner(u)
 	}
 }
 
--- a/router/admin.go
+++ b/router/admin.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/reducer"
-	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
 func (r *Router) adminMux() *http.ServeMux {
@@ -36,22 +34,9 @@
 	writeJSON(w, status)
 }
 
-func (r *Router) serveExplain(w http.ResponseWriter, req *http.Request) {
-	lines, ok := r.records.get(core.RequestID(req.PathValue("id")))
-	if !ok {
-		http.Error(w, "no record of this request here", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, lines)
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
 	_ = enc.Encode(v)
 }
-
-// query answers a peer's question about an operator document. It returns false
-// for messages of other kinds.
-func (r *Router) query(core.RouterID, *wire.Envelope) bool { return false }
--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,7 @@
 	client  *upstream.Client
 	metrics *metrics
 	records *records
+	queries *queries
 
 	index   atomic.Pointer[config.Index]
 	ready   atomic.Bool
@@ -79,6 +80,7 @@
 		inspect: make(chan func(*reducer.State)),
 		client:  upstream.New(upstream.DefaultOptions()),
 		records: newRecords(),
+		queries: newQueries(),
 		fetch:   make(chan struct{}, 1),
 		store:   make(chan struct{}, storeCalls),
 		calls:   make(map[core.RequestID]*call),
