Stand-ins and key-value adapter: first cut

Cause: the thin whole path needs a platform, engines and plain services as processes, and an adapter that speaks the platform's published HTTP API. Ruled out: a client module for the key-value service, which the module proxy does not serve.

--- /dev/null
+++ b/internal/standin/engine/chat.go
@@ -0,0 +1,157 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+const (
+	// maxBody bounds a request body, in bytes.
+	maxBody = 16 << 20
+	// defaultTokens is the length of an answer that max_tokens does not tell.
+	defaultTokens = 32
+	// maxTokens bounds the length of an answer.
+	maxTokens = 1 << 20
+	// retryAfter is what refused callers are told, in seconds.
+	retryAfter = "1"
+)
+
+// chatRequest is the part of a chat completion request that the engine reads.
+type chatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens *int      `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+// length is the number of tokens of the answer.
+func (r chatRequest) length() int {
+	if r.MaxTokens == nil {
+		return defaultTokens
+	}
+	return *r.MaxTokens
+}
+
+// valid tells whether the request can be run.
+func (r chatRequest) valid() bool {
+	return len(r.Messages) > 0 && r.length() >= 1 && r.length() <= maxTokens
+}
+
+func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
+	e.count(func(s *Stats) { s.Requests++ })
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "unreadable body")
+		return
+	}
+	faults := e.batch.getFaults()
+	if faults.Poison != "" && bytes.Contains(body, []byte(faults.Poison)) {
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Fail {
+		e.count(func(s *Stats) { s.Failed++ })
+		writeError(w, http.StatusInternalServerError, "failed on order")
+		return
+	}
+	var request chatRequest
+	if err := json.Unmarshal(body, &request); err != nil || !request.valid() {
+		writeError(w, http.StatusBadRequest, "bad chat completion request")
+		return
+	}
+	if last := r.Header.Get(headerLastEvent); last != "" {
+		e.resume(w, r, request, last)
+		return
+	}
+	e.begin(w, r, request)
+}
+
+// begin runs a new request.
+func (e *Engine) begin(w http.ResponseWriter, r *http.Request, request chatRequest) {
+	if e.leaving.Load() || e.batch.refuses() {
+		e.refuse(w)
+		return
+	}
+	s, woken := e.batch.start(job{
+		id:     e.streamID(r),
+		prompt: Prompt(request.Messages),
+		model:  request.Model,
+		length: request.length(),
+	})
+	defer e.batch.detach(s, woken)
+	answer := newAnswer(e.batch, s, woken, 0)
+	if request.Stream {
+		answer.stream(w, r)
+		return
+	}
+	answer.whole(w, r)
+}
+
+// resume goes on with a stream after the event that the caller saw last.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request, request chatRequest, last string) {
+	id, offset, ok := parseEventID(last)
+	if !ok || !request.Stream {
+		writeError(w, http.StatusBadRequest, "bad "+headerLastEvent)
+		return
+	}
+	s, woken := e.batch.resume(id)
+	if s == nil {
+		writeError(w, http.StatusNotFound, "no such stream")
+		return
+	}
+	defer e.batch.detach(s, woken)
+	if offset > e.batch.read(s).generated {
+		writeError(w, http.StatusBadRequest, "offset is ahead of the stream")
+		return
+	}
+	newAnswer(e.batch, s, woken, offset).stream(w, r)
+}
+
+// refuse tells that a request did not run.
+func (e *Engine) refuse(w http.ResponseWriter) {
+	e.count(func(s *Stats) { s.Refused++ })
+	if e.leaving.Load() {
+		w.Header().Set(headerLeaving, "true")
+	}
+	w.Header().Set(headerOutcome, "not-run")
+	w.Header().Set("Retry-After", retryAfter)
+	writeError(w, http.StatusServiceUnavailable, "not run")
+}
+
+// eventID is the id of an event after a number of tokens.
+func eventID(stream string, tokens int) string { return stream + "/" + strconv.Itoa(tokens) }
+
+// parseEventID takes an event's id apart.
+func parseEventID(id string) (stream string, tokens int, ok bool) {
+	cut := strings.LastIndexByte(id, '/')
+	if cut < 0 {
+		return "", 0, false
+	}
+	tokens, err := strconv.Atoi(id[cut+1:])
+	return id[:cut], tokens, err == nil && tokens >= 0
+}
+
+// errorBody is an error in the API's form.
+type errorBody struct {
+	Error struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+	} `json:"error"`
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	var body errorBody
+	body.Error.Message = message
+	body.Error.Type = http.StatusText(status)
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // strings only
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(encoded)
+}
--- /dev/null
+++ b/internal/standin/kv/http.go
@@ -0,0 +1,218 @@
+package kv
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// Limits of blocking queries.
+const (
+	defaultWait = 5 * time.Minute
+	longestWait = 10 * time.Minute
+	// jitterPart is the part of a wait by which it may be longer.
+	jitterPart = 16
+)
+
+const indexHeader = "X-Consul-Index"
+
+// pair is an entry in the API's form.
+type pair struct {
+	LockIndex   uint64
+	Key         string
+	Flags       uint64
+	Value       []byte
+	Session     string `json:",omitempty"`
+	CreateIndex uint64
+	ModifyIndex uint64
+}
+
+func toPair(e entry) pair {
+	return pair{
+		LockIndex:   e.locks,
+		Key:         e.key,
+		Value:       e.value,
+		Session:     e.session,
+		CreateIndex: e.created,
+		ModifyIndex: e.index,
+	}
+}
+
+func (s *Server) handleRead(w http.ResponseWriter, r *http.Request) {
+	key, query := r.PathValue("key"), r.URL.Query()
+	if query.Has("recurse") {
+		s.handleList(w, r, key)
+		return
+	}
+	index, wait, blocking, err := blockingQuery(query)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	call := CallGet
+	if blocking {
+		call = CallWatch
+	}
+	if !s.admit(w, r, call) {
+		return
+	}
+	if blocking {
+		s.block(r, key, wait, func() bool { return s.state.changedSince(key, index) })
+	}
+	e, current, found := s.state.get(key)
+	w.Header().Set(indexHeader, strconv.FormatUint(current, 10))
+	switch {
+	case !found:
+		w.WriteHeader(http.StatusNotFound)
+	case query.Has("raw"):
+		w.Header().Set("Content-Type", "text/plain")
+		_, _ = w.Write(e.value)
+	default:
+		answer(w, []pair{toPair(e)})
+	}
+}
+
+func (s *Server) handleList(w http.ResponseWriter, r *http.Request, prefix string) {
+	if !s.admit(w, r, CallList) {
+		return
+	}
+	found, index := s.state.list(prefix)
+	w.Header().Set(indexHeader, strconv.FormatUint(index, 10))
+	if len(found) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	pairs := make([]pair, 0, len(found))
+	for _, e := range found {
+		pairs = append(pairs, toPair(e))
+	}
+	answer(w, pairs)
+}
+
+// block waits as a blocking query.
+func (s *Server) block(r *http.Request, topic string, wait time.Duration, changed func() bool) {
+	s.countWaiting(1)
+	defer s.countWaiting(-1)
+	s.state.wait(r.Context(), topic, wait, changed)
+}
+
+func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
+	key, query := r.PathValue("key"), r.URL.Query()
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValue))
+	if err != nil {
+		http.Error(w, "request body too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	switch {
+	case query.Has("acquire"):
+		s.handleAcquire(w, r, key, value, query.Get("acquire"))
+	case query.Has("release"):
+		if s.admit(w, r, CallRelease) {
+			s.write(w, key, func() (bool, error) {
+				return s.state.release(key, value, query.Get("release")), nil
+			})
+		}
+	default:
+		cas, err := casIndex(query)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if s.admit(w, r, CallPut) {
+			s.write(w, key, func() (bool, error) { return s.state.put(key, value, cas), nil })
+		}
+	}
+}
+
+func (s *Server) handleAcquire(w http.ResponseWriter, r *http.Request, key string, value []byte, id string) {
+	if !s.admit(w, r, CallAcquire) {
+		return
+	}
+	s.write(w, key, func() (bool, error) {
+		known, acquired := s.state.acquire(key, value, id)
+		if !known {
+			return false, errors.Errorf("invalid session %q", id)
+		}
+		return acquired, nil
+	})
+}
+
+func (s *Server) handleDelete(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	cas, err := casIndex(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if s.admit(w, r, CallDelete) {
+		s.write(w, key, func() (bool, error) { return s.state.remove(key, cas), nil })
+	}
+}
+
+// write carries out a write under the faults in force and answers it.
+func (s *Server) write(w http.ResponseWriter, key string, apply func() (bool, error)) {
+	fate, late := s.faults.writeFate(key)
+	switch fate {
+	case fateLate:
+		time.AfterFunc(late, func() { _, _ = apply() })
+		panic(http.ErrAbortHandler)
+	case fateDropped:
+		panic(http.ErrAbortHandler)
+	case fateLost:
+		_, _ = apply()
+		panic(http.ErrAbortHandler)
+	}
+	done, err := apply()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	answer(w, done)
+}
+
+// blockingQuery reads the parameters of a blocking query.
+func blockingQuery(query url.Values) (index uint64, wait time.Duration, blocking bool, err error) {
+	if text := query.Get("index"); text != "" {
+		if index, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, 0, false, err
+		}
+	}
+	wait = defaultWait
+	if text := query.Get("wait"); text != "" {
+		if wait, err = time.ParseDuration(text); err != nil {
+			return 0, 0, false, err
+		}
+	}
+	wait = min(wait, longestWait)
+	wait += rand.N(wait/jitterPart + 1)
+	return index, wait, index > 0, nil
+}
+
+// casIndex reads ?cas=; nil without it.
+func casIndex(query url.Values) (*uint64, error) {
+	if !query.Has("cas") {
+		return nil, nil
+	}
+	index, err := strconv.ParseUint(query.Get("cas"), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return &index, nil
+}
+
+func answer(w http.ResponseWriter, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // the values are this package's own types
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/standin/kv/http_catalog.go
@@ -0,0 +1,105 @@
+package kv
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// service is an instance in the API's form. The failure domain and the state
+// are metadata.
+type service struct {
+	ID      string
+	Service string
+	Address string
+	Port    int
+	Meta    map[string]string
+}
+
+// nodeServices is the answer of the instance list.
+type nodeServices struct {
+	Node     struct{ Node string }
+	Services []service
+}
+
+// registration is the body of a registration.
+type registration struct {
+	Node    string
+	Address string
+	Service service
+}
+
+// deregistration is the body of a deregistration.
+type deregistration struct {
+	Node      string
+	ServiceID string
+}
+
+func (s *Server) handleInstances(w http.ResponseWriter, r *http.Request) {
+	index, wait, blocking, err := blockingQuery(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, r, CallInstances) {
+		return
+	}
+	if blocking {
+		s.block(r, catalogTopic, wait, func() bool { return s.state.catalogSince(index) })
+	}
+	list, current := s.state.instances()
+	var body nodeServices
+	body.Node.Node = r.PathValue("node")
+	body.Services = make([]service, 0, len(list))
+	for _, instance := range list {
+		body.Services = append(body.Services, toService(instance))
+	}
+	w.Header().Set(indexHeader, strconv.FormatUint(current, 10))
+	answer(w, body)
+}
+
+func toService(instance platform.Instance) service {
+	host, portText, _ := net.SplitHostPort(instance.Addr)
+	port, _ := strconv.Atoi(portText)
+	return service{
+		ID:      instance.ID,
+		Service: instance.Service,
+		Address: host,
+		Port:    port,
+		Meta:    map[string]string{"domain": instance.Domain, "state": string(instance.State)},
+	}
+}
+
+func (s *Server) handleRegister(w http.ResponseWriter, r *http.Request) {
+	var body registration
+	if err := decode(w, r, &body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, r, CallRegister) {
+		return
+	}
+	s.state.register(platform.Instance{
+		ID:      body.Service.ID,
+		Service: body.Service.Service,
+		Addr:    net.JoinHostPort(body.Service.Address, strconv.Itoa(body.Service.Port)),
+		Domain:  body.Service.Meta["domain"],
+		State:   platform.InstanceState(body.Service.Meta["state"]),
+	})
+	answer(w, true)
+}
+
+func (s *Server) handleDeregister(w http.ResponseWriter, r *http.Request) {
+	var body deregistration
+	if err := decode(w, r, &body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, r, CallDeregister) {
+		return
+	}
+	s.state.deregister(body.ServiceID)
+	answer(w, true)
+}
--- /dev/null
+++ b/internal/standin/kv/server.go
@@ -0,0 +1,210 @@
+package kv
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/standin/control"
+	"github.com/jujubeford/jujubeford/internal/standin/netfault"
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// Options are the settings of a Server.
+type Options struct {
+	// ReadRate and WriteRate are calls a second; 0 limits nothing.
+	ReadRate  float64
+	WriteRate float64
+	// ListLag is how late the instance list shows a change.
+	ListLag time.Duration
+	// MinTTL and MaxTTL bound the sessions; 0 bounds nothing.
+	MinTTL time.Duration
+	MaxTTL time.Duration
+}
+
+// Call names a kind of call in the counts.
+type Call string
+
+// The kinds of call.
+const (
+	CallGet        Call = "get"
+	CallList       Call = "list"
+	CallWatch      Call = "watch"
+	CallPut        Call = "put"
+	CallDelete     Call = "delete"
+	CallAcquire    Call = "acquire"
+	CallRelease    Call = "release"
+	CallCreate     Call = "session-create"
+	CallRenew      Call = "session-renew"
+	CallDestroy    Call = "session-destroy"
+	CallInstances  Call = "instances"
+	CallRegister   Call = "register"
+	CallDeregister Call = "deregister"
+)
+
+// reads are the kinds that count against the read rate.
+var reads = map[Call]bool{CallGet: true, CallList: true, CallWatch: true, CallInstances: true}
+
+// Stats counts the calls since the start.
+type Stats struct {
+	Calls   map[Call]uint64 `json:"calls"`
+	Reads   uint64          `json:"reads"`
+	Writes  uint64          `json:"writes"`
+	Limited uint64          `json:"limited"`
+	// Waiting is the number of blocking queries that wait now.
+	Waiting int `json:"waiting"`
+	Keys    int `json:"keys"`
+	// Sessions is the number of live leases.
+	Sessions int `json:"sessions"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	options  Options
+	state    *state
+	faults   faultSet
+	readers  *bucket
+	writers  *bucket
+	listener *netfault.Listener
+
+	mu    sync.Mutex
+	stats Stats
+}
+
+// New makes a server that answers on listener, which its faults act on.
+func New(options Options, listener *netfault.Listener) *Server {
+	return &Server{
+		options:  options,
+		state:    newState(options.ListLag),
+		readers:  newBucket(options.ReadRate),
+		writers:  newBucket(options.WriteRate),
+		listener: listener,
+		stats:    Stats{Calls: make(map[Call]uint64)},
+	}
+}
+
+// Handler serves the API.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv/{key...}", s.handleRead)
+	mux.HandleFunc("PUT /v1/kv/{key...}", s.handlePut)
+	mux.HandleFunc("DELETE /v1/kv/{key...}", s.handleDelete)
+	mux.HandleFunc("PUT /v1/session/create", s.handleCreate)
+	mux.HandleFunc("PUT /v1/session/renew/{id}", s.handleRenew)
+	mux.HandleFunc("PUT /v1/session/destroy/{id}", s.handleDestroy)
+	mux.HandleFunc("GET /v1/catalog/node-services/{node}", s.handleInstances)
+	mux.HandleFunc("PUT /v1/catalog/register", s.handleRegister)
+	mux.HandleFunc("PUT /v1/catalog/deregister", s.handleDeregister)
+	return mux
+}
+
+// Control serves the control port:
+//
+//	POST /faults     the Faults in force from now on
+//	GET  /faults     the faults in force
+//	POST /instances  the whole instance list, as an array of platform.Instance
+//	GET  /instances  the list as callers see it
+//	GET  /stats      the call counts
+func (s *Server) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /faults", control.Handle(func(_ *http.Request, faults Faults) error {
+		return s.SetFaults(faults)
+	}))
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
+		control.Answer(w, s.faults.get())
+	})
+	mux.HandleFunc("POST /instances", control.Handle(func(_ *http.Request, list []platform.Instance) error {
+		s.SetInstances(list)
+		return nil
+	}))
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) {
+		list, _ := s.state.instances()
+		control.Answer(w, list)
+	})
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		control.Answer(w, s.Stats())
+	})
+	return mux
+}
+
+// SetFaults puts faults in force in place of those before.
+func (s *Server) SetFaults(faults Faults) error {
+	lag := s.options.ListLag
+	if faults.ListLag != nil {
+		lag = faults.ListLag.Duration()
+	}
+	s.faults.set(faults)
+	s.state.setStale(faults.StaleReads)
+	s.state.setList(lag, faults.FrozenList)
+	if faults.ResetIndex {
+		s.state.resetIndex()
+	}
+	if faults.Silence {
+		s.listener.Silence()
+	}
+	if faults.Outage == OutageRefuse {
+		defer s.listener.Cut()
+	}
+	return s.listener.Refuse(faults.Outage == OutageRefuse)
+}
+
+// SetInstances replaces the instance list, which shows it after its lag.
+func (s *Server) SetInstances(list []platform.Instance) { s.state.setInstances(list) }
+
+// Stats returns the counts.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	stats := s.stats
+	stats.Calls = make(map[Call]uint64, len(s.stats.Calls))
+	for call, n := range s.stats.Calls {
+		stats.Calls[call] = n
+	}
+	s.mu.Unlock()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	stats.Keys = len(s.state.entries)
+	stats.Sessions = len(s.state.sessions)
+	return stats
+}
+
+// admit counts a call and passes it through outage, rate and slowness; false if
+// it was answered already.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, call Call) bool {
+	s.count(call)
+	if s.faults.out(w, r) {
+		return false
+	}
+	limit := s.writers
+	if reads[call] {
+		limit = s.readers
+	}
+	if !limit.take(time.Now()) {
+		s.countLimited()
+		http.Error(w, "rate limit exceeded, try again later", http.StatusTooManyRequests)
+		return false
+	}
+	return s.faults.delay(r.Context())
+}
+
+func (s *Server) count(call Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Calls[call]++
+	if reads[call] {
+		s.stats.Reads++
+		return
+	}
+	s.stats.Writes++
+}
+
+func (s *Server) countLimited() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Limited++
+}
+
+func (s *Server) countWaiting(by int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Waiting += by
+}
--- /dev/null
+++ b/internal/standin/netfault/listener.go
@@ -0,0 +1,183 @@
+// Package netfault gives the stand-ins a listener whose connections can be cut,
+// silenced or refused while the process runs.
+package netfault
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// Listener is a TCP listener with faults.
+type Listener struct {
+	addr string
+
+	mu       sync.Mutex
+	inner    net.Listener
+	reopened chan struct{}
+	closed   bool
+	conns    map[*conn]struct{}
+}
+
+// Listen opens a TCP listener on addr.
+func Listen(addr string) (*Listener, error) {
+	inner, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return &Listener{
+		addr:     inner.Addr().String(),
+		inner:    inner,
+		reopened: make(chan struct{}),
+		conns:    make(map[*conn]struct{}),
+	}, nil
+}
+
+// Addr is the address that was bound first; it stays while connections are
+// refused.
+func (l *Listener) Addr() net.Addr {
+	addr, err := net.ResolveTCPAddr("tcp", l.addr)
+	if err != nil {
+		panic(err) // it came from a bound socket
+	}
+	return addr
+}
+
+// Accept waits for a connection, also across a time of refusal.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner, reopened, closed := l.current()
+		if closed {
+			return nil, net.ErrClosed
+		}
+		if inner == nil {
+			<-reopened
+			continue
+		}
+		c, err := inner.Accept()
+		if err == nil {
+			return l.track(c), nil
+		}
+		if !l.replaced(inner) {
+			return nil, err
+		}
+	}
+}
+
+// Close ends the listener; open connections stay.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	if l.inner == nil {
+		close(l.reopened)
+		return nil
+	}
+	return l.inner.Close()
+}
+
+// Refuse makes the operating system refuse new connections, or accept them
+// again on the same address. Open connections stay.
+func (l *Listener) Refuse(refuse bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || refuse == (l.inner == nil) {
+		return nil
+	}
+	if refuse {
+		inner := l.inner
+		l.inner = nil
+		l.reopened = make(chan struct{})
+		return errors.Wrap(inner.Close(), "refuse connections")
+	}
+	inner, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return errors.Wrap(err, "listen again")
+	}
+	l.inner = inner
+	close(l.reopened)
+	return nil
+}
+
+// Silence makes all connections that are open now silent for good: what
+// arrives is dropped and what is written never leaves. New ones work.
+func (l *Listener) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.silent.Store(true)
+	}
+}
+
+// Cut closes all connections that are open now.
+func (l *Listener) Cut() {
+	l.mu.Lock()
+	open := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		c.Close()
+	}
+}
+
+func (l *Listener) current() (inner net.Listener, reopened chan struct{}, closed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inner, l.reopened, l.closed
+}
+
+// replaced tells whether inner was closed by Refuse rather than by a failure.
+func (l *Listener) replaced(inner net.Listener) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.closed && l.inner != inner
+}
+
+func (l *Listener) track(inner net.Conn) net.Conn {
+	c := &conn{Conn: inner, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c
+}
+
+func (l *Listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// conn is a connection that can be silenced.
+type conn struct {
+	net.Conn
+	listener *Listener
+	silent   atomic.Bool
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.listener.forget(c)
+	return c.Conn.Close()
+}
