Run the stand-ins as processes: platform, engine, plain

Cause: the whole path needs its surroundings as separate processes. One process can host many engines or plain services, since hundreds share a machine, and instances list themselves with the platform. Seen by hand with curl: streams with ids and usage, resume after an offset, the plain echo, compare-and-set, the instance list with its lag and leaving state, SIGTERM with exit status 0. No contract tests yet.

--- /dev/null
+++ b/cmd/standin/env.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"flag"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// envPrefix starts the environment variable of each flag: -token-time is
+// JUJUBEFORD_STANDIN_TOKEN_TIME.
+const envPrefix = "JUJUBEFORD_STANDIN_"
+
+// envName is the environment variable of a flag.
+func envName(flagName string) string {
+	return envPrefix + strings.ToUpper(strings.ReplaceAll(flagName, "-", "_"))
+}
+
+// fromEnv sets the flags that the command line left out from the environment.
+// The error names every variable that does not fit.
+func fromEnv(flags *flag.FlagSet) error {
+	given := make(map[string]bool)
+	flags.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	var faults []string
+	flags.VisitAll(func(f *flag.Flag) {
+		value, found := os.LookupEnv(envName(f.Name))
+		if !found || given[f.Name] {
+			return
+		}
+		if err := flags.Set(f.Name, value); err != nil {
+			faults = append(faults, envName(f.Name)+": "+err.Error())
+		}
+	})
+	if len(faults) > 0 {
+		return errors.New(strings.Join(faults, "; "))
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/standin/plain.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/internal/standin/netfault"
+	"github.com/jujubeford/jujubeford/internal/standin/plain"
+)
+
+// plainCommand runs plain services.
+type plainCommand struct {
+	instanceFlags
+	options plain.Options
+}
+
+func (*plainCommand) Name() string     { return "plain" }
+func (*plainCommand) Synopsis() string { return "run plain service stand-ins" }
+func (*plainCommand) Usage() string {
+	return "standin plain [flags]\nEach flag is also an environment variable JUJUBEFORD_STANDIN_<FLAG>.\n"
+}
+
+// SetFlags declares the flags.
+func (c *plainCommand) SetFlags(flags *flag.FlagSet) {
+	c.instanceFlags.set(flags, "plain")
+	flags.DurationVar(&c.options.Work, "work", 10*time.Millisecond, "service time of a request without an X-Work-Ms header")
+	flags.IntVar(&c.options.Slots, "slots", 0, "requests that run at a time, others wait; 0 is no bound")
+}
+
+// Execute runs until SIGTERM.
+func (c *plainCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := fromEnv(flags); err != nil {
+		return usageError(err)
+	}
+	if err := c.check(); err != nil {
+		return usageError(err)
+	}
+	return c.run(ctx, c.build)
+}
+
+func (c *plainCommand) check() error {
+	var faults []error
+	if err := c.instanceFlags.check(); err != nil {
+		faults = append(faults, err)
+	}
+	if c.options.Work < 0 {
+		faults = append(faults, errors.New("-work is under 0"))
+	}
+	if c.options.Slots < 0 {
+		faults = append(faults, errors.New("-slots is under 0"))
+	}
+	return joinFaults(faults)
+}
+
+func (c *plainCommand) build(
+	name string, listener *netfault.Listener, onLeaving func(bool),
+) (handler, control http.Handler) {
+	options := c.options
+	options.Name = name
+	options.OnLeaving = onLeaving
+	s := plain.New(options, listener)
+	return s.Handler(), s.Control()
+}
+
+// joinFaults is one error that names all faults; nil without any.
+func joinFaults(faults []error) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	texts := make([]string, len(faults))
+	for i, fault := range faults {
+		texts[i] = fault.Error()
+	}
+	return errors.New(strings.Join(texts, "; "))
+}
--- /dev/null
+++ b/cmd/standin/platform.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/jujubeford/jujubeford/internal/standin/kv"
+	"github.com/jujubeford/jujubeford/internal/standin/netfault"
+)
+
+// platformCommand runs the platform.
+type platformCommand struct {
+	listen  string
+	control string
+	options kv.Options
+}
+
+func (*platformCommand) Name() string { return "platform" }
+func (*platformCommand) Synopsis() string {
+	return "run the platform stand-in: key-value service and instance list"
+}
+func (*platformCommand) Usage() string {
+	return "standin platform [flags]\nEach flag is also an environment variable JUJUBEFORD_STANDIN_<FLAG>.\n"
+}
+
+// SetFlags declares the flags.
+func (c *platformCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.listen, "listen", "127.0.0.1:8500", "IP:port for callers")
+	flags.StringVar(&c.control, "control", "", "IP:port of the control port; none if empty")
+	flags.Float64Var(&c.options.ReadRate, "read-rate", 2000, "reads a second; 0 is no bound")
+	flags.Float64Var(&c.options.WriteRate, "write-rate", 400, "writes a second; 0 is no bound")
+	flags.DurationVar(&c.options.ListLag, "list-lag", time.Second, "how late the instance list shows a change")
+	flags.DurationVar(&c.options.MinTTL, "min-ttl", 10*time.Second, "shortest session")
+	flags.DurationVar(&c.options.MaxTTL, "max-ttl", 24*time.Hour, "longest session")
+}
+
+// Execute runs until SIGTERM.
+func (c *platformCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := fromEnv(flags); err != nil {
+		return usageError(err)
+	}
+	if err := c.check(); err != nil {
+		return usageError(err)
+	}
+	listener, err := netfault.Listen(c.listen)
+	if err != nil {
+		return failure(err)
+	}
+	server := kv.New(c.options, listener)
+	running := newGroup()
+	running.serve(listener, server.Handler())
+	if err := running.serveControl(c.control, server.Control()); err != nil {
+		return failure(err)
+	}
+	klog.InfoS("standin: platform listens", "addr", listener.Addr().String())
+	if err := running.wait(ctx); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *platformCommand) check() error {
+	var faults []error
+	if _, err := offset(c.listen, 0); err != nil {
+		faults = append(faults, errors.Wrap(err, "-listen"))
+	}
+	if c.options.ReadRate < 0 || c.options.WriteRate < 0 {
+		faults = append(faults, errors.New("a rate is under 0"))
+	}
+	if c.options.ListLag < 0 || c.options.MinTTL < 0 || c.options.MaxTTL < c.options.MinTTL {
+		faults = append(faults, errors.New("-list-lag, -min-ttl or -max-ttl is out of range"))
+	}
+	return joinFaults(faults)
+}
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -20,10 +20,11 @@
 }
 
 type choice struct {
-	Index        int      `json:"index"`
-	Delta        *Message `json:"delta,omitempty"`
-	Message      *Message `json:"message,omitempty"`
-	FinishReason string   `json:"finish_reason"`
+	Index int `json:"index"`
+	// Delta is the empty text of a stream's last chunk.
+	Delta        *struct{} `json:"delta,omitempty"`
+	Message      *Message  `json:"message,omitempty"`
+	FinishReason string    `json:"finish_reason"`
 }
 
 // completion is a whole answer, or the last chunk of a stream.
@@ -147,7 +148,7 @@
 // end writes the last chunk, which has the usage, and the end mark.
 func (a *answer) end(w http.ResponseWriter) {
 	last := a.completion("chat.completion.chunk")
-	last.Choices = []choice{{Delta: &Message{}, FinishReason: "length"}}
+	last.Choices = []choice{{Delta: &struct{}{}, FinishReason: "length"}}
 	event := "id: " + eventID(a.s.id, a.sent) + "\ndata: " + encode(last) + "\n\n" + doneEvent
 	_, _ = w.Write([]byte(event))
 }
