Bound the size of parts and of the whole text

Cause: 128 organisations that each reach 256 services, or 256 services with 64 rules each, made parts above the value limit of the key-value service. Groups are now split further until every part is below 256 KB, services as well, and a text above 4 MB is a fault with its size.

Ruled out: lower limits for services and rules alone (they would be far below what one organisation may need, only for the product of all to fit).

--- a/config/limits.go
+++ b/config/limits.go
@@ -25,7 +25,9 @@
 	// MaxDuration bounds every duration.
 	MaxDuration = time.Hour
 	// MaxSize bounds the text of a whole configuration, in bytes.
-	MaxSize = 16 << 20
+	MaxSize = 4 << 20
+	// maxHeader is the room for the header in MaxSize, in bytes.
+	maxHeader = 4 << 10
 )
 
 // The defaults of the constructors.
--- a/config/parse.go
+++ b/config/parse.go
@@ -17,7 +17,7 @@
 // that Check refuses. The error is of type Faults.
 func Parse(text []byte) (*Config, error) {
 	if len(text) > MaxSize {
-		return nil, Faults{{Message: fmt.Sprintf("%d bytes, at most %d fit", len(text), MaxSize)}}
+		return nil, Faults{oversize(len(text))}
 	}
 	cfg := &Config{}
 	if err := decode(text, cfg); err != nil {
@@ -27,7 +27,10 @@
 		return nil, withLines(text, err)
 	}
 	cfg = cfg.canonical()
-	return cfg, checkDigest(text, cfg)
+	if err := checkDigest(text, cfg); err != nil {
+		return nil, err
+	}
+	return cfg, nil
 }
 
 // decode reads exactly one YAML document into out.
--- a/config/print.go
+++ b/config/print.go
@@ -40,9 +40,19 @@
 	return digestOf(body), nil
 }
 
-// body returns the canonical YAML without the header.
+// body returns the canonical YAML without the header. The error is of type Faults
+// if it is too large.
 func (c *Config) body() ([]byte, error) {
-	return marshal(c.canonical())
+	body, err := marshal(c.canonical())
+	if err == nil && len(body) > MaxSize-maxHeader {
+		return nil, Faults{oversize(len(body) + maxHeader)}
+	}
+	return body, err
+}
+
+// oversize is the fault of a text that is too large.
+func oversize(size int) Fault {
+	return Fault{Message: fmt.Sprintf("%d bytes, at most %d fit", size, MaxSize)}
 }
 
 func marshal(v any) ([]byte, error) {
--- a/config/split.go
+++ b/config/split.go
@@ -4,13 +4,20 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"hash/fnv"
+	"slices"
 
 	"github.com/pkg/errors"
 )
 
-// organisationsPerPart is how many organisations a part holds on average at
-// most; parts stay far below the value limit of the key-value service.
-const organisationsPerPart = 128
+const (
+	// servicesPerPart and organisationsPerPart are how many a part holds on
+	// average at most.
+	servicesPerPart      = 32
+	organisationsPerPart = 128
+	// maxPart is the largest part, in bytes; it is far below the value limit of
+	// the key-value service.
+	maxPart = 256 << 10
+)
 
 // Part is a piece of a configuration, named by its content.
 type Part struct {
@@ -32,42 +39,68 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Split cuts the configuration into parts: first the services, then the
-// organisations in groups by a hash of their names, so that a change of one
-// organisation changes one part.
+// Split cuts the configuration into parts: the services, then the organisations,
+// each in groups by a hash of their names, so that a change of one organisation
+// changes one part.
 func (c *Config) Split() ([]Part, error) {
 	canonical := c.canonical()
-	bodies := []partBody{{Fleet: canonical.Fleet, Services: canonical.Services}}
-	for _, group := range groups(canonical.Organisations) {
-		if len(group) > 0 {
-			bodies = append(bodies, partBody{Organisations: group})
+	parts, err := split(canonical.Services, servicesPerPart, serviceName, func(group []Service) partBody {
+		return partBody{Fleet: canonical.Fleet, Services: group}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(canonical.Organisations) == 0 {
+		return parts, nil
+	}
+	more, err := split(canonical.Organisations, organisationsPerPart, organisationName, func(group []Organisation) partBody {
+		return partBody{Organisations: group}
+	})
+	return append(parts, more...), err
+}
+
+// split makes parts of a list, with twice as many groups as long as one of the
+// parts is too large.
+func split[T any](list []T, perPart int, name func(*T) string, body func([]T) partBody) ([]Part, error) {
+	count := 1
+	for count*perPart < len(list) {
+		count *= 2
+	}
+	for ; ; count *= 2 {
+		parts, largest, err := partsOf(groups(list, count, name), body)
+		if err != nil || largest <= maxPart || count >= len(list) {
+			return parts, err
 		}
 	}
-	parts := make([]Part, 0, len(bodies))
-	for i := range bodies {
-		data, err := marshal(&bodies[i])
+}
+
+// partsOf encodes groups and returns the size of the largest part as well.
+func partsOf[T any](groups [][]T, body func([]T) partBody) (parts []Part, largest int, err error) {
+	for _, group := range groups {
+		data, err := marshal(body(group))
 		if err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		parts = append(parts, Part{Digest: PartDigest(data), Data: data})
+		largest = max(largest, len(data))
 	}
-	return parts, nil
+	return parts, largest, nil
 }
 
-// groups spreads organisations over a power of two of groups.
-func groups(organisations []Organisation) [][]Organisation {
-	count := 1
-	for count*organisationsPerPart < len(organisations) {
-		count *= 2
-	}
-	out := make([][]Organisation, count)
-	for _, o := range organisations {
+// groups spreads a list over a power of two of groups and leaves out the empty
+// ones, but for the only one.
+func groups[T any](list []T, count int, name func(*T) string) [][]T {
+	out := make([][]T, count)
+	for i := range list {
 		hash := fnv.New32a()
-		hash.Write([]byte(o.Name))
+		hash.Write([]byte(name(&list[i])))
 		group := hash.Sum32() % uint32(count)
-		out[group] = append(out[group], o)
+		out[group] = append(out[group], list[i])
+	}
+	if count == 1 {
+		return out
 	}
-	return out
+	return slices.DeleteFunc(out, func(group []T) bool { return len(group) == 0 })
 }
 
 // Join puts the parts of a configuration together and checks it. Each part must
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -132,13 +132,14 @@
 	return nil, false
 }
 
-// oneFile is the only argument, or the standard input if there is none.
-func oneFile(fs *flag.FlagSet) (string, error) {
+// loadOnly loads the only argument, or the standard input if there is none.
+func (c *console) loadOnly(fs *flag.FlagSet) (*config.Config, bool) {
 	switch fs.NArg() {
 	case 0:
-		return standardInput, nil
+		return c.load(standardInput)
 	case 1:
-		return fs.Arg(0), nil
+		return c.load(fs.Arg(0))
 	}
-	return "", errors.Errorf("%d files, at most one fits", fs.NArg())
+	c.refuse(errors.Errorf("%d files, at most one fits", fs.NArg()))
+	return nil, false
 }
--- a/internal/cli/config_text.go
+++ b/internal/cli/config_text.go
@@ -35,11 +35,7 @@
 
 // Execute runs the command.
 func (c *printCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	name, err := oneFile(fs)
-	if err != nil {
-		return c.refuse(err)
-	}
-	cfg, ok := c.load(name)
+	cfg, ok := c.loadOnly(fs)
 	if !ok {
 		return exitUsage
 	}
@@ -80,11 +76,7 @@
 
 // Execute runs the command.
 func (c *checkCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	name, err := oneFile(fs)
-	if err != nil {
-		return c.refuse(err)
-	}
-	cfg, ok := c.load(name)
+	cfg, ok := c.loadOnly(fs)
 	if !ok {
 		return exitUsage
 	}
