Keep connections after refusals, count tokens by offset

Cause: each refusal of a full upstream cost a new connection, since its body was not read; and a chunk whose content stands in another field than delta.content was not counted as a token. Ruled out: reading a refusal's body without bounds; 4 KB and 50 ms are enough for a sentence.

--- a/internal/claims/ask.go
+++ b/internal/claims/ask.go
@@ -37,7 +37,7 @@
 }
 
 // message takes queries and replies of other routers.
-func (s *State) message(now time.Time, m core.PeerMessage) {
+func (s *State) message(m core.PeerMessage) {
 	if q := m.Message.GetClaimQuery(); q != nil {
 		s.reply(m.From, q)
 	}
--- a/internal/claims/doc.go
+++ b/internal/claims/doc.go
@@ -15,6 +15,7 @@
 // router, so an answer never speaks for another incarnation. Of finished
 // operations nothing is kept but the record.
 //
-// The store must never give a key the same modify index twice, also not after
+// The runtime answers each key-value effect with exactly one result, by a time
+// of its own at the latest. The store must never give a key the same modify index twice, also not after
 // a delete.
 package claims
--- a/internal/claims/rules_test.go
+++ b/internal/claims/rules_test.go
@@ -62,6 +62,25 @@
 	}
 }
 
+// TestSameRouterDecides: a repeat at the router of the first request is answered
+// from what that router knows, without a call on the store.
+func TestSameRouterDecides(t *testing.T) {
+	g, w := NewWithT(t), calm()
+	n := w.nodes[0]
+	w.begin(n, 0, 0)
+	repeat := func(body int) Decision { return w.decided[w.begin(n, 0, body)] }
+	g.Expect(repeat(0).Reason).To(Equal(core.ReasonInProgress))
+	g.Expect(repeat(1).Reason).To(Equal(core.ReasonKeyReused))
+	w.drain()
+	w.send(0, true)
+	g.Expect(repeat(0).Reason).To(Equal(core.ReasonInProgress))
+	w.end(0, false)
+	g.Expect(repeat(0).Reason).To(Equal(core.ReasonClaimUnknown))
+	g.Expect(w.calls).To(HaveLen(1), "the outcome's record")
+	w.drain()
+	g.Expect(n.state.GiveUp(w.now, "q1")).To(BeEmpty())
+}
+
 // TestHolderDecides: a claim of a live router is decided by its holder's word,
 // if that comes from the incarnation that holds it.
 func TestHolderDecides(t *testing.T) {
--- a/internal/claims/state.go
+++ b/internal/claims/state.go
@@ -150,7 +150,7 @@
 			h.result(s, now, ev)
 		}
 	case core.PeerMessage:
-		s.message(now, ev)
+		s.message(ev)
 	case core.PeerDown:
 		s.peerDown(ev.Peer)
 	case core.Tick:
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -10,9 +10,12 @@
 	"github.com/jujubeford/jujubeford/internal/core"
 )
 
-// drainWait bounds how long Close reads on after the end mark of a stream, so
-// that the connection can be used again.
-const drainWait = 50 * time.Millisecond
+// What Close reads on after the end mark of a stream or the header of a refusal,
+// so that the connection can be used again.
+const (
+	drainWait  = 50 * time.Millisecond
+	drainBytes = 4 << 10
+)
 
 // Chunk is a part of an answer.
 type Chunk struct {
@@ -47,8 +50,9 @@
 	watchdog *watchdog
 	started  time.Time
 	body     body
-	ended    atomic.Bool
-	failed   *Failure
+	// ended tells that nothing more is wanted of the body.
+	ended  atomic.Bool
+	failed *Failure
 }
 
 // body cuts an answer's body into chunks; its errors are causes of a Failure.
@@ -114,13 +118,12 @@
 	a.abandon()
 }
 
-// drained reads what may follow an end mark, for a bounded time.
+// drained tells whether the body ends within the bounds.
 func (a *Answer) drained() bool {
 	timer := time.AfterFunc(drainWait, func() { a.cancel(errClosed) })
 	defer timer.Stop()
-	var rest [64]byte
-	n, err := a.resp.Body.Read(rest[:])
-	return n == 0 && err == io.EOF
+	_, err := io.CopyN(io.Discard, a.resp.Body, drainBytes)
+	return err == io.EOF
 }
 
 // abandon breaks the connection.
--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -74,6 +74,7 @@
 
 func TestStreamIsPutInOrder(t *testing.T) {
 	one, two, three := token("s/1", "a"), token("s/2", "b"), token("s/3", "c")
+	const content = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
 	const usage = "data: {\"choices\":[],\"usage\":{\"total_tokens\":42}}\n\n"
 	for _, tc := range []struct {
 		name   string
@@ -85,6 +86,7 @@
 	}{
 		{name: "whole", events: []string{one, two, three, done}, want: one + two + three + done, cost: 3},
 		{name: "head chunk", events: []string{token("s/0", ""), one, done}, want: token("s/0", "") + one + done, cost: 1},
+		{name: "no ids", events: []string{content, "data: {\"choices\":[]}\n\n", content, done}, want: content + "data: {\"choices\":[]}\n\n" + content + done, cost: 2},
 		{name: "usage", events: []string{one, usage, done}, want: one + usage + done, cost: 42},
 		{name: "doubled chunk", events: []string{one, one, two, one, done}, want: one + two + done, cost: 2},
 		{name: "crossed chunk", events: []string{one, token("x/2", "no"), two, done}, want: one + two + done, cost: 2},
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -132,3 +132,14 @@
 		TotalTokens uint64 `json:"total_tokens"`
 	} `json:"usage"`
 }
+
+// contents counts the choices of a chunk that have content.
+func (p *payload) contents() int {
+	n := 0
+	for _, choice := range p.Choices {
+		if choice.Delta.Content != "" {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -118,6 +118,7 @@
 		client: c, addr: r.Addr, resp: resp, ctx: ctx, cancel: cancel, guard: g, watchdog: w, started: started,
 	}
 	if f := refusal(r, a); f != nil {
+		a.ended.Store(true)
 		a.Close()
 		return nil, f
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -180,6 +180,24 @@
 	g.Expect(from).To(HaveLen(1))
 }
 
+// TestRefusalsReuseConnections: an upstream that refuses keeps its connection.
+func TestRefusalsReuseConnections(t *testing.T) {
+	g := NewWithT(t)
+	refuse := "HTTP/1.1 503 Busy\r\nJujubeford-Outcome: not-run\r\nContent-Length: 4\r\n\r\nbusy"
+	var s *cutServer
+	s = newCutServer(t, func(c net.Conn, _ *bufio.Reader, req *http.Request) {
+		_, _ = io.WriteString(c, refuse)
+		s.serve(c)
+	})
+	c, r := newClient(t), &Request{Addr: s.ln.Addr().String(), Method: "GET", Path: "/", Service: config.Plain, RequestID: cutID}
+	_, f := try(c, r)
+	g.Expect(f.Kind).To(Equal(core.FailRefused))
+	r.RequestID = "after"
+	_, f = try(c, r)
+	g.Expect(f).To(BeNil())
+	g.Expect(s.connections()).To(Equal(1))
+}
+
 // TestResumeOnANewConnection: a broken stream is continued after its offset.
 func TestResumeOnANewConnection(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -15,6 +15,9 @@
 // endMark is the data of a stream's last event.
 var endMark = []byte("[DONE]")
 
+// usageField is in each chunk that states the usage.
+var usageField = []byte(`"usage"`)
+
 // streamBody forwards the events of one stream in order. Invariant: the chunks
 // it returns are those of one stream, each offset once, without a gap; End only
 // after the stream's end mark.
@@ -126,26 +129,29 @@
 		c.End, c.Cost = true, b.cost()
 		return c, nil
 	}
-	c.Tokens = b.count(e.Data)
+	c.Tokens = b.count(e)
 	b.tokens += uint64(c.Tokens)
 	return c, nil
 }
 
-// count reads the tokens of a chunk: one if it has content.
-func (b *streamBody) count(data []byte) int {
+// count returns the tokens of a chunk and notes its usage. An offset stands for
+// a token; without one, content does. Most chunks need no parsing.
+func (b *streamBody) count(e sse.Event) int {
+	identified := e.ID != ""
+	if identified && !bytes.Contains(e.Data, usageField) {
+		return min(1, int(b.offset))
+	}
 	var p payload
-	if json.Unmarshal(data, &p) != nil {
+	if json.Unmarshal(e.Data, &p) != nil {
 		return 0
 	}
 	if p.Usage != nil {
 		b.usage = p.Usage.TotalTokens
 	}
-	for _, choice := range p.Choices {
-		if choice.Delta.Content != "" {
-			return 1
-		}
+	if identified {
+		return min(1, int(b.offset))
 	}
-	return 0
+	return min(1, p.contents())
 }
 
 // cost is the upstream's own count if it gave one, else ours.
