Name the demand of an organisation once in the trace

Cause: the weight of an organisation stood twice in the generator, and one comment named a function that does not exist.

Conclusion: one function tells the demand of an organisation.

--- a/internal/loadgen/trace/trace.go
+++ b/internal/loadgen/trace/trace.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -91,13 +90,11 @@
 	requests []Request
 }
 
+// weigh works out the cumulative demand.
 func (g *generator) weigh() {
 	total := 0.0
 	for _, t := range g.tenants {
-		weight := float64(t.Share)
-		if g.scenario.Equal {
-			weight = 1
-		}
+		weight := g.weight(t)
 		if factor, ok := g.scenario.Demand[t.Name]; ok {
 			weight *= factor
 		}
@@ -106,20 +103,24 @@
 	}
 }
 
-// base is the demand of the organisations without the factors of Demand, over
-// the demand with them: a flood adds load, it does not take it from others.
+// extra is the demand of all organisations over what it is without the factors
+// of single ones: a flood adds load and does not take it from others.
 func (g *generator) extra() float64 {
 	base := 0.0
 	for _, t := range g.tenants {
-		if g.scenario.Equal {
-			base++
-		} else {
-			base += float64(t.Share)
-		}
+		base += g.weight(t)
 	}
 	return g.demand[len(g.demand)-1] / base
 }
 
+// weight is the demand of an organisation without its own factor.
+func (g *generator) weight(t scenario.Tenant) float64 {
+	if g.scenario.Equal {
+		return 1
+	}
+	return float64(t.Share)
+}
+
 // rate is the number of requests a second of a kind before the phase's factor.
 func (g *generator) rate(k scenario.Kind) float64 {
 	if k.Service == scenario.PlainService {
@@ -215,5 +216,5 @@
 			sum += float64(r.Tokens)
 		}
 	}
-	return math.Round(sum)
+	return sum
 }
