--- a/router/router.go
+++ b/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -46,6 +47,7 @@
 	client  *upstream.Client
 	metrics *metrics
 	records *records
+	queries *queries
 
 	index   atomic.Pointer[config.Index]
 	ready   atomic.Bool
@@ -78,6 +80,7 @@
 		inspect: make(chan func(*reducer.State)),
 		client:  upstream.New(upstream.DefaultOptions()),
 		records: newRecords(),
+		queries: newQueries(),
 		fetch:   make(chan struct{}, 1),
 		store:   make(chan struct{}, storeCalls),
 		calls:   make(map[core.RequestID]*call),
@@ -89,7 +92,7 @@
 	r.state = reducer.New(reducer.Options{
 		Self: r.self, Seeds: o.Peers, Seed: seed, Policy: o.Policy, Routers: o.Routers,
 	})
-	r.peers = peer.New(peer.Options{Self: r.member, Key: o.ClusterKey, Handler: handler{r}})
+	r.peers = peer.New(peer.Options{Self: r.member, Key: o.ClusterKey, TLS: o.PeerTLS, Handler: handler{r}})
 	r.metrics, err = newMetrics(r)
 	return r, err
 }
@@ -132,7 +135,7 @@
 	serve := func(f func() error) {
 		go func() { failed <- f() }()
 	}
-	serve(func() error { return callers.Serve(listeners[0]) })
+	serve(func() error { return serveCallers(callers, listeners[0], r.options.TLS) })
 	serve(func() error { return r.peers.Serve(listeners[1]) })
 	serve(func() error { return admin.Serve(listeners[2]) })
 	go r.loop(ctx)
@@ -150,6 +153,14 @@
 	return err
 }
 
+func serveCallers(s *http.Server, ln net.Listener, conf *tls.Config) error {
+	if conf == nil {
+		return s.Serve(ln)
+	}
+	s.TLSConfig = conf
+	return s.ServeTLS(ln, "", "")
+}
+
 func (r *Router) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
