Follow the control port of the stand-ins

Cause: one process of several stand-ins has one control port and chooses an instance by the query name; the first version expected a port for each.

Engines in the fleet script run with no load factor, so that their capacity in tokens a second is known exactly and utilisation can be worked out.

--- a/internal/loadgen/fleet/fleet.go
+++ b/internal/loadgen/fleet/fleet.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"os"
 	"time"
 
@@ -48,10 +49,17 @@
 type Upstream struct {
 	Name   string `yaml:"name" json:"name"`
 	Domain string `yaml:"domain" json:"domain"`
-	// Control is where faults are switched on and runs are read.
+	// Control is where faults are switched on and runs are read; several
+	// upstreams may share the address.
 	Control string `yaml:"control" json:"control"`
 }
 
+// ControlURL is where a call on the upstream's control port goes.
+func (u Upstream) ControlURL(path string) string {
+	query := url.Values{"name": {u.Name}}
+	return "http://" + u.Control + path + "?" + query.Encode()
+}
+
 // Load reads and checks a fleet file.
 func Load(path string) (*Fleet, error) {
 	text, err := os.ReadFile(path)
--- a/internal/loadgen/run/fault.go
+++ b/internal/loadgen/run/fault.go
@@ -91,9 +91,9 @@
 		if target < 0 || target >= len(r.run.Fleet.Engines) {
 			return errors.Errorf("there is no engine %d", target)
 		}
-		control := r.run.Fleet.Engines[target].Control
+		url := r.run.Fleet.Engines[target].ControlURL("/faults")
 		order := slowOrder{Factor: event.Factor, Millis: event.For.Milliseconds()}
-		if err := post(ctx, "http://"+control+"/faults", order); err != nil {
+		if err := post(ctx, url, order); err != nil {
 			return err
 		}
 	}
--- a/internal/loadgen/run/run_test.go
+++ b/internal/loadgen/run/run_test.go
@@ -54,7 +54,7 @@
 	case "/runs":
 		_ = json.NewEncoder(w).Encode(s.runs)
 	case "/faults":
-		s.faults = append(s.faults, string(body))
+		s.faults = append(s.faults, r.URL.Query().Get("name")+string(body))
 	}
 }
 
@@ -104,7 +104,7 @@
 		sent[result.Name]++
 	}
 	g.Expect(r.Ran.Plain).To(Equal(sent))
-	g.Expect(s.faults).To(ConsistOf(`{"slow_factor":5,"slow_for_ms":4000}`))
+	g.Expect(s.faults).To(ConsistOf(`e1{"slow_factor":5,"slow_for_ms":4000}`))
 	g.Expect(r.Nodes).To(HaveLen(1))
 	g.Expect(r.Nodes[0].ControlBytes).To(BeNumerically(">", 0))
 	g.Expect(r.Notes).To(ConsistOf(
--- a/internal/loadgen/run/upstream.go
+++ b/internal/loadgen/run/upstream.go
@@ -29,7 +29,7 @@
 	}
 	total := make(map[string]int)
 	for _, u := range upstreams {
-		runs, err := readRuns(ctx, u.Control)
+		runs, err := readRuns(ctx, u.ControlURL("/runs"))
 		if err != nil {
 			return nil
 		}
@@ -40,10 +40,10 @@
 	return total
 }
 
-func readRuns(ctx context.Context, control string) (map[string]int, error) {
+func readRuns(ctx context.Context, url string) (map[string]int, error) {
 	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+"/runs", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -19,6 +19,9 @@
 PLAIN=${PLAIN:-4}
 SLOTS=${SLOTS:-8}
 TOKEN_TIME=${TOKEN_TIME:-25ms}
+# LOAD_FACTOR is by how much a full engine is slower; with 0 its capacity is
+# known exactly.
+LOAD_FACTOR=${LOAD_FACTOR:-0}
 ORGANISATIONS=${ORGANISATIONS:-16}
 LARGE=${LARGE:-3}
 # CONFIG names a configuration to submit in place of loadgen's own.
@@ -81,31 +84,37 @@
 	exit 1
 }
 
+# share COUNT D is how many of COUNT instances stand in domain D.
+share() { echo $(($1 / DOMAINS + ($2 < $1 % DOMAINS ? 1 : 0))); }
+
+# start_upstreams KIND COUNT SERVICE PREFIX PORT CONTROL FLAG... starts a process
+# for each failure domain.
 start_upstreams() {
 	local kind=$1 count=$2 service=$3 prefix=$4 port=$5 control=$6 d n first=0
 	shift 6
 	for ((d = 0; d < DOMAINS; d++)); do
-		n=$((count / DOMAINS + (d < count % DOMAINS ? 1 : 0)))
+		n=$(share "$count" "$d")
 		[ "$n" -gt 0 ] || continue
 		start "$kind-${LETTERS:$d:1}" bin/standin "$kind" \
 			-count "$n" -name "$prefix${LETTERS:$d:1}" \
 			-service "$service" -domain "$(domain "$d")" \
 			-listen "$HOST:$((port + first))" \
-			-control "$HOST:$((control + first))" \
+			-control "$HOST:$((control + d))" \
 			-platform "$STORE" "$@"
 		first=$((first + n))
 	done
 }
 
-# list_upstreams writes their part of the fleet file.
+# list_upstreams COUNT PREFIX CONTROL writes their part of the fleet file.
 list_upstreams() {
-	local count=$1 prefix=$2 control=$3 d n i first=0
+	local count=$1 prefix=$2 control=$3 d n i name
 	for ((d = 0; d < DOMAINS; d++)); do
-		n=$((count / DOMAINS + (d < count % DOMAINS ? 1 : 0)))
-		for ((i = 0; i < n; i++)); do
-			echo "  - {name: $prefix${LETTERS:$d:1}$((i + 1)), domain: $(domain "$d"), control: '$HOST:$((control + first + i))'}"
+		n=$(share "$count" "$d")
+		for ((i = 1; i <= n; i++)); do
+			name=$prefix${LETTERS:$d:1}
+			[ "$n" -eq 1 ] || name+=-$i
+			echo "  - {name: $name, domain: $(domain "$d"), control: '$HOST:$((control + d))'}"
 		done
-		first=$((first + n))
 	done
 }
 
@@ -182,7 +191,8 @@
 	start platform bin/standin platform -listen "$STORE" -control "$STORE_CONTROL"
 	wait_for "$READY_SECONDS" answers "$STORE/v1/kv/?keys" || fail "the platform does not answer"
 	start_upstreams engine "$ENGINES" assistant e $((PORT_BASE + 1000)) \
-		$((PORT_BASE + 1500)) -slots "$SLOTS" -token-time "$TOKEN_TIME"
+		$((PORT_BASE + 1500)) -slots "$SLOTS" -token-time "$TOKEN_TIME" \
+		-load-factor "$LOAD_FACTOR"
 	start_upstreams plain "$PLAIN" booking p $((PORT_BASE + 1200)) $((PORT_BASE + 1700))
 	submit_config
 	write_fleet
