--- a/cmd/jujubeford/main.go
+++ b/cmd/jujubeford/main.go
@@ -1,6 +1,36 @@
-// Command jujubeford is described in the README.
+// Command jujubeford runs a router and drives a fleet of them.
 package main
 
-import "net"
+import (
+	"context"
+	"flag"
+	"os"
 
-func main() { _ = net.IPv4len }
+	"github.com/google/subcommands"
+	"k8s.io/klog/v2"
+
+	"github.com/jujubeford/jujubeford/internal/cli"
+	"github.com/jujubeford/jujubeford/platform"
+	"github.com/jujubeford/jujubeford/platform/consul"
+)
+
+func main() {
+	klog.InitFlags(nil)
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(cli.RouterCommand(openPlatform), "")
+	subcommands.Register(cli.ConfigCommand(openStore), "")
+	flag.Parse()
+	code := subcommands.Execute(context.Background())
+	klog.Flush()
+	os.Exit(int(code))
+}
+
+func openPlatform(addr string) (platform.Store, platform.Directory) {
+	c := consul.New(consul.Options{Addr: addr})
+	return c, c
+}
+
+func openStore(addr string) platform.Store {
+	return consul.New(consul.Options{Addr: addr})
+}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -82,6 +82,9 @@
 	return slices.SortedFunc(maps.Values(v.upstreams), func(a, b core.Upstream) int { return strings.Compare(a.ID, b.ID) })
 }
 
+// Known tells whether any upstream is known.
+func (v *View) Known() bool { return len(v.upstreams) > 0 }
+
 // Owner returns the owner of an upstream, "" if there is none.
 func (v *View) Owner(upstream string) core.RouterID { return v.owners[upstream] }
 
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -17,7 +17,7 @@
 		s.generation = g
 		s.members.SetGeneration(g)
 	}
-	if ready := s.generation > 0 && s.drainSince.IsZero(); ready != s.ready {
+	if ready := s.generation > 0 && s.view.Known() && s.drainSince.IsZero(); ready != s.ready {
 		s.ready = ready
 		s.emit([]core.Effect{core.Ready{Ready: ready}})
 	}
--- /dev/null
+++ b/internal/reducer/listing.go
@@ -0,0 +1,49 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+// fetchListing asks a peer for the instance list while the platform has given
+// none, so that a router that starts during an outage can serve.
+func (s *State) fetchListing(from core.RouterID) {
+	if s.listed {
+		return
+	}
+	s.emit([]core.Effect{core.SendPeer{To: from, Message: &wire.Envelope{Body: &wire.Envelope_ListingFetch{
+		ListingFetch: &wire.ListingFetch{},
+	}}}})
+}
+
+func (s *State) sendListing(to core.RouterID) {
+	if !s.view.Known() {
+		return
+	}
+	m := &wire.Listing{}
+	for _, u := range s.view.All() {
+		m.Upstreams = append(m.Upstreams, &wire.ListedUpstream{
+			Id: u.ID, Service: u.Service, Addr: u.Addr, Domain: u.Domain, Leaving: u.State != core.UpstreamUp,
+		})
+	}
+	s.emit([]core.Effect{core.SendPeer{To: to, Message: &wire.Envelope{Body: &wire.Envelope_Listing{Listing: m}}}})
+}
+
+// takeListing takes a peer's list until the platform's own comes.
+func (s *State) takeListing(now time.Time, m *wire.Listing) {
+	if s.listed || len(m.Upstreams) == 0 {
+		return
+	}
+	list := make([]core.Upstream, 0, len(m.Upstreams))
+	for _, u := range m.Upstreams {
+		up := core.Upstream{ID: u.Id, Service: u.Service, Addr: u.Addr, Domain: u.Domain}
+		if u.Leaving {
+			up.State = core.UpstreamLeaving
+		}
+		list = append(list, up)
+	}
+	s.view.SetUpstreams(list)
+	s.viewChanged(now)
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -58,6 +58,8 @@
 	owner      *owner.State
 	counters   *counters.State
 
+	// listed tells that the platform gave an instance list.
+	listed     bool
 	changes    uint64
 	generation uint64
 	alive      map[core.RouterID]bool
@@ -135,6 +137,7 @@
 	case core.PeerMessage:
 		s.message(now, ev.From, ev)
 	case core.Instances:
+		s.listed = true
 		s.view.SetUpstreams(ev.Upstreams)
 		s.emit(s.members.Step(now, ev))
 		s.viewChanged(now)
@@ -148,6 +151,9 @@
 	case core.Release:
 		s.emit(s.quarantine.Step(now, ev))
 	case core.PeerUp, core.PeerDown, core.DialFailed:
+		if up, ok := ev.(core.PeerUp); ok {
+			s.fetchListing(core.RouterID(up.Member.Id))
+		}
 		s.emit(s.members.Step(now, ev))
 		s.emit(s.rollout.Step(now, ev))
 		s.emit(s.quarantine.Step(now, ev))
@@ -181,6 +187,10 @@
 		s.emit(s.owner.Release(now, from, m.Release))
 	case *wire.Envelope_Progress:
 		s.emit(s.owner.Progress(now, from, m.Progress))
+	case *wire.Envelope_ListingFetch:
+		s.sendListing(from)
+	case *wire.Envelope_Listing:
+		s.takeListing(now, m.Listing)
 	case *wire.Envelope_Seek:
 		s.entry.Sought(now, from, m.Seek)
 	case *wire.Envelope_CounterReport:
