Slow notices of a new generation down after the first ones

Now eight are told at once, two a second for 15 s, then one in ten seconds; a peer that comes up behind is told at once.

Ruled out: no notices after the first (a lost one would leave a peer to the platform alone).

--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -100,7 +100,7 @@
 	if len(s.bases) > keptBases {
 		s.bases = s.bases[1:]
 	}
-	s.nextTell = s.now
+	s.appliedAt, s.nextTell = s.now, s.now
 	s.emit(core.Apply{Generation: head.Generation, Config: head.Config})
 }
 
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -51,6 +51,7 @@
 	p := &peer{id: id, rank: hash(string(s.self), string(id))}
 	p.learn(ev.Member.GetGeneration())
 	s.peers[id] = p
+	s.tellAtOnce(p)
 }
 
 // peerDown forgets a peer and what it was asked.
@@ -82,6 +83,7 @@
 		p.learn(body.ConfigNotice.GetGeneration())
 		p.toldUs = body.ConfigNotice.GetGeneration()
 		p.answeredAsk()
+		s.tellAtOnce(p)
 	case *wire.Envelope_ConfigFetch:
 		s.serve(p, body.ConfigFetch.GetGeneration())
 	case *wire.Envelope_ConfigParts:
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -26,10 +26,15 @@
 	// maxAsks bounds the peers that a router without a configuration asks at a
 	// time without knowing whether they have one.
 	maxAsks = 8
-	// fanout is how many peers are told of a generation in one step.
+	// fanout is how many peers are told of a generation when it is applied. As
+	// each of them does the same, this reaches nearly all.
 	fanout = 8
-	// spreadEvery is the time between those steps.
+	// trickle is how many more are told each spreadEvery, for spreadFor; later it
+	// is one each lateEvery.
+	trickle     = 2
 	spreadEvery = time.Second
+	spreadFor   = 15 * time.Second
+	lateEvery   = 10 * time.Second
 	// tellAgain is how long a told peer may stay at a lower generation.
 	tellAgain = 10 * time.Second
 	// serveEvery is the shortest time between equal answers to one peer.
@@ -57,6 +62,7 @@
 	fetch     fetch
 	decodings map[uint64]decoding
 	poll      poll
+	appliedAt time.Time
 	nextTell  time.Time
 	wake      time.Time
 }
--- a/internal/rollout/tell.go
+++ b/internal/rollout/tell.go
@@ -12,19 +12,39 @@
 	if s.force.Config == nil || s.now.Before(s.nextTell) {
 		return
 	}
-	room := fanout
+	most, pause := s.pace()
+	told := 0
 	for _, p := range s.ranked() {
 		if at := s.tellPeerAt(p); at.IsZero() || s.now.Before(at) {
 			continue
 		}
-		if room == 0 {
+		if told == most {
 			break
 		}
-		room--
+		told++
 		s.notice(p)
 	}
-	if room < fanout {
-		s.nextTell = s.now.Add(spreadEvery)
+	if told > 0 {
+		s.nextTell = s.now.Add(pause)
+	}
+}
+
+// pace is how many peers may be told now, and the pause after them.
+func (s *State) pace() (most int, pause time.Duration) {
+	switch {
+	case s.now.Equal(s.appliedAt):
+		return fanout, spreadEvery
+	case s.now.Before(s.appliedAt.Add(spreadFor)):
+		return trickle, spreadEvery
+	}
+	return 1, lateEvery
+}
+
+// tellAtOnce tells a peer that has just come up behind this router, or that has
+// just told it of the generation in force.
+func (s *State) tellAtOnce(p *peer) {
+	if s.force.Config != nil && !s.tellPeerAt(p).IsZero() && p.told < s.force.Generation {
+		s.notice(p)
 	}
 }
 
