Send paths as written and blame no upstream for a malformed request

Cause: a path such as //double/slash was read as a host and lost its start, and a request that the transport finds malformed was called a failed dial, which would eject a healthy upstream. Ruled out: trusting the entry's parser alone, since the package is used by others as well.

After: all are cancelled and unsent, and the server sees none.

Conclusion: only errors of dialling count as such.

--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -124,12 +124,14 @@
 }
 
 func TestPlainAnswerIsWhole(t *testing.T) {
-	g := NewWithT(t)
-	addr := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte("booked " + r.URL.String())) })
-	a, f := newClient(t).Do(context.Background(), &Request{Addr: addr, Method: "GET", Path: "/kiosk?a=1%2F2", Service: config.Plain})
-	g.Expect(f).To(BeNil())
-	data, last, f := readAll(a)
-	g.Expect(f).To(BeNil())
-	g.Expect(data).To(Equal("booked /kiosk?a=1%2F2"))
-	g.Expect(last.Cost).To(BeNumerically(">=", 1))
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte("booked " + r.RequestURI)) })
+	for _, path := range []string{"/", "/kiosk?a=1%2F2", "/a%2Fb/%20", "//double/slash?", "/a?x=//y?z"} {
+		g := NewWithT(t)
+		a, f := newClient(t).Do(context.Background(), &Request{Addr: addr, Method: "GET", Path: path, Service: config.Plain})
+		g.Expect(f).To(BeNil())
+		data, last, f := readAll(a)
+		g.Expect(f).To(BeNil())
+		g.Expect(data).To(Equal("booked " + path))
+		g.Expect(last.Cost).To(BeNumerically(">=", 1))
+	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -93,31 +93,21 @@
 
 // Do sends the request exactly once, or not at all, and returns when the header
 // of the answer is there. Either the answer or the failure is nil. The caller
-// closes the answer; when ctx ends the attempt fails as cancelled.
+// closes the answer; when ctx ends the attempt fails as cancelled, and so does a
+// request that is malformed.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, *Failure) {
-	started := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
-	g := &guard{cancel: cancel, off: c.unguarded}
-	req, err := newHTTPRequest(g.attach(ctx), r)
-	if err != nil {
-		cancel(errClosed)
-		return nil, &Failure{Kind: core.FailDial, Err: err}
+	a := &Answer{
+		client: c, addr: r.Addr, ctx: ctx, cancel: cancel, started: time.Now(),
+		guard:    &guard{cancel: cancel, off: c.unguarded},
+		watchdog: newWatchdog(r.SilentAfter, func() { cancel(errSilent) }),
 	}
-	w := newWatchdog(r.SilentAfter, func() { cancel(errSilent) })
-	w.start()
-	resp, err := c.transport(r).RoundTrip(req)
-	w.stop()
-	if err != nil {
-		f := failedBeforeHeader(ctx, g, err)
+	if f := a.send(r); f != nil {
 		cancel(errClosed)
-		c.distrust(r.Addr, g, f)
+		c.distrust(r.Addr, a.guard, f)
 		return nil, f
 	}
-	a := &Answer{
-		Status: resp.StatusCode, Header: endToEnd(resp.Header), Leaving: isLeaving(resp.Header),
-		client: c, addr: r.Addr, resp: resp, ctx: ctx, cancel: cancel, guard: g, watchdog: w, started: started,
-	}
-	if f := refusal(r, a); f != nil {
+	if f := a.refusal(r); f != nil {
 		a.ended.Store(true)
 		a.Close()
 		return nil, f
@@ -126,6 +116,22 @@
 	return a, nil
 }
 
+// send hands the request to the transport and waits for the header.
+func (a *Answer) send(r *Request) *Failure {
+	req, err := newHTTPRequest(a.guard.attach(a.ctx), r)
+	if err != nil {
+		return &Failure{Kind: core.FailCancelled, Err: err}
+	}
+	a.watchdog.start()
+	resp, err := a.client.transport(r).RoundTrip(req)
+	a.watchdog.stop()
+	if err != nil {
+		return a.failedBeforeHeader(err)
+	}
+	a.resp, a.Status, a.Header, a.Leaving = resp, resp.StatusCode, endToEnd(resp.Header), isLeaving(resp.Header)
+	return nil
+}
+
 // transport picks the pooled or the fresh one.
 func (c *Client) transport(r *Request) *http.Transport {
 	if r.Fresh || r.Resume != nil {
@@ -145,18 +151,28 @@
 
 // failedBeforeHeader classifies an error of the transport. It stops the request
 // first, so that what it says about sent bytes stays true.
-func failedBeforeHeader(ctx context.Context, g *guard, err error) *Failure {
-	connected, _ := g.connected()
-	f := &Failure{Kind: core.FailReset, Sent: g.abandon(), Err: err}
-	if !connected {
-		f.Kind = core.FailDial
-	}
-	if kind, ok := cancelledKind(ctx); ok {
+func (a *Answer) failedBeforeHeader(err error) *Failure {
+	f := &Failure{Kind: core.FailReset, Sent: a.guard.abandon(), Err: err}
+	connected, _ := a.guard.connected()
+	kind, cancelled := cancelledKind(a.ctx)
+	switch {
+	case cancelled:
 		f.Kind = kind
+	case !connected && isDialError(err):
+		f.Kind = core.FailDial
+	case !connected:
+		// The transport found the request malformed.
+		f.Kind = core.FailCancelled
 	}
 	return f
 }
 
+// isDialError tells whether a connection could not be made.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // cancelledKind tells whether the attempt's context ended, and as what.
 func cancelledKind(ctx context.Context) (core.Failure, bool) {
 	switch cause := context.Cause(ctx); {
@@ -172,7 +188,7 @@
 // refusal tells whether the answer is no answer of the service but a failure:
 // the upstream did not run the request, or it is an engine's server error, or
 // it cannot continue the stream.
-func refusal(r *Request, a *Answer) *Failure {
+func (a *Answer) refusal(r *Request) *Failure {
 	f := &Failure{
 		Sent: true, Status: a.Status, Leaving: a.Leaving, RetryAfter: retryAfter(a.Header),
 		Err: errors.Errorf("upstream answered with status %d", a.Status),
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -256,10 +256,23 @@
 	g.Expect(*f).To(And(HaveField("Kind", core.FailReset), HaveField("Sent", true)))
 }
 
-// TestBadPath: a path that is none is never sent.
-func TestBadPath(t *testing.T) {
-	_, f := try(newClient(t), &Request{Addr: "127.0.0.1:1", Method: "GET", Path: "http://other/"})
-	NewWithT(t).Expect(f.Sent).To(BeFalse())
+// TestBadRequests: a request that cannot be written is never sent, and is not
+// the upstream's failure.
+func TestBadRequests(t *testing.T) {
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) { t.Errorf("saw %s", r.RequestURI) })
+	for name, r := range map[string]*Request{
+		"path":          {Method: "GET", Path: "http://other/"},
+		"escape":        {Method: "GET", Path: "/%zz"},
+		"control bytes": {Method: "GET", Path: "/?a\r\nX: y"},
+		"method":        {Method: "GE T", Path: "/"},
+		"header":        {Method: "GET", Path: "/", Header: http.Header{"X": {"a\r\nY: z"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r.Addr = addr
+			_, f := try(newClient(t), r)
+			NewWithT(t).Expect(*f).To(And(HaveField("Sent", false), HaveField("Kind", core.FailCancelled)))
+		})
+	}
 }
 
 // TestUnsentIsTrue cancels requests at all moments: one that is reported as not
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/pkg/errors"
 
@@ -30,7 +31,9 @@
 	Attempt   core.Attempt
 	// SilentAfter is how long the upstream may say nothing; zero means for ever.
 	SilentAfter time.Duration
-	// Fresh asks for a connection of its own, which no earlier request used.
+	// Fresh asks for a connection of its own, on which no answer to another
+	// request can stand. Work that must run at most once asks for it: no idle
+	// connection that has broken unnoticed then leaves it in doubt.
 	Fresh bool
 	// Resume continues a stream that broke off, on a fresh connection.
 	Resume *Resume
@@ -77,17 +80,22 @@
 	return req.WithContext(ctx), nil
 }
 
-// targetURL joins the address and the path as the caller wrote it.
-func targetURL(addr, path string) (*url.URL, error) {
+// targetURL joins the address and the path, which goes out as the caller wrote
+// it.
+func targetURL(addr, pathAndQuery string) (*url.URL, error) {
+	if strings.ContainsFunc(pathAndQuery, unicode.IsControl) {
+		return nil, errors.New("control character in path")
+	}
+	path, query, asked := strings.Cut(pathAndQuery, "?")
 	if !strings.HasPrefix(path, "/") {
-		return nil, errors.Errorf("path %q does not start with /", path)
+		return nil, errors.Errorf("path %.64q does not start with /", path)
 	}
-	u, err := url.ParseRequestURI(path)
+	unescaped, err := url.PathUnescape(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "path")
 	}
-	u.Scheme = "http"
-	u.Host = addr
-	u.Fragment = ""
-	return u, nil
+	return &url.URL{
+		Scheme: "http", Host: addr,
+		Path: unescaped, RawPath: path, RawQuery: query, ForceQuery: asked,
+	}, nil
 }
