Wait until routers know the upstreams, and notice processes that ended

Cause: in a trial the first request was refused with no-upstream, because the platform's list lags by a second; in another, a second fleet on the same ports answered in place of this one, whose processes had ended.

Ruled out: a fixed sleep. The script asks each router's status for the upstreams that it started and checks each process that it started by its id.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -79,6 +79,14 @@
 ready() { curl -sf -o /dev/null --max-time 1 "http://$1/readyz"; }
 gone() { ! running "$1"; }
 
+# lists ADMIN COUNT tells whether a router knows that many upstreams; the
+# platform's list lags.
+lists() {
+	local known
+	known=$(curl -sf --max-time 1 "http://$1/v1/status" | grep -o '"service":' | wc -l) || true
+	[ "$known" -ge "$2" ]
+}
+
 fail() {
 	echo "fleet: $*" >&2
 	exit 1
@@ -201,10 +209,16 @@
 		wait_for "$READY_SECONDS" answers "$RELAY/" || fail "the relays do not answer"
 	fi
 	start_routers
-	local i
+	local i admin name
 	for ((i = 1; i <= ROUTERS; i++)); do
-		wait_for "$READY_SECONDS" ready "$HOST:$((PORT_BASE + 300 + i))" ||
-			fail "r$i is not ready; see $DIR/r$i.log"
+		admin=$HOST:$((PORT_BASE + 300 + i))
+		wait_for "$READY_SECONDS" ready "$admin" || fail "r$i is not ready; see $DIR/r$i.log"
+		wait_for "$READY_SECONDS" lists "$admin" $((ENGINES + PLAIN)) ||
+			fail "r$i does not know all upstreams"
+	done
+	# A port that is taken shows as a process that is gone.
+	for name in $(names '*'); do
+		running "$name" || fail "$name has ended; see $DIR/$name.log"
 	done
 	echo "fleet: $ROUTERS routers in $DOMAINS failure domains are ready, policy $POLICY"
 }
