Count messages between routers by kind

Cause: the control traffic at the crest is 6.3 KB/s a node against a budget of 2, and nothing said which messages it is made of.

--- a/router/metrics.go
+++ b/router/metrics.go
@@ -100,12 +100,26 @@
 	if err != nil {
 		return errors.Wrap(err, "peer bytes")
 	}
+	kinds, err := meter.Int64ObservableCounter("jujubeford.peer.kind", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of messages sent to other routers, by kind."))
+	if err != nil {
+		return errors.Wrap(err, "peer bytes by kind")
+	}
+	messages, err := meter.Int64ObservableCounter("jujubeford.peer.messages",
+		metric.WithDescription("Messages sent to other routers, by kind."))
+	if err != nil {
+		return errors.Wrap(err, "peer messages")
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		stats := r.peers.Stats()
 		o.ObserveInt64(bytes, int64(stats.SentBytes), metric.WithAttributes(attribute.String("direction", "sent")))
 		o.ObserveInt64(bytes, int64(stats.ReceivedBytes), metric.WithAttributes(attribute.String("direction", "received")))
+		for kind, k := range stats.Kinds {
+			o.ObserveInt64(kinds, int64(k.SentBytes), metric.WithAttributes(attribute.String("kind", kind)))
+			o.ObserveInt64(messages, int64(k.SentMessages), metric.WithAttributes(attribute.String("kind", kind)))
+		}
 		return nil
-	}, bytes)
+	}, bytes, kinds, messages)
 	return errors.Wrap(err, "observe peer bytes")
 }
 
