Settle repeated submissions honestly

Cause: reading the code again showed that a submission repeated after a lost answer took the generation then in force as its base, so that it could overwrite a rival's; and that an outage during the repeat was reported as "not accepted" although the first try may have been.

Now -submission needs -base, a repeat ends as accepted, in conflict, or not known (3), and an accepted configuration that is not seen everywhere has a status of its own (4). Ruled out: remembering the base in a file, since instances have no disks.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -24,6 +24,9 @@
 	exitUsage = subcommands.ExitUsageError
 	// exitUnsettled: it is not known whether the configuration is accepted.
 	exitUnsettled = subcommands.ExitStatus(3)
+	// exitSpreading: the configuration is accepted, but it is not known to be in
+	// force at all routers.
+	exitSpreading = subcommands.ExitStatus(4)
 )
 
 // OpenStore opens the key-value service at an address.
--- a/internal/cli/config_spread.go
+++ b/internal/cli/config_spread.go
@@ -97,7 +97,15 @@
 		if err == nil && found.everywhere() || !time.Now().Before(deadline) || ctx.Err() != nil {
 			return found, err
 		}
-		time.Sleep(adminPause)
+		pause(ctx, adminPause)
+	}
+}
+
+// pause waits, unless the context ends first.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/cli/config_submit.go
+++ b/internal/cli/config_submit.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"flag"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/google/subcommands"
@@ -15,7 +16,6 @@
 	"github.com/jujubeford/jujubeford/internal/configstore"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/settings"
-	"github.com/jujubeford/jujubeford/platform"
 )
 
 const storeUsage = "address of the key-value service as `IP:port`"
@@ -43,7 +43,8 @@
 	return `submit -store IP:port [flags] FILE:
   Put the configuration of FILE, or of the standard input for -, in force as the
   next generation. Exit with status 0 if it is accepted, 1 if not, 2 on faults,
-  and 3 if no answer came; then the same command with -submission settles it.
+  3 if it is not known (the same command with the printed -base and -submission
+  settles it), and 4 if it is accepted but not known to be in force everywhere.
 `
 }
 
@@ -52,17 +53,23 @@
 	c.set = settings.New(fs)
 	c.set.Addr(&c.store, "store", storeUsage, settings.Required)
 	c.set.String(&c.base, "base", "`generation` that FILE is based on, 0 for none; the one in force if not set", wholeNumber)
-	c.set.String(&c.submission, "submission", "`name` of the submission, to settle one that had no answer")
+	c.set.String(&c.submission, "submission", "`name` of the submission, to settle one that had no answer; needs -base")
 	c.operator = "operator"
 	c.set.String(&c.operator, "operator", "`name` that starts the name of the submission", settings.Required)
 	c.set.Addr(&c.admin, "admin", "address of a router for operators as `IP:port`, to tell where it is in force")
 	c.set.Duration(&c.wait, "wait", "longest `duration` to wait until it is in force at all routers; needs -admin")
-	c.set.Check(func() error {
-		if c.wait > 0 && c.admin == "" {
-			return errors.New("-wait needs -admin")
-		}
-		return nil
-	})
+	c.set.Check(c.consistent)
+}
+
+// consistent checks the flags that belong together.
+func (c *submitCommand) consistent() error {
+	if c.wait > 0 && c.admin == "" {
+		return errors.New("-wait needs -admin")
+	}
+	if c.submission != "" && c.base == "" {
+		return errors.New("-submission needs -base")
+	}
+	return nil
 }
 
 // Execute runs the command.
@@ -77,50 +84,42 @@
 	if !ok {
 		return exitUsage
 	}
+	repeated := c.submission != ""
 	store := c.open(c.store)
 	before, err := configstore.Load(ctx, store)
 	if err != nil {
-		return c.fail(errors.WithMessage(err, "nothing was changed"))
+		return c.notAccepted(errors.WithMessage(err, "nothing was written"), repeated)
 	}
-	result, err := configstore.Submit(ctx, store, cfg, c.baseGeneration(before), c.submissionName())
+	c.complete(before)
+	base, _ := parseGeneration(c.base)
+	result, err := configstore.Submit(ctx, store, cfg, base, c.submission)
 	if err != nil {
-		return c.notAccepted(err)
+		return c.notAccepted(err, repeated)
 	}
 	return c.accepted(ctx, before, cfg, result)
 }
 
-// baseGeneration is the generation that the submission replaces.
-func (c *submitCommand) baseGeneration(before core.ConfigHead) uint64 {
+// complete chooses the base and the name of a submission that has none.
+func (c *submitCommand) complete(before core.ConfigHead) {
 	if c.base == "" {
-		return before.Generation
+		c.base = strconv.FormatUint(before.Generation, 10)
 	}
-	base, _ := parseGeneration(c.base)
-	return base
-}
-
-// submissionName names the submission, by chance if no name was given.
-func (c *submitCommand) submissionName() string {
 	if c.submission == "" {
 		var random [8]byte
 		rand.Read(random[:])
 		c.submission = c.operator + "-" + hex.EncodeToString(random[:])
 	}
-	return c.submission
 }
 
-// notAccepted reports why a submission was not accepted.
-func (c *submitCommand) notAccepted(err error) subcommands.ExitStatus {
+// notAccepted reports why a submission was not accepted. A repeated one may have
+// been accepted earlier, unless a conflict tells that it was not.
+func (c *submitCommand) notAccepted(err error, repeated bool) subcommands.ExitStatus {
 	var conflict *configstore.ConflictError
-	switch {
-	case errors.Is(err, configstore.ErrUnsettled):
-		fmt.Fprintf(c.err, "%v\nrun the same command with -submission %s to settle it\n", err, c.submission)
+	final := errors.As(err, &conflict) || errors.Is(err, configstore.ErrSubmissionReused)
+	if errors.Is(err, configstore.ErrUnsettled) || repeated && !final {
+		fmt.Fprintf(c.err, "not known whether accepted: %v\nsettle it by the same command with -base %s -submission %s\n",
+			err, c.base, c.submission)
 		return exitUnsettled
-	case errors.As(err, &conflict):
-		fmt.Fprintf(c.err, "not accepted: %v\n", err)
-		return exitFailure
-	case errors.Is(err, platform.ErrUnavailable):
-		fmt.Fprintf(c.err, "not accepted, the key-value service is unavailable: %v\n", err)
-		return exitFailure
 	}
 	return c.fail(errors.WithMessage(err, "not accepted"))
 }
@@ -151,11 +150,12 @@
 	client := newAdminClient(c.admin)
 	spread, err := client.awaitGeneration(ctx, generation, c.wait)
 	if err != nil {
-		return c.fail(errors.WithMessage(err, "accepted, but it is not known where it is in force"))
+		fmt.Fprintf(c.err, "accepted, but it is not known where it is in force: %v\n", err)
+		return exitSpreading
 	}
 	fmt.Fprintln(c.out, spread)
 	if c.wait > 0 && !spread.everywhere() {
-		return exitFailure
+		return exitSpreading
 	}
 	return subcommands.ExitSuccess
 }
--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -144,7 +144,7 @@
 	s := newShell(t)
 	s.env["JUJUBEFORD_STORE"] = "127.0.0.1:8500"
 	s.run(exitFailure, "show")
-	s.run(subcommands.ExitSuccess, "submit", "-submission", "first", s.file("7"))
+	s.run(subcommands.ExitSuccess, "submit", "-base", "0", "-submission", "first", s.file("7"))
 	s.Expect(s.out.String()).To(MatchRegexp(`^accepted: generation 1, sha256:[0-9a-f]{64}, submission first\n$`))
 	s.run(subcommands.ExitSuccess, "submit", s.file("7"))
 	s.Expect(s.out.String()).To(HavePrefix("unchanged: generation 1"))
@@ -164,7 +164,7 @@
 func TestSubmitThatIsNotAccepted(t *testing.T) {
 	s := newShell(t)
 	s.env["JUJUBEFORD_STORE"] = "127.0.0.1:8500"
-	s.run(subcommands.ExitSuccess, "submit", "-submission", "first", s.file("7"))
+	s.run(subcommands.ExitSuccess, "submit", "-base", "0", "-submission", "first", s.file("7"))
 
 	s.run(exitUsage, "submit", s.file("0"))
 	s.Expect(s.err.String()).To(ContainSubstring("organisations[0].share: 0 is not between 1 and 10000"))
@@ -172,15 +172,22 @@
 	s.Expect(s.err.String()).To(ContainSubstring("generation 1 is in force, by submission first"))
 	s.store.getErr = platform.ErrUnavailable
 	s.run(exitFailure, "submit", s.file("8"))
-	s.Expect(s.err.String()).To(HavePrefix("nothing was changed"))
+	s.Expect(s.err.String()).To(HavePrefix("not accepted: nothing was written"))
+	again := []string{"submit", "-base", "1", "-submission", "second", s.file("8")}
+	s.run(exitUnsettled, again...)
 	s.store.getErr = nil
 	s.store.casErr = platform.ErrUnknown
-	s.run(exitUnsettled, "submit", "-submission", "second", s.file("8"))
-	s.Expect(s.err.String()).To(ContainSubstring("with -submission second to settle it"))
+	s.run(exitUnsettled, again...)
+	s.Expect(s.err.String()).To(ContainSubstring("with -base 1 -submission second\n"))
 	s.store.casErr = nil
-
 	s.run(subcommands.ExitSuccess, "show")
 	s.Expect(s.out.String()).To(ContainSubstring("share: 7"), "the old generation stays in force")
+	s.run(subcommands.ExitSuccess, "submit", "-submission", "rival", "-base", "1", s.file("9"))
+	s.run(exitFailure, again...)
+	s.Expect(s.err.String()).To(ContainSubstring("generation 2 is in force, by submission rival"))
+
+	s.run(subcommands.ExitSuccess, "show")
+	s.Expect(s.out.String()).To(ContainSubstring("share: 9"), "what was accepted stays in force")
 }
 
 func TestSubmitNamesAllFaultyFlags(t *testing.T) {
@@ -194,6 +201,8 @@
 	}))
 	s.run(exitUsage, "submit", "-store", "127.0.0.1:1", "-wait", "1s", s.file("7"))
 	s.Expect(s.err.String()).To(Equal("-wait needs -admin\n"))
+	s.run(exitUsage, "submit", "-store", "127.0.0.1:1", "-submission", "a", s.file("7"))
+	s.Expect(s.err.String()).To(Equal("-submission needs -base\n"))
 	s.run(exitUsage, "submit", "-store", "127.0.0.1:1")
 	s.run(exitUsage, "unknown")
 }
@@ -211,7 +220,7 @@
 	defer server.Close()
 	submit := []string{"submit", "-store", "127.0.0.1:1", "-admin", strings.TrimPrefix(server.URL, "http://"), s.file("7")}
 
-	s.run(exitFailure, submit...)
+	s.run(exitSpreading, submit...)
 	s.Expect(s.err.String()).To(ContainSubstring("accepted, but it is not known where"))
 	answer = `{"routers":[{"id":"a.1","state":"alive","generation":1},{"id":"b.1","state":"suspect"},{"id":"c.1","state":"dead"}]}`
 	s.run(subcommands.ExitSuccess, submit...)
--- a/internal/configstore/submit.go
+++ b/internal/configstore/submit.go
@@ -29,8 +29,8 @@
 // means that none was accepted yet. A submission with a name that was accepted
 // before is not accepted again: its result is returned, so that repeating after
 // a lost answer is safe. When another generation is in force the error is a
-// *ConflictError. After ErrUnsettled the same call settles the matter; after any
-// other error the submission is not in force.
+// *ConflictError. After ErrUnsettled the same call settles the matter; any other
+// error means that this call did not put the submission in force.
 func Submit(ctx context.Context, store platform.Store, cfg *config.Config, base uint64, submission string) (Result, error) {
 	s := submitter{ctx: ctx, store: store, pause: sleep}
 	return s.submit(cfg, base, submission)
