--- a/internal/rollout/fetch.go
+++ b/internal/rollout/fetch.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -170,15 +169,3 @@
 	}
 	return out
 }
-
-// ranked returns the peers in the order of this router.
-func (s *State) ranked() []*peer {
-	out := make([]*peer, 0, len(s.peers))
-	for _, p := range s.peers {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
-	})
-	return out
-}
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -1,6 +1,9 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/core"
@@ -51,17 +54,29 @@
 	p := &peer{id: id, rank: hash(string(s.self), string(id))}
 	p.learn(ev.Member.GetGeneration())
 	s.peers[id] = p
+	s.order = nil
 	s.tellAtOnce(p)
 }
 
 // peerDown forgets a peer and what it was asked.
 func (s *State) peerDown(ev core.PeerDown) {
 	delete(s.peers, ev.Peer)
+	s.order = nil
 	if s.fetch.peer == ev.Peer {
 		s.fetch = fetch{}
 	}
 }
 
+// ranked returns the peers in the order of this router.
+func (s *State) ranked() []*peer {
+	if s.order == nil {
+		s.order = slices.SortedFunc(maps.Values(s.peers), func(a, b *peer) int {
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
+		})
+	}
+	return s.order
+}
+
 // concerns tells whether a message may bear on the configuration.
 func concerns(message *wire.Envelope) bool {
 	switch message.GetBody().(type) {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -58,7 +58,9 @@
 	// foundAt is when the first candidate since the last apply was found.
 	foundAt time.Time
 
-	peers     map[core.RouterID]*peer
+	peers map[core.RouterID]*peer
+	// order are the peers in the order of this router; nil after a change.
+	order     []*peer
 	fetch     fetch
 	decodings map[uint64]decoding
 	poll      poll
