Keep tombstones for writes that may land only, escape claim keys

Cause: during an outage each refused request left a tombstone though its write was certainly not carried out, which would push the needed ones out of the bounded set; and a slash in a name could make two organisations share a key. Ruled out: a larger bound, which only moves the moment.

Before: 5 tombstones after 5 refusals, as the new test showed.

--- a/internal/claims/bounds_test.go
+++ b/internal/claims/bounds_test.go
@@ -57,6 +57,25 @@
 	g.Expect(s.never.set).To(HaveLen(2))
 }
 
+// TestOutageLeavesNoTombstones: a write that was certainly not carried out needs
+// none.
+func TestOutageLeavesNoTombstones(t *testing.T) {
+	g, w := NewWithT(t), calm()
+	for op := range 5 {
+		w.begin(w.nodes[0], op, 0)
+	}
+	w.outage(1)
+	g.Expect(w.decided).To(HaveLen(5))
+	g.Expect(w.nodes[0].state.never.set).To(BeEmpty())
+}
+
+// TestKeysDiffer: names cannot be chosen so that operations meet.
+func TestKeysDiffer(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Key("a/b", "c", "k")).NotTo(Equal(Key("a", "b/c", "k")))
+	g.Expect(Key("org", "booking", "k")).To(HavePrefix("jujubeford/claims/org/booking/"))
+}
+
 // TestInvariantsPanic: a second send, or one that was not granted, stops the
 // process.
 func TestInvariantsPanic(t *testing.T) {
--- a/internal/claims/claim.go
+++ b/internal/claims/claim.go
@@ -99,6 +99,7 @@
 		c.foreign = false
 		c.write(s, 0)
 	case r.Status == core.KVUnavailable:
+		c.writing = false
 		c.end(s, storeDown(c.request, c.outcome()))
 	default:
 		c.doubt = c.doubt || c.writing
--- a/internal/claims/record.go
+++ b/internal/claims/record.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net/url"
 
 	"github.com/jujubeford/jujubeford/internal/core"
 )
@@ -54,8 +55,9 @@
 	return r, nil
 }
 
-// Key names an operation in the key-value service.
+// Key names an operation in the key-value service. No two operations share one,
+// whatever the names hold.
 func Key(organisation, service, idempotencyKey string) string {
 	sum := sha256.Sum256([]byte(idempotencyKey))
-	return prefix + organisation + "/" + service + "/" + hex.EncodeToString(sum[:])
+	return prefix + url.PathEscape(organisation) + "/" + url.PathEscape(service) + "/" + hex.EncodeToString(sum[:])
 }
--- a/internal/claims/rules_test.go
+++ b/internal/claims/rules_test.go
@@ -246,3 +246,23 @@
 		})
 	}
 }
+
+// TestUnsentRequestTriesAgain: after a failed dial the same request claims again
+// at once, under a new nonce, though its old record still stands.
+func TestUnsentRequestTriesAgain(t *testing.T) {
+	g, w := NewWithT(t), calm()
+	r := w.begin(w.nodes[0], 0, 0)
+	w.drain()
+	w.send(0, false)
+	w.end(0, true)
+	release := w.calls
+	w.calls = nil
+	delete(w.decided, r)
+	w.take(w.nodes[0])(w.nodes[0].state.Begin(w.now, operation(r, 0, 0)))
+	w.drain()
+	g.Expect(w.decided[r].Kind).To(Equal(Proceed))
+	g.Expect(w.store.takeovers).To(Equal(1))
+	w.calls = release
+	w.drain()
+	g.Expect(w.store.entries).To(HaveLen(1))
+}
