--- /dev/null
+++ b/internal/upstream/stall_test.go
@@ -0,0 +1,79 @@
+package upstream
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// listenFull returns the address of a listener whose queue is full, so that the
+// kernel leaves further connections without an answer.
+func listenFull(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	for range 8 {
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("this kernel takes connections beyond the queue")
+	return ""
+}
+
+// TestNoAnswerToDial: a connection that does not come about in time has sent
+// nothing, whichever bound ends the wait.
+func TestNoAnswerToDial(t *testing.T) {
+	addr := listenFull(t)
+	for _, tc := range []struct {
+		name              string
+		dial, silentAfter time.Duration
+		kind              core.Failure
+	}{
+		{"dial timeout", 50 * time.Millisecond, time.Minute, core.FailDial},
+		{"silence", time.Minute, 50 * time.Millisecond, core.FailSilent},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g, o := NewWithT(t), DefaultOptions()
+			o.DialTimeout = tc.dial
+			_, f := try(New(o), &Request{Addr: addr, Method: "POST", Path: "/", Body: []byte("x"), SilentAfter: tc.silentAfter})
+			g.Expect(*f).To(And(HaveField("Kind", tc.kind), HaveField("Sent", false)))
+		})
+	}
+}
+
+// TestUnreadBody: an upstream that stops reading a large body is silent, and
+// may have got the request.
+func TestUnreadBody(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { ln.Close() })
+	_, f := try(newClient(t), &Request{
+		Addr: ln.Addr().String(), Method: "POST", Path: "/", Body: make([]byte, 32<<20),
+		Service: config.Plain, SilentAfter: silentAfter,
+	})
+	g.Expect(*f).To(And(HaveField("Kind", core.FailSilent), HaveField("Sent", true)))
+}
