Set the gap of the ideal beside the measured one

A central queue has a gap as well, since a request cannot be split; it is worked out from the ideal's schedule of the same trace.

--- a/internal/loadgen/measure/measure.go
+++ b/internal/loadgen/measure/measure.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/loadgen/client"
-	"github.com/jujubeford/jujubeford/internal/loadgen/ideal"
 	"github.com/jujubeford/jujubeford/internal/loadgen/run"
-	"github.com/jujubeford/jujubeford/internal/loadgen/scenario"
 )
 
 // Step is the width of the windows in which service and waiting are compared.
@@ -24,10 +22,12 @@
 	SendLag float64            `json:"send_lag_ms"`
 	Ends    map[client.End]int `json:"ends"`
 	Gap     Gap                `json:"gap"`
-	Use     Use                `json:"use"`
-	Nodes   Nodes              `json:"nodes"`
-	Phases  []Phase            `json:"phases"`
-	Crest   *Crest             `json:"crest,omitempty"`
+	// IdealGap is the gap if one central queue had served the same requests.
+	IdealGap Gap     `json:"ideal_gap"`
+	Use      Use     `json:"use"`
+	Nodes    Nodes   `json:"nodes"`
+	Phases   []Phase `json:"phases"`
+	Crest    *Crest  `json:"crest,omitempty"`
 	// Contrast compares one kind of request between two phases.
 	Contrast *Contrast `json:"contrast,omitempty"`
 	Refusals []Refusal `json:"refusals"`
@@ -67,6 +67,7 @@
 		SendLag:  milliseconds(r.SendLag.Microseconds()),
 		Ends:     make(map[client.End]int),
 		Gap:      series.gap(s.GapBound),
+		IdealGap: NewSeries(idealRun(r)).gap(s.GapBound),
 		Use:      series.use(r),
 		Nodes:    nodes(r.Nodes),
 		Phases:   phases(r),
@@ -106,43 +107,3 @@
 	}
 	return rows
 }
-
-// Ideal is the central queue's schedule of the model requests of a run.
-type Ideal struct {
-	// Results holds the positions of the model requests in the run's results.
-	Results []int
-	Jobs    []ideal.Job
-	Served  []ideal.Served
-}
-
-// IdealOf schedules the model requests of a run on one central queue that has
-// all slots of the fleet at their full speed.
-func IdealOf(r *run.Run) Ideal {
-	var out Ideal
-	for i, request := range r.Trace.Requests {
-		if request.Prompt == "" {
-			continue
-		}
-		out.Results = append(out.Results, i)
-		out.Jobs = append(out.Jobs, ideal.Job{
-			At:           request.At,
-			Organisation: request.Organisation,
-			Tokens:       request.Tokens,
-		})
-	}
-	settings := ideal.Settings{
-		Slots:     r.Fleet.TotalSlots(),
-		TokenTime: r.Fleet.TokenTime,
-		Shares:    shares(r.Trace.Tenants),
-	}
-	out.Served = ideal.Schedule(out.Jobs, settings)
-	return out
-}
-
-func shares(tenants []scenario.Tenant) []int {
-	all := make([]int, len(tenants))
-	for i, t := range tenants {
-		all[i] = t.Share
-	}
-	return all
-}
--- a/internal/loadgen/measure/measure_test.go
+++ b/internal/loadgen/measure/measure_test.go
@@ -118,6 +118,7 @@
 	g.Expect(m.Crest.IdealTokens).To(Equal(300.0))
 	g.Expect(m.Crest.Served).To(BeNumerically("~", 199.0/300, 0.01))
 	g.Expect(m.Crest.IdealWait.Max).To(BeNumerically("<", 1))
+	g.Expect(m.IdealGap.Seconds).To(BeZero(), "nothing waits in the ideal")
 }
 
 func TestRefusalsAreComparedWithWhatRan(t *testing.T) {
--- a/internal/loadgen/report/rows.go
+++ b/internal/loadgen/report/rows.go
@@ -28,6 +28,9 @@
 		{"largest service gap", "tokens per share", "", func(m *measure.Measures) (float64, bool) {
 			return m.Gap.Largest, m.Gap.Seconds > 0
 		}},
+		{"the ideal's largest gap", "tokens per share", "", func(m *measure.Measures) (float64, bool) {
+			return m.IdealGap.Largest, m.IdealGap.Seconds > 0
+		}},
 		{"largest gap over its bound", "", "<= 1", func(m *measure.Measures) (float64, bool) {
 			return m.Gap.OverBound, m.Gap.Bound > 0
 		}},
