Compare each streamed answer with the engine's own words

Cause: until the stand-ins landed only the number of words was checked, which cannot tell the answer of another caller of the same length.

Ruled out: a list of known answers in the scenario; the engine's words follow from the prompt, and each prompt is unique in its run.

--- a/cmd/loadgen/tokens.go
+++ b/cmd/loadgen/tokens.go
@@ -1,6 +1,8 @@
 package main
 
-import "github.com/jujubeford/jujubeford/internal/loadgen/client"
+import "github.com/jujubeford/jujubeford/internal/standin/engine"
 
 // answerTokens are the words of a stand-in engine's whole answer to a prompt.
-var answerTokens client.Tokens
+func answerTokens(prompt string, n int) []string {
+	return engine.Tokens(engine.Prompt([]engine.Message{{Role: "user", Content: prompt}}), n)
+}
