--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -135,10 +135,11 @@
 	return true
 }
 
-// cancelAll ends all streams.
-func (b *batch) cancelAll() {
+// reset ends all streams and forgets the prefixes.
+func (b *batch) reset() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.cache = newPrefixCache(b.options.CacheBlocks)
 	for _, s := range b.streams {
 		b.drop(s)
 	}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -49,6 +49,13 @@
 	return o.highest, true
 }
 
+// reset forgets the highest number, as a crash does.
+func (o *orders) reset() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.highest = 0
+}
+
 func (o *orders) handlePut(w http.ResponseWriter, r *http.Request) {
 	number, err := strconv.ParseUint(r.Header.Get(HeaderFencing), 10, 64)
 	if err != nil {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -181,7 +181,8 @@
 	e.count(func(s *Stats) { s.Crashes++ })
 	_ = e.listener.Refuse(true)
 	e.listener.Cut()
-	e.batch.cancelAll()
+	e.batch.reset()
+	e.orders.reset()
 	time.AfterFunc(e.options.RestartAfter, e.restart)
 }
 
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -35,9 +35,11 @@
 	// in place of an answer.
 	LoseAnswers int `json:"lose_answers"`
 	// LateWrites is how many writes have their connection cut at once and take
-	// effect after LateBy.
+	// effect after LateBy or, if that is 0, at the next ReleaseLate.
 	LateWrites int            `json:"late_writes"`
 	LateBy     control.Millis `json:"late_by_ms"`
+	// ReleaseLate lets the writes that are held back take effect; once.
+	ReleaseLate bool `json:"release_late"`
 	// DropWrites is how many writes have their connection cut and never take
 	// effect.
 	DropWrites int `json:"drop_writes"`
@@ -70,6 +72,29 @@
 type faultSet struct {
 	mu      sync.Mutex
 	current Faults
+	held    []func()
+}
+
+// later lets a write take effect after a while, or at the next release.
+func (f *faultSet) later(by time.Duration, apply func()) {
+	if by > 0 {
+		time.AfterFunc(by, apply)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = append(f.held, apply)
+}
+
+// release lets the writes that are held back take effect, in order.
+func (f *faultSet) release() {
+	f.mu.Lock()
+	held := f.held
+	f.held = nil
+	f.mu.Unlock()
+	for _, apply := range held {
+		apply()
+	}
 }
 
 func (f *faultSet) set(faults Faults) {
--- a/internal/standin/kv/http.go
+++ b/internal/standin/kv/http.go
@@ -64,8 +64,8 @@
 	if !s.admit(w, r, call) {
 		return
 	}
-	if blocking {
-		s.block(r, key, wait, func() bool { return s.state.changedSince(key, index) })
+	if blocking && !s.block(w, r, key, wait, func() bool { return s.state.changedSince(key, index) }) {
+		return
 	}
 	e, current, found := s.state.get(key)
 	w.Header().Set(indexHeader, strconv.FormatUint(current, 10))
@@ -97,11 +97,14 @@
 	answer(w, pairs)
 }
 
-// block waits as a blocking query.
-func (s *Server) block(r *http.Request, topic string, wait time.Duration, changed func() bool) {
+// block waits as a blocking query; false if an outage answered it.
+func (s *Server) block(
+	w http.ResponseWriter, r *http.Request, topic string, wait time.Duration, changed func() bool,
+) bool {
 	s.countWaiting(1)
 	defer s.countWaiting(-1)
 	s.state.wait(r.Context(), topic, wait, changed)
+	return !s.faults.out(w, r)
 }
 
 func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
@@ -162,7 +165,7 @@
 	fate, late := s.faults.writeFate(key)
 	switch fate {
 	case fateLate:
-		time.AfterFunc(late, func() { _, _ = apply() })
+		s.faults.later(late, func() { _, _ = apply() })
 		panic(http.ErrAbortHandler)
 	case fateDropped:
 		panic(http.ErrAbortHandler)
--- a/internal/standin/kv/http_catalog.go
+++ b/internal/standin/kv/http_catalog.go
@@ -46,8 +46,8 @@
 	if !s.admit(w, r, CallInstances) {
 		return
 	}
-	if blocking {
-		s.block(r, catalogTopic, wait, func() bool { return s.state.catalogSince(index) })
+	if blocking && !s.block(w, r, catalogTopic, wait, func() bool { return s.state.catalogSince(index) }) {
+		return
 	}
 	list, current := s.state.instances()
 	var body nodeServices
--- a/internal/standin/kv/http_session.go
+++ b/internal/standin/kv/http_session.go
@@ -42,7 +42,7 @@
 	}
 	fate, late := s.faults.writeFate(sessionTopic)
 	if fate == fateLate {
-		time.AfterFunc(late, func() { s.state.createSession(ttl) })
+		s.faults.later(late, func() { s.state.createSession(ttl) })
 	}
 	if fate == fateLost {
 		s.state.createSession(ttl)
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -136,6 +136,9 @@
 	s.faults.set(faults)
 	s.state.setStale(faults.StaleReads)
 	s.state.setList(lag, faults.FrozenList)
+	if faults.ReleaseLate {
+		s.faults.release()
+	}
 	if faults.ResetIndex {
 		s.state.resetIndex()
 	}
