Add the poison quarantine; test membership under cuts, restarts and stale views

Cause: a request that crashes each upstream it runs on has to be refused by all routers, and the membership reducer had only its happy case tested. The test network could loop for ever on a silent connection.

Ruled out: counting a crash by its notice, since notices are repeated; a crash is named by upstream and time. A notice from over a minute ahead is dropped, because a clamped time would count each repetition again.

--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -36,6 +36,8 @@
 	states map[core.RouterID]*State
 	byAddr map[string]core.RouterID
 	links  map[[2]core.RouterID]bool
+	// silent holds the connections that lose everything until they are closed.
+	silent map[[2]core.RouterID]bool
 	queue  []delivery
 	// bytes counts the encoded messages that each router sent.
 	bytes map[core.RouterID]int
@@ -49,6 +51,7 @@
 		states: map[core.RouterID]*State{},
 		byAddr: map[string]core.RouterID{},
 		links:  map[[2]core.RouterID]bool{},
+		silent: map[[2]core.RouterID]bool{},
 		bytes:  map[core.RouterID]int{},
 	}
 }
@@ -108,6 +111,7 @@
 		return
 	}
 	delete(n.links, pair(a, b))
+	delete(n.silent, pair(a, b))
 	n.post(a, core.PeerDown{Peer: b})
 	n.post(b, core.PeerDown{Peer: a})
 }
@@ -164,7 +168,7 @@
 
 func (n *network) message(from core.RouterID, effect core.SendPeer) {
 	n.bytes[from] += proto.Size(effect.Message)
-	if !n.links[pair(from, effect.To)] || n.cut(from, effect.To) || n.random.Float64() < n.loss {
+	if !n.links[pair(from, effect.To)] || n.cut(from, effect.To) || n.silent[pair(from, effect.To)] || n.random.Float64() < n.loss {
 		return
 	}
 	n.post(effect.To, core.PeerMessage{From: from, Message: proto.Clone(effect.Message).(*wire.Envelope)})
--- /dev/null
+++ b/internal/quarantine/notice.go
@@ -0,0 +1,63 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+func crashNotice(organisation string, fingerprint Fingerprint, c crash) *wire.CrashNotice {
+	return &wire.CrashNotice{
+		Organisation: organisation, Fingerprint: fingerprint[:],
+		Upstream: c.upstream, ObservedUnixMs: uint64(c.at.UnixMilli()),
+	}
+}
+
+func releaseNotice(organisation string, fingerprint Fingerprint, at time.Time) *wire.CrashNotice {
+	return &wire.CrashNotice{
+		Organisation: organisation, Fingerprint: fingerprint[:],
+		ObservedUnixMs: uint64(at.UnixMilli()), Released: true,
+	}
+}
+
+// tellAll sends a notice to every peer.
+func (s *State) tellAll(n *wire.CrashNotice) []core.Effect {
+	effects := make([]core.Effect, 0, len(s.peers))
+	for _, peer := range s.peers {
+		effects = append(effects, send(peer, n))
+	}
+	return effects
+}
+
+// tellNewcomer sends everything that still counts to a router, in a fixed
+// order.
+func (s *State) tellNewcomer(now time.Time, to core.RouterID) []core.Effect {
+	var effects []core.Effect
+	for _, organisation := range s.names() {
+		for _, e := range s.sorted(organisation) {
+			for _, n := range e.notices(now) {
+				effects = append(effects, send(to, n))
+			}
+		}
+	}
+	return effects
+}
+
+// notices returns what still counts of an entry.
+func (e *entry) notices(now time.Time) []*wire.CrashNotice {
+	var out []*wire.CrashNotice
+	if counts(now, e.released) {
+		out = append(out, releaseNotice(e.organisation, e.fingerprint, e.released))
+	}
+	for _, c := range e.crashes {
+		if counts(now, c.at) {
+			out = append(out, crashNotice(e.organisation, e.fingerprint, c))
+		}
+	}
+	return out
+}
+
+func send(to core.RouterID, n *wire.CrashNotice) core.Effect {
+	return core.SendPeer{To: to, Message: &wire.Envelope{Body: &wire.Envelope_CrashNotice{CrashNotice: n}}}
+}
--- /dev/null
+++ b/internal/quarantine/state_test.go
@@ -0,0 +1,145 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+var (
+	epoch = time.Unix(1_000_000, 0)
+	fp    = Fingerprint{1}
+)
+
+const org = "buskers"
+
+func at(minutes float64) time.Time {
+	return epoch.Add(time.Duration(minutes * float64(time.Minute)))
+}
+
+func TestBlocked(t *testing.T) {
+	crashAt := func(minutes float64, upstream string) *wire.CrashNotice {
+		return crashNotice(org, fp, crash{upstream, at(minutes)})
+	}
+	releaseAt := func(minutes float64) *wire.CrashNotice { return releaseNotice(org, fp, at(minutes)) }
+	for _, row := range []struct {
+		name    string
+		notices []*wire.CrashNotice
+		// ask is when the question is asked, in minutes.
+		ask     float64
+		blocked bool
+		until   float64
+	}{
+		{"nothing", nil, 1, false, 0},
+		{"one crash", []*wire.CrashNotice{crashAt(0, "u1")}, 1, false, 0},
+		{"two upstreams", []*wire.CrashNotice{crashAt(0, "u1"), crashAt(1, "u2")}, 2, true, 30},
+		{"one upstream twice", []*wire.CrashNotice{crashAt(0, "u1"), crashAt(1, "u1")}, 2, true, 30},
+		{"two upstreams at one time", []*wire.CrashNotice{crashAt(0, "u1"), crashAt(0, "u2")}, 2, true, 30},
+		{"repeated notice", []*wire.CrashNotice{crashAt(0, "u1"), crashAt(0, "u1")}, 2, false, 0},
+		{"reordered", []*wire.CrashNotice{crashAt(1, "u2"), crashAt(0, "u1")}, 2, true, 30},
+		{"three, until two of them are left", []*wire.CrashNotice{crashAt(0, "u1"), crashAt(5, "u2"), crashAt(9, "u3")}, 32, true, 35},
+		{"after its time", []*wire.CrashNotice{crashAt(0, "u1"), crashAt(1, "u2")}, 30, false, 0},
+		{"released", []*wire.CrashNotice{crashAt(0, "u1"), crashAt(1, "u2"), releaseAt(2)}, 3, false, 0},
+		{"release before its crashes", []*wire.CrashNotice{releaseAt(2), crashAt(1, "u2"), crashAt(0, "u1")}, 3, false, 0},
+		{"one crash since the release", []*wire.CrashNotice{crashAt(0, "u1"), releaseAt(2), crashAt(3, "u2")}, 4, false, 0},
+		{"two crashes since the release", []*wire.CrashNotice{crashAt(3, "u1"), releaseAt(2), crashAt(4, "u2")}, 5, true, 33},
+		{"older release late", []*wire.CrashNotice{releaseAt(2), releaseAt(1), crashAt(1.5, "u1"), crashAt(1.7, "u2")}, 3, false, 0},
+		{"from the future", []*wire.CrashNotice{crashAt(900, "u1"), crashAt(901, "u2")}, 1, false, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := New()
+			for _, n := range row.notices {
+				now := at(min(row.ask, 10))
+				s.Step(now, core.PeerMessage{Message: &wire.Envelope{Body: &wire.Envelope_CrashNotice{CrashNotice: n}}})
+			}
+			until, blocked := s.Blocked(at(row.ask), org, fp)
+			g.Expect(blocked).To(Equal(row.blocked))
+			if blocked {
+				g.Expect(until).To(BeTemporally("==", at(row.until)))
+			}
+			_, other := s.Blocked(at(row.ask), "planos", fp)
+			g.Expect(other).To(BeFalse(), "another organisation's request")
+		})
+	}
+}
+
+// carry delivers effects to a state and returns the routers they went to.
+func carry(s *State, now time.Time, effects []core.Effect) []core.RouterID {
+	var to []core.RouterID
+	for _, effect := range effects {
+		send := effect.(core.SendPeer)
+		to = append(to, send.To)
+		s.Step(now, core.PeerMessage{From: "a.1", Message: send.Message})
+	}
+	return to
+}
+
+func TestPeersAndNewcomersAreTold(t *testing.T) {
+	g := NewWithT(t)
+	a, b, c := New(), New(), New()
+	a.SetPeers([]core.RouterID{"b.1"})
+	g.Expect(carry(b, at(0), a.Crash(at(0), org, fp, "u1"))).To(Equal([]core.RouterID{"b.1"}))
+	carry(b, at(1), a.Crash(at(1), org, fp, "u2"))
+	_, blocked := b.Blocked(at(1), org, fp)
+	g.Expect(blocked).To(BeTrue())
+
+	joined := a.Step(at(2), core.PeerUp{Member: &wire.Member{Id: "c.1"}})
+	g.Expect(carry(c, at(2), joined)).To(Equal([]core.RouterID{"c.1", "c.1"}))
+	_, blocked = c.Blocked(at(2), org, fp)
+	g.Expect(blocked).To(BeTrue())
+
+	carry(b, at(3), a.Step(at(3), core.Release{Organisation: org, Fingerprint: fp}))
+	for _, s := range []*State{a, b} {
+		_, blocked = s.Blocked(at(3), org, fp)
+		g.Expect(blocked).To(BeFalse())
+	}
+	// c, which did not hear of the release, cannot undo it.
+	carry(a, at(4), c.Step(at(4), core.PeerUp{Member: &wire.Member{Id: "a.1"}}))
+	_, blocked = a.Blocked(at(4), org, fp)
+	g.Expect(blocked).To(BeFalse())
+}
+
+func TestBounds(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	s.Crash(at(0), "quiet", fp, "u1")
+	s.Crash(at(0), "quiet", fp, "u2")
+	for i := range 10 * maxPerOrganisation {
+		var flood Fingerprint
+		binary.BigEndian.PutUint64(flood[:], uint64(i))
+		s.Crash(at(0).Add(time.Duration(i)*time.Millisecond), "flood", flood, "u1")
+	}
+	_, blocked := s.Blocked(at(1), "quiet", fp)
+	g.Expect(blocked).To(BeTrue())
+	g.Expect(s.organisations["flood"]).To(HaveLen(maxPerOrganisation))
+	for i := range 2 * maxOrganisations {
+		s.Crash(at(1), fmt.Sprint("org-", i), fp, "u1")
+	}
+	g.Expect(s.organisations).To(HaveLen(maxOrganisations))
+	for i := range 100 {
+		s.Crash(at(1).Add(time.Duration(i)*time.Second), "quiet", fp, "u1")
+	}
+	g.Expect(s.organisations["quiet"][fp].crashes).To(HaveLen(maxCrashes))
+	s.Step(at(1).Add(Life+2*time.Minute), core.Tick{})
+	g.Expect(s.organisations).To(BeEmpty())
+}
+
+func TestBadNoticesAreIgnored(t *testing.T) {
+	s := New()
+	long := string(make([]byte, maxName+1))
+	for _, n := range []*wire.CrashNotice{
+		nil, {}, {Organisation: org, Fingerprint: []byte{1}},
+		{Organisation: long, Fingerprint: fp[:], ObservedUnixMs: uint64(epoch.UnixMilli())},
+		{Organisation: org, Fingerprint: fp[:], Upstream: long, ObservedUnixMs: uint64(epoch.UnixMilli())},
+	} {
+		s.Step(epoch, core.PeerMessage{Message: &wire.Envelope{Body: &wire.Envelope_CrashNotice{CrashNotice: n}}})
+	}
+	NewWithT(t).Expect(s.organisations).To(BeEmpty())
+}
