--- /dev/null
+++ b/internal/peer/establish.go
@@ -0,0 +1,184 @@
+package peer
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// streamOpenTimeout is how long a peer may take to accept a stream.
+const streamOpenTimeout = 10 * time.Second
+
+// establish authenticates a connection and starts its link. It closes the
+// connection on failure.
+func (t *Transport) establish(raw net.Conn, side role, addr string) (core.RouterID, error) {
+	conn := &countingConn{Conn: raw, counters: &t.counters, writeTimeout: t.opts.WriteTimeout}
+	if !t.addPending(conn) {
+		raw.Close()
+		return "", ErrClosed
+	}
+	l, id, err := t.handshake(conn, side, addr)
+	t.removePending(conn)
+	if err != nil {
+		raw.Close()
+		return id, err
+	}
+	go l.run()
+	return id, nil
+}
+
+func (t *Transport) handshake(conn *countingConn, side role, addr string) (*link, core.RouterID, error) {
+	if err := conn.SetDeadline(time.Now().Add(t.opts.HandshakeTimeout)); err != nil {
+		return nil, "", errors.Wrap(err, "handshake deadline")
+	}
+	secured := t.secure(conn, side, addr)
+	self := t.opts.Self()
+	member, err := authenticate(secured, self, t.opts.Key, side)
+	if err != nil {
+		return nil, "", err
+	}
+	id := core.RouterID(member.Id)
+	l := newLink(t, member, conn)
+	if err := t.agree(l, secured, self.Id < member.Id); err != nil {
+		return nil, id, err
+	}
+	if err := t.startSession(l, secured, side); err != nil {
+		t.abandon(l)
+		return nil, id, err
+	}
+	return l, id, nil
+}
+
+// secure wraps a connection in TLS if the options ask for it.
+func (t *Transport) secure(conn net.Conn, side role, addr string) net.Conn {
+	switch {
+	case t.opts.TLS == nil:
+		return conn
+	case side == roleAcceptor:
+		return tls.Server(conn, t.opts.TLS)
+	}
+	config := t.opts.TLS.Clone()
+	if host, _, err := net.SplitHostPort(addr); err == nil && config.ServerName == "" {
+		config.ServerName = host
+	}
+	return tls.Client(conn, config)
+}
+
+// agree settles which connection to the router stands. The router with the
+// smaller id keeps the first that it sees; the other follows its verdict.
+func (t *Transport) agree(l *link, rw net.Conn, decides bool) error {
+	if !decides {
+		if err := readVerdict(rw); err != nil {
+			return err
+		}
+		return t.register(l, true)
+	}
+	if err := t.register(l, false); err != nil {
+		if errors.Is(err, ErrDuplicate) {
+			_ = sendVerdict(rw, verdictDuplicate)
+		}
+		return err
+	}
+	if err := sendVerdict(rw, verdictKeep); err != nil {
+		t.abandon(l)
+		return err
+	}
+	return nil
+}
+
+// register makes l the link to its router. A standing link is replaced if
+// replace is set; otherwise it is probed, since the other end may have lost it.
+func (t *Transport) register(l *link, replace bool) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return ErrClosed
+	}
+	if old := t.links[l.id]; old != nil {
+		if !replace && !old.replaceable() {
+			t.probe(old)
+			return ErrDuplicate
+		}
+		old.fail(errReplaced)
+		l.previous = old.done
+	}
+	t.probeNamesakes(l)
+	t.links[l.id] = l
+	t.tasks.Add(1)
+	return nil
+}
+
+// probe pings a link in the background, once it has a session. The caller
+// holds the lock.
+func (t *Transport) probe(l *link) {
+	if l.session == nil {
+		return
+	}
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		l.probe()
+	}()
+}
+
+// probeNamesakes pings links to earlier incarnations of the same router.
+func (t *Transport) probeNamesakes(l *link) {
+	for _, other := range t.links {
+		if other.member.Name == l.member.Name && other.id != l.id {
+			t.probe(other)
+		}
+	}
+}
+
+// abandon undoes register for a link that never ran.
+func (t *Transport) abandon(l *link) {
+	l.fail(errClosing)
+	if l.previous != nil {
+		<-l.previous
+	}
+	t.remove(l)
+	close(l.done)
+}
+
+// remove forgets a link.
+func (t *Transport) remove(l *link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.links[l.id] == l {
+		delete(t.links, l.id)
+	}
+	t.tasks.Done()
+}
+
+func (t *Transport) startSession(l *link, conn net.Conn, side role) error {
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return errors.Wrap(err, "clear deadline")
+	}
+	config := &yamux.Config{
+		AcceptBacklog:          maxStreams,
+		EnableKeepAlive:        false,
+		KeepAliveInterval:      t.opts.KeepAlive,
+		ConnectionWriteTimeout: t.opts.WriteTimeout,
+		MaxStreamWindowSize:    yamuxWindow,
+		StreamOpenTimeout:      streamOpenTimeout,
+		StreamCloseTimeout:     bulkTimeout,
+		Logger:                 sessionLogger{l.id},
+	}
+	start := yamux.Client
+	if side == roleAcceptor {
+		start = yamux.Server
+	}
+	session, err := start(&coalescingConn{Conn: conn}, config)
+	if err != nil {
+		return errors.Wrap(err, "start session")
+	}
+	t.mu.Lock()
+	l.session = session
+	t.mu.Unlock()
+	return nil
+}
--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+// FuzzFrames feeds arbitrary bytes to the frame reader and the decoder. What
+// decodes must survive another round.
+func FuzzFrames(f *testing.F) {
+	ping, err := proto.Marshal(seqMessage(7))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(appendFrame(nil, ping))
+	f.Add(appendFrame(appendFrame(nil, ping), nil))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f, 1})
+	f.Add(bytes.Repeat([]byte{0x80}, 12))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		const limit = 1 << 10
+		reader := bufio.NewReader(bytes.NewReader(input))
+		for {
+			frame, err := readFrame(reader, limit)
+			if err != nil {
+				return
+			}
+			if len(frame) > limit {
+				t.Fatalf("frame of %d bytes over the limit", len(frame))
+			}
+			env, err := decodeEnvelope(frame)
+			if err != nil {
+				continue
+			}
+			again, err := proto.Marshal(env)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := decodeEnvelope(again); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// script answers reads from a fixed input and drops writes.
+type script struct{ io.Reader }
+
+func (script) Write(b []byte) (int, error) { return len(b), nil }
+
+// FuzzHandshake plays arbitrary bytes as the other end, which cannot know the
+// nonce and so must never be authenticated.
+func FuzzHandshake(f *testing.F) {
+	member := &wire.Member{Id: "z.1", Name: "z", PeerAddr: "127.0.0.1:1"}
+	hello, err := proto.Marshal(&wire.Hello{Member: member, Nonce: make([]byte, nonceSize), Version: protocolVersion})
+	if err != nil {
+		f.Fatal(err)
+	}
+	forged, err := proto.Marshal(&wire.Hello{Proof: make([]byte, 32)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(appendFrame(appendFrame(nil, hello), forged))
+	f.Add(appendFrame(nil, hello))
+	f.Add([]byte{0})
+	self := &wire.Member{Id: "a.1", Name: "a", PeerAddr: "127.0.0.1:2"}
+	f.Fuzz(func(t *testing.T, input []byte) {
+		for _, side := range []role{roleDialler, roleAcceptor} {
+			if m, err := authenticate(script{bytes.NewReader(input)}, self, testKey, side); err == nil {
+				t.Fatalf("authenticated %v", m)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,202 @@
+package peer
+
+import (
+	"bufio"
+	"io"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+)
+
+// streamKind is the first byte of a stream.
+type streamKind byte
+
+const (
+	streamControl streamKind = iota + 1
+	streamBulk
+)
+
+// writeControl writes control frames until the queue is closed and empty. It
+// ends the stream only after the last bulk frame, since the end of the control
+// stream is the end of the link.
+func (l *link) writeControl() {
+	defer l.writers.Done()
+	stream, err := l.openStream(streamControl)
+	if err != nil {
+		l.fail(err)
+		return
+	}
+	defer stream.Close()
+	var spare []byte
+	for {
+		frames, done := l.queue.takeControl(spare)
+		if done {
+			l.wait(l.bulkDone)
+			return
+		}
+		if len(frames) == 0 {
+			spare = nil
+			if !l.wait(l.queue.controlReady) {
+				return
+			}
+			continue
+		}
+		stream.SetWriteDeadline(time.Now().Add(l.transport.opts.WriteTimeout))
+		if _, err := stream.Write(frames); err != nil {
+			l.fail(errors.Wrap(err, "write control"))
+			return
+		}
+		spare = frames
+	}
+}
+
+// writeBulk writes each bulk frame on a stream of its own.
+func (l *link) writeBulk() {
+	defer l.writers.Done()
+	defer close(l.bulkDone)
+	for {
+		frame, done := l.queue.takeBulk()
+		if done {
+			return
+		}
+		if frame == nil {
+			if !l.wait(l.queue.bulkReady) {
+				return
+			}
+			continue
+		}
+		if err := l.writeOneBulk(frame); err != nil {
+			l.fail(errors.Wrap(err, "write bulk"))
+			return
+		}
+	}
+}
+
+// writeOneBulk returns once the peer has read the frame and closed the stream.
+func (l *link) writeOneBulk(frame []byte) error {
+	stream, err := l.openStream(streamBulk)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	stream.SetDeadline(time.Now().Add(bulkTimeout))
+	if _, err := stream.Write(appendFrame(nil, frame)); err != nil {
+		return err
+	}
+	if _, err := stream.Read(make([]byte, 1)); err != io.EOF {
+		return errors.Wrap(err, "await end of bulk stream")
+	}
+	return nil
+}
+
+func (l *link) openStream(kind streamKind) (*yamux.Stream, error) {
+	stream, err := l.session.OpenStream()
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream")
+	}
+	if _, err := stream.Write([]byte{byte(kind)}); err != nil {
+		return nil, errors.Wrap(err, "start stream")
+	}
+	return stream, nil
+}
+
+// wait returns false if the link broke.
+func (l *link) wait(ready <-chan struct{}) bool {
+	select {
+	case <-ready:
+		return true
+	case <-l.broken:
+		return false
+	}
+}
+
+// acceptStreams reads the peer's streams until the link breaks.
+func (l *link) acceptStreams() {
+	defer l.readers.Done()
+	slots := make(chan struct{}, maxStreams)
+	for {
+		slots <- struct{}{}
+		stream, err := l.session.AcceptStream()
+		if err != nil {
+			l.fail(errors.Wrap(errRemoteClosed, err.Error()))
+			return
+		}
+		l.readers.Add(1)
+		go func() {
+			defer l.readers.Done()
+			defer func() { <-slots }()
+			defer stream.Close()
+			if err := l.readStream(stream); err != nil {
+				l.fail(err)
+			}
+		}()
+	}
+}
+
+// readStream reads one stream; an error breaks the link.
+func (l *link) readStream(stream *yamux.Stream) error {
+	reader := bufio.NewReader(stream)
+	kind, err := reader.ReadByte()
+	if err != nil {
+		return errors.Wrap(err, "read stream kind")
+	}
+	switch streamKind(kind) {
+	case streamControl:
+		first := false
+		l.control.Do(func() { first = true })
+		if !first {
+			return errSecondControl
+		}
+		return l.readControl(reader)
+	case streamBulk:
+		stream.SetReadDeadline(time.Now().Add(bulkTimeout))
+		return l.readBulk(reader)
+	default:
+		return errStreamKind
+	}
+}
+
+// readControl reads control frames; after the end of the stream the link is
+// flushed and closed.
+func (l *link) readControl(reader *bufio.Reader) error {
+	for {
+		frame, err := readFrame(reader, maxControlSize)
+		if err == io.EOF {
+			close(l.remoteDone)
+			l.shutdown()
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read control")
+		}
+		if err := l.deliver(frame); err != nil {
+			return err
+		}
+	}
+}
+
+// readBulk reads one bulk frame. The transport bounds how many are in memory.
+func (l *link) readBulk(reader *bufio.Reader) error {
+	select {
+	case l.transport.bulkSlots <- struct{}{}:
+	case <-l.broken:
+		return nil
+	}
+	defer func() { <-l.transport.bulkSlots }()
+	frame, err := readFrame(reader, maxBulkSize)
+	if err != nil {
+		return errors.Wrap(err, "read bulk")
+	}
+	return l.deliver(frame)
+}
+
+func (l *link) deliver(frame []byte) error {
+	env, err := decodeEnvelope(frame)
+	if err != nil {
+		return err
+	}
+	l.transport.counters.countReceived(env, len(frame))
+	l.transport.opts.Handler.Message(l.id, env)
+	return nil
+}
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -115,3 +115,51 @@
 	g.Expect(stats.SentBytes).To(BeNumerically(">", stats.Kinds["ping"].SentBytes))
 	g.Expect(a.Send("nobody.1", seqMessage(1))).To(BeFalse())
 }
+
+// TestQueuedMessagesShareAWrite checks that messages which wait together are
+// framed together: a burst costs far less than a frame header each.
+func TestQueuedMessagesShareAWrite(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	var frames []byte
+	for i := range 100 {
+		frame := []byte{byte(i)}
+		ok, err := q.addControl(frame)
+		g.Expect(ok, err).To(BeTrue())
+		frames = appendFrame(frames, frame)
+	}
+	taken, done := q.takeControl(nil)
+	g.Expect(taken).To(Equal(frames))
+	g.Expect(done).To(BeFalse())
+	_, err := q.addControl(make([]byte, maxControlQueue+1))
+	g.Expect(err).To(MatchError(errQueueFull))
+	q.close()
+	taken, done = q.takeControl(nil)
+	g.Expect(taken).To(BeEmpty())
+	g.Expect(done).To(BeTrue())
+}
+
+// writeLog records each write.
+type writeLog struct {
+	net.Conn
+	writes [][]byte
+}
+
+func (w *writeLog) Write(b []byte) (int, error) {
+	w.writes = append(w.writes, append([]byte(nil), b...))
+	return len(b), nil
+}
+
+func TestHeaderAndBodyShareAWrite(t *testing.T) {
+	g := NewWithT(t)
+	log := &writeLog{}
+	c := &coalescingConn{Conn: log}
+	data := []byte{0, yamuxTypeData, 0, 0, 0, 0, 0, 1, 0, 0, 0, 3}
+	empty := []byte{0, yamuxTypeData, 0, 4, 0, 0, 0, 1, 0, 0, 0, 0}
+	ping := []byte{0, 2, 0, 1, 0, 0, 0, 0, 0, 0, 0, 9}
+	for _, b := range [][]byte{ping, data, []byte("abc"), empty, ping} {
+		n, err := c.Write(b)
+		g.Expect(n, err).To(Equal(len(b)))
+	}
+	g.Expect(log.writes).To(Equal([][]byte{ping, append(data, "abc"...), empty, ping}))
+}
