--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/wire"
@@ -73,15 +74,19 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(patience))
-	// Without the key, the best that can be done is to send back what came.
-	for range 2 {
-		frame, err := readFrame(oneByteReader{conn}, maxHelloSize)
-		if err != nil {
-			break
-		}
-		conn.Write(appendFrame(nil, frame))
-	}
-	io.Copy(io.Discard, conn)
+	// Without the key, the best that can be done is to send the proof back that
+	// came over the same greetings.
+	member := &wire.Member{Id: "z.1", Name: "z", PeerAddr: "127.0.0.1:1"}
+	hello, err := proto.Marshal(&wire.Hello{Member: member, Nonce: make([]byte, nonceSize), Version: protocolVersion})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = exchange(conn, hello)
+	g.Expect(err).NotTo(HaveOccurred())
+	proof, err := readFrame(oneByteReader{conn}, maxHelloSize)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = conn.Write(appendFrame(nil, proof))
+	g.Expect(err).NotTo(HaveOccurred())
+	rest, _ := io.ReadAll(conn)
+	g.Expect(rest).To(BeEmpty(), "no verdict is given")
 	g.Expect(n.seen()).To(BeEmpty())
 }
 
