Show the fleet and explain requests from any router

The status now lists every known incarnation with its state, generation and the age of the view, notes when a process stood still, and asks the owners for what they lend. Owners keep their last 1024 grants with what these were weighed against; nothing is sent until an operator asks, so control traffic is as before. Ruled out: carrying the standing with every grant, which would cost control bytes for requests nobody asks about.

--- a/cmd/jujubeford/main.go
+++ b/cmd/jujubeford/main.go
@@ -20,6 +20,8 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(cli.RouterCommand(openPlatform), "")
 	subcommands.Register(cli.ConfigCommand(openStore), "")
+	subcommands.Register(cli.StatusCommand(), "")
+	subcommands.Register(cli.ExplainCommand(), "")
 	flag.Parse()
 	code := subcommands.Execute(context.Background())
 	klog.Flush()
--- /dev/null
+++ b/internal/cli/admin.go
@@ -0,0 +1,137 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/internal/settings"
+)
+
+const (
+	// defaultAdmin is where a router serves operators by default.
+	defaultAdmin = "127.0.0.1:8300"
+	// askTimeout bounds one question to a router, which may itself ask others.
+	askTimeout = 10 * time.Second
+	// documentLimit bounds a router's answer, in bytes.
+	documentLimit = 64 << 20
+	// errorLimit bounds the text of a router's refusal, in bytes.
+	errorLimit = 4 << 10
+)
+
+// The forms of output.
+const (
+	formText = "text"
+	formJSON = "json"
+	formHTML = "html"
+)
+
+// newConsole returns what commands share on this process's own streams.
+func newConsole() *console {
+	return &console{in: os.Stdin, out: os.Stdout, err: os.Stderr, env: os.Getenv}
+}
+
+// adminFlags are the settings of the commands that ask a router.
+type adminFlags struct {
+	*console
+	set   *settings.Set
+	addrs []string
+	form  string
+}
+
+// register registers the settings; forms are the forms of output.
+func (a *adminFlags) register(set *settings.Set, forms ...string) {
+	a.set = set
+	a.addrs, a.form = []string{defaultAdmin}, formText
+	set.Addrs(&a.addrs, "admin", "`addresses` of routers for operators, IP:port divided by commas; the first that answers is asked", settings.NotEmpty)
+	set.String(&a.form, "o", "`form` of the output: "+strings.Join(forms, ", "), oneOf(forms...))
+}
+
+// oneOf refuses a text that is not in the list.
+func oneOf(list ...string) settings.Check[string] {
+	return func(text string) error {
+		for _, have := range list {
+			if text == have {
+				return nil
+			}
+		}
+		return errors.Errorf("%q is none of %s", text, strings.Join(list, ", "))
+	}
+}
+
+// ask reads a document from the first router that answers, and decodes it.
+func (a *adminFlags) ask(ctx context.Context, path string, document any) error {
+	var failures []string
+	for _, addr := range a.addrs {
+		data, err := askRouter(ctx, addr, path)
+		if err == nil {
+			return errors.Wrapf(json.Unmarshal(data, document), "decode the answer of %s", addr)
+		}
+		failures = append(failures, fmt.Sprintf("%s: %v", addr, err))
+	}
+	return errors.New(strings.Join(failures, "\n"))
+}
+
+func askRouter(ctx context.Context, addr, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, errorLimit))
+		return nil, errors.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(text)))
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, documentLimit))
+}
+
+// printJSON prints a document as indented JSON.
+func printJSON(w io.Writer, document any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(document)
+}
+
+// table prints rows in columns under a title.
+type table struct {
+	w *tabwriter.Writer
+}
+
+// newTable begins a table; the heads of its columns are divided by blanks.
+func newTable(out io.Writer, title, heads string) *table {
+	fmt.Fprintf(out, "\n%s\n", title)
+	t := &table{w: tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)}
+	fmt.Fprintln(t.w, strings.ReplaceAll(heads, " ", "\t"))
+	return t
+}
+
+func (t *table) row(cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(t.w, "\t")
+		}
+		fmt.Fprint(t.w, cell)
+	}
+	fmt.Fprintln(t.w)
+}
+
+func (t *table) end() { t.w.Flush() }
+
+// ageText is an age in milliseconds for people.
+func ageText(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).Round(10 * time.Millisecond).String()
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,230 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/internal/reducer"
+	"github.com/jujubeford/jujubeford/internal/settings"
+	"github.com/jujubeford/jujubeford/router"
+)
+
+// rowsMost bounds the rows of a table of the status, so that it fits a screen.
+const rowsMost = 40
+
+// StatusCommand is the command "status".
+func StatusCommand() subcommands.Command {
+	return &statusCommand{adminFlags: adminFlags{console: newConsole()}}
+}
+
+// statusCommand shows the fleet as one router knows it.
+type statusCommand struct {
+	adminFlags
+	local bool
+}
+
+// Name is the command's name.
+func (*statusCommand) Name() string { return "status" }
+
+// Synopsis is the command in one line.
+func (*statusCommand) Synopsis() string { return "show the fleet as one router knows it" }
+
+// Usage is the command's help.
+func (*statusCommand) Usage() string {
+	return `status [-admin IP:port,...] [-o text|json] [-local]:
+  Show the routers, the upstreams with their owners, what waits and how old each
+  view is, as the asked router knows it. It asks the other owners for the slots
+  that they lend and says which did not answer.
+`
+}
+
+// SetFlags registers the flags.
+func (c *statusCommand) SetFlags(fs *flag.FlagSet) {
+	c.register(settings.New(fs), formText, formJSON)
+	c.set.Bool(&c.local, "local", "show only what the asked router itself knows, `true or false`")
+}
+
+// Execute runs the command.
+func (c *statusCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.set.Resolve(c.env); err != nil {
+		return c.refuse(err)
+	}
+	if fs.NArg() != 0 {
+		return c.refuse(errors.New("status takes no argument"))
+	}
+	path := statusPath
+	if !c.local {
+		path += "?fleet=true"
+	}
+	var status router.FleetStatus
+	if err := c.ask(ctx, path, &status); err != nil {
+		return c.fail(err)
+	}
+	if c.form == formJSON {
+		if err := printJSON(c.out, status); err != nil {
+			return c.fail(err)
+		}
+		return subcommands.ExitSuccess
+	}
+	printStatus(c.out, &status)
+	return subcommands.ExitSuccess
+}
+
+// printStatus prints the status as one screen.
+func printStatus(out io.Writer, s *router.FleetStatus) {
+	fmt.Fprintf(out, "router %s in %s: %s, up %s, %d requests\n",
+		s.Router, s.Domain, readiness(s), s.Taken.Sub(s.Started).Round(time.Second), s.Requests)
+	fmt.Fprintf(out, "configuration: generation %d, digest %s\n", s.Generation, s.Digest)
+	fmt.Fprintf(out, "platform last answered: configuration %s, instance list %s\n",
+		since(s.Taken, s.Platform.Config), since(s.Taken, s.Platform.Instances))
+	printPause(out, s.Taken, string(s.Router), s.Pause)
+	for _, a := range s.Asked {
+		if a.Error != "" {
+			fmt.Fprintf(out, "not reached: %s: %s\n", a.Router, a.Error)
+		}
+		printPause(out, s.Taken, string(a.Router), a.Pause)
+	}
+	printRouters(out, s)
+	printUpstreams(out, s)
+	printBacklog(out, s)
+}
+
+func readiness(s *router.FleetStatus) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Ready:
+		return "ready"
+	default:
+		return "not ready"
+	}
+}
+
+// since is the age of a time, "never" for none.
+func since(now time.Time, at *time.Time) string {
+	if at == nil {
+		return "never"
+	}
+	return ageText(max(0, now.Sub(*at).Milliseconds())) + " ago"
+}
+
+func printPause(out io.Writer, now time.Time, id string, p *reducer.Pause) {
+	if p != nil {
+		fmt.Fprintf(out, "%s stood still for %s until %s\n", id, ageText(p.ForMS), since(now, &p.Until))
+	}
+}
+
+// printRouters prints the routers, those in want of attention first.
+func printRouters(out io.Writer, s *router.FleetStatus) {
+	routers := slices.Clone(s.Routers)
+	slices.SortStableFunc(routers, func(a, b reducer.RouterStatus) int {
+		return attention(s, a) - attention(s, b)
+	})
+	t := newTable(out, fmt.Sprintf("ROUTERS (%d known)", len(routers)), "ID STATE DOMAIN GENERATION HEARD NOTE")
+	for _, r := range routers[:min(len(routers), rowsMost)] {
+		heard := "from others"
+		if r.AgeMS != nil {
+			heard = ageText(*r.AgeMS) + " ago"
+		}
+		t.row(r.ID, r.State, r.Domain, r.Generation, heard, routerNote(s, r))
+	}
+	t.end()
+	more(out, len(routers))
+}
+
+// attention is the rank of a router in the table.
+func attention(s *router.FleetStatus, r reducer.RouterStatus) int {
+	switch {
+	case r.ID == s.Router:
+		return 0
+	case r.State != reducer.RouterAlive:
+		return 1
+	case r.Generation != s.Generation:
+		return 2
+	default:
+		return 3
+	}
+}
+
+func routerNote(s *router.FleetStatus, r reducer.RouterStatus) string {
+	var notes []string
+	if r.ID == s.Router {
+		notes = append(notes, "asked")
+	}
+	if r.ReplacedBy != "" {
+		notes = append(notes, fmt.Sprintf("earlier incarnation, now %s", r.ReplacedBy))
+	}
+	if r.State == reducer.RouterAlive && r.Generation < s.Generation {
+		notes = append(notes, "older configuration")
+	}
+	return strings.Join(notes, ", ")
+}
+
+func printUpstreams(out io.Writer, s *router.FleetStatus) {
+	t := newTable(out, fmt.Sprintf("UPSTREAMS (%d listed)", len(s.Upstreams)), "SERVICE ID DOMAIN OWNER SLOTS LENT FREE SPEED STATE")
+	for _, u := range s.Upstreams[:min(len(s.Upstreams), rowsMost)] {
+		if u.Lent == nil {
+			t.row(u.Service, u.ID, u.Domain, u.Owner, "?", "?", "?", "?", upstreamState(u))
+			continue
+		}
+		t.row(u.Service, u.ID, u.Domain, u.Owner, u.Lent.Slots, u.Lent.Lent, u.Lent.Free, speedText(u), upstreamState(u))
+	}
+	t.end()
+	more(out, len(s.Upstreams))
+}
+
+// speedText is the judged speed as a part of the best of late.
+func speedText(u reducer.UpstreamStatus) string {
+	if u.Lent.Best == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f%%", 100*u.Lent.Speed/u.Lent.Best)
+}
+
+func upstreamState(u reducer.UpstreamStatus) string {
+	var states []string
+	if u.Leaving {
+		states = append(states, "leaving")
+	}
+	if u.Lent != nil && u.Lent.Paused {
+		states = append(states, "paused")
+	}
+	if u.Lent != nil && u.Lent.Slow {
+		states = append(states, "slow")
+	}
+	if u.Owner == "" {
+		states = append(states, "no owner")
+	}
+	if len(states) == 0 {
+		return "up"
+	}
+	return strings.Join(states, ", ")
+}
+
+func printBacklog(out io.Writer, s *router.FleetStatus) {
+	if len(s.Backlog) == 0 {
+		fmt.Fprintln(out, "\nNo organisation waits at the owners that answered.")
+		return
+	}
+	t := newTable(out, fmt.Sprintf("BACKLOGGED ORGANISATIONS (%d)", len(s.Backlog)), "SERVICE ORGANISATION SHARE WAITING OLDEST SERVED GAP")
+	for _, b := range s.Backlog[:min(len(s.Backlog), rowsMost)] {
+		t.row(b.Service, b.Organisation, b.Share, b.Waiting, ageText(b.OldestMS), b.Served, fmt.Sprintf("%.0f", b.Gap))
+	}
+	t.end()
+	more(out, len(s.Backlog))
+}
+
+// more tells how many rows were left out.
+func more(out io.Writer, rows int) {
+	if rows > rowsMost {
+		fmt.Fprintf(out, "and %d more; -o json lists all\n", rows-rowsMost)
+	}
+}
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -138,6 +138,9 @@
 	Upstream string
 	// Detail is a short sentence for people.
 	Detail string
+	// Owner and Grant name the slot that a "granted" line is about.
+	Owner RouterID
+	Grant GrantID
 }
 
 // Observe counts something for the metrics.
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -32,10 +32,11 @@
 		s.progress = now.Add(progressEvery)
 	}
 	s.held[slot] = &held{owner: from, grant: g, request: r.Request}
+	granted := core.Record{Request: r.Request, What: "granted", Upstream: g.Upstream, Owner: from, Grant: slot.id}
 	if r.Once {
-		return s.claim(now, r, slot)
+		return append([]core.Effect{granted}, s.claim(now, r, slot)...)
 	}
-	return s.send(now, r, slot)
+	return append([]core.Effect{granted}, s.send(now, r, slot)...)
 }
 
 // giveBack returns a slot that nothing was run on. The owner forgets the demand
--- /dev/null
+++ b/internal/owner/decision.go
@@ -0,0 +1,200 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+const (
+	// decisionsMost is how many of the latest grants are kept with what they
+	// were weighed against.
+	decisionsMost = 1024
+	// standingsMost bounds the waiting organisations kept of one decision: those
+	// that were next.
+	standingsMost = 6
+	// weighedMost bounds the upstreams kept of one decision.
+	weighedMost = 8
+)
+
+// Decision is one grant and what it was weighed against.
+type Decision struct {
+	// AgoMS is the age of the decision in milliseconds.
+	AgoMS   int64        `json:"ago_ms"`
+	Grant   core.GrantID `json:"grant"`
+	Service string       `json:"service"`
+	// Standings are the organisations that waited, the least served for its
+	// share first; at most a few.
+	Standings []Standing `json:"standings"`
+	// Waiting is how many organisations waited.
+	Waiting int `json:"waiting"`
+	// Weighed are the upstreams that the owner had for the service.
+	Weighed []Weighed `json:"weighed"`
+	// Upstream was lent, to Organisation at the router Entry.
+	Upstream     string        `json:"upstream"`
+	Organisation string        `json:"organisation"`
+	Entry        core.RouterID `json:"entry"`
+
+	at time.Time
+}
+
+// Standing is an organisation's place at a decision.
+type Standing struct {
+	Organisation string `json:"organisation"`
+	// Virtual is its service received for its share.
+	Virtual float64 `json:"virtual"`
+	Waiting uint32  `json:"waiting"`
+}
+
+// Weighed is an upstream at a decision.
+type Weighed struct {
+	Upstream string  `json:"upstream"`
+	Free     int     `json:"free"`
+	Speed    float64 `json:"speed"`
+	Slow     bool    `json:"slow,omitempty"`
+	Paused   bool    `json:"paused,omitempty"`
+	Leaving  bool    `json:"leaving,omitempty"`
+}
+
+// Ahead is an organisation that got slots of a service while another waited.
+type Ahead struct {
+	Organisation string `json:"organisation"`
+	Grants       int    `json:"grants"`
+	// Lead is by how much it had received less service for its share than the
+	// one that waited, at most, in the service's unit for a share of 1; nil if
+	// the one that waited was not among those that were next.
+	Lead *float64 `json:"lead,omitempty"`
+}
+
+// Question asks what an owner decided while a request waited.
+type Question struct {
+	Service      string `json:"service"`
+	Organisation string `json:"organisation"`
+	// FromMS and ToMS bound the wait, as ages in milliseconds, so that the
+	// routers' clocks need not agree.
+	FromMS int64 `json:"from_ms"`
+	ToMS   int64 `json:"to_ms"`
+	// Grants are the grants to the request.
+	Grants []core.GrantID `json:"grants"`
+}
+
+// Answer is what an owner decided in that time.
+type Answer struct {
+	// Granted are the decisions that lent a slot to the request.
+	Granted []Decision `json:"granted"`
+	// Ahead are the organisations that got slots meanwhile, most grants first.
+	Ahead []Ahead `json:"ahead"`
+	// Since is the age of the oldest decision that is still kept, in
+	// milliseconds; what was decided earlier is not known.
+	SinceMS int64 `json:"since_ms"`
+	// Full tells that older decisions were dropped.
+	Full bool `json:"full"`
+}
+
+// decisions keeps the latest grants in a ring.
+type decisions struct {
+	ring []Decision
+	next int
+}
+
+func (d *decisions) add(one Decision) {
+	if len(d.ring) < decisionsMost {
+		d.ring = append(d.ring, one)
+		return
+	}
+	d.ring[d.next] = one
+	d.next = (d.next + 1) % decisionsMost
+}
+
+// note keeps what the next grant is weighed against.
+func (s *State) note(now time.Time, sv *service, owned []*upstream, u *upstream, org string, entry core.RouterID) {
+	one := Decision{
+		Grant: s.prefix | (s.last + 1), Service: sv.name, Upstream: u.ID, Organisation: org, Entry: entry, at: now,
+	}
+	one.Standings, one.Waiting = sv.standings()
+	for _, have := range owned[:min(len(owned), weighedMost)] {
+		one.Weighed = append(one.Weighed, Weighed{
+			Upstream: have.ID, Free: have.free(now), Speed: have.speed.current, Slow: have.speed.slow(now),
+			Paused: now.Before(have.paused), Leaving: now.Before(have.leaving),
+		})
+	}
+	s.decisions.add(one)
+}
+
+// standings are the organisations that are next, and how many wait.
+func (sv *service) standings() ([]Standing, int) {
+	out := make([]Standing, 0, standingsMost+1)
+	waiting := 0
+	for org, byEntry := range sv.demand {
+		st := Standing{Organisation: org, Virtual: sv.queue.Virtual(org)}
+		for _, d := range byEntry {
+			st.Waiting += d.waiting
+		}
+		if st.Waiting == 0 {
+			continue
+		}
+		waiting++
+		at, _ := slices.BinarySearchFunc(out, st, compareStandings)
+		out = slices.Insert(out, at, st)
+		out = out[:min(len(out), standingsMost)]
+	}
+	return slices.Clip(out), waiting
+}
+
+func compareStandings(a, b Standing) int {
+	return cmp.Or(cmp.Compare(a.Virtual, b.Virtual), cmp.Compare(a.Organisation, b.Organisation))
+}
+
+// Explain answers what was decided here while a request waited.
+func (s *State) Explain(now time.Time, q Question) Answer {
+	answer := Answer{Full: len(s.decisions.ring) == decisionsMost}
+	from, to := now.Add(-time.Duration(q.FromMS)*time.Millisecond), now.Add(-time.Duration(q.ToMS)*time.Millisecond)
+	ahead := make(map[string]*Ahead)
+	for i := range s.decisions.ring {
+		one := s.decisions.ring[(s.decisions.next+i)%len(s.decisions.ring)]
+		one.AgoMS = now.Sub(one.at).Milliseconds()
+		if i == 0 {
+			answer.SinceMS = one.AgoMS
+		}
+		if slices.Contains(q.Grants, one.Grant) {
+			answer.Granted = append(answer.Granted, one)
+			continue
+		}
+		if one.Service == q.Service && !one.at.Before(from) && !one.at.After(to) {
+			one.countAhead(ahead, q.Organisation)
+		}
+	}
+	for _, org := range sorted(ahead) {
+		answer.Ahead = append(answer.Ahead, *ahead[org])
+	}
+	slices.SortStableFunc(answer.Ahead, func(a, b Ahead) int { return cmp.Compare(b.Grants, a.Grants) })
+	return answer
+}
+
+// countAhead counts a grant that another request got.
+func (d *Decision) countAhead(ahead map[string]*Ahead, waiting string) {
+	a := ahead[d.Organisation]
+	if a == nil {
+		a = &Ahead{Organisation: d.Organisation}
+		ahead[d.Organisation] = a
+	}
+	a.Grants++
+	mine, known := d.standing(waiting)
+	theirs, found := d.standing(d.Organisation)
+	if !known || !found {
+		return
+	}
+	if lead := mine - theirs; a.Lead == nil || lead > *a.Lead {
+		a.Lead = &lead
+	}
+}
+
+func (d *Decision) standing(org string) (float64, bool) {
+	i := slices.IndexFunc(d.Standings, func(s Standing) bool { return s.Organisation == org })
+	if i < 0 {
+		return 0, false
+	}
+	return d.Standings[i].Virtual, true
+}
--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -29,6 +29,7 @@
 		if u == nil {
 			break
 		}
+		s.note(now, sv, owned, u, org, k.entry)
 		effects = append(effects, s.grant(now, sv, u, org, k, d))
 	}
 	s.schedule(now, sv, owned)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -41,6 +41,8 @@
 	turn int
 	// slices divides the slots of each upstream, at least 1.
 	slices int
+	// decisions are the latest grants, for operators.
+	decisions decisions
 }
 
 // service is what waits for one service and how it is shared.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -66,6 +66,7 @@
 	ready      bool
 	drainSince time.Time
 	exited     bool
+	steps      steps
 
 	// now is the time of the step under way.
 	now      time.Time
@@ -97,6 +98,7 @@
 // Step takes one event and returns what is to be done.
 func (s *State) Step(now time.Time, ev core.Event) []core.Effect {
 	s.now, s.out = now, nil
+	s.steps.note(now)
 	s.handle(now, ev)
 	s.settle(now)
 	return s.out
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -5,31 +5,70 @@
 
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/owner"
+	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
-// Status is the fleet as this router knows it, in the form of /v1/status.
+// pauseMin is the time between two steps from which the process was paused: the
+// runtime steps the reducer at least once a second.
+const pauseMin = 3 * time.Second
+
+// RouterState is what this router knows about another.
+type RouterState string
+
+// The states of a router.
+const (
+	RouterAlive   RouterState = "alive"
+	RouterSuspect RouterState = "suspect"
+	RouterLeaving RouterState = "leaving"
+	RouterDead    RouterState = "dead"
+)
+
+// Status is the fleet as one router knows it, in the form of /v1/status.
 type Status struct {
-	Router     core.RouterID `json:"router"`
-	Domain     string        `json:"domain"`
-	Ready      bool          `json:"ready"`
-	Draining   bool          `json:"draining"`
-	Generation uint64        `json:"generation"`
-	Requests   int           `json:"requests"`
-	// Peers are the live routers, this one included.
-	Peers []PeerStatus `json:"peers"`
-	// Upstreams are all upstreams with their owners.
+	Router core.RouterID `json:"router"`
+	Domain string        `json:"domain"`
+	// Taken is when this view was taken, Started when this incarnation began.
+	Taken    time.Time `json:"taken"`
+	Started  time.Time `json:"started"`
+	Ready    bool      `json:"ready"`
+	Draining bool      `json:"draining"`
+	// Pause is the last time at which this process stood still; nil if never.
+	Pause      *Pause `json:"pause,omitempty"`
+	Generation uint64 `json:"generation"`
+	Digest     string `json:"digest"`
+	// Requests is the number of requests taken in here that have not ended.
+	Requests int `json:"requests"`
+	// Routers are all known incarnations, this one first.
+	Routers []RouterStatus `json:"routers"`
+	// Upstreams are all listed upstreams. The slots of those that other routers
+	// own are not known here.
 	Upstreams []UpstreamStatus `json:"upstreams"`
-	// Owned is what this router lends.
-	Owned owner.Status `json:"owned"`
+	// Backlog lists the organisations that wait at this router as an owner.
+	Backlog []owner.Backlog `json:"backlog"`
 }
 
-// PeerStatus is a live router.
-type PeerStatus struct {
+// Pause is a time in which the process took no step, such as while its instance
+// was suspended.
+type Pause struct {
+	Until time.Time `json:"until"`
+	ForMS int64     `json:"for_ms"`
+}
+
+// RouterStatus is one incarnation of a router.
+type RouterStatus struct {
 	ID         core.RouterID `json:"id"`
+	Name       string        `json:"name"`
 	Domain     string        `json:"domain"`
+	Admin      string        `json:"admin"`
+	State      RouterState   `json:"state"`
 	Generation uint64        `json:"generation"`
-	// Heard is when it was last heard of directly.
-	Heard time.Time `json:"heard"`
+	// Heard is when it was last heard of directly, AgeMS how long ago; both are
+	// left out if it never was and only others told of it.
+	Heard *time.Time `json:"heard,omitempty"`
+	AgeMS *int64     `json:"age_ms,omitempty"`
+	// ReplacedBy is a live incarnation of the same name, if there is one beside
+	// this one.
+	ReplacedBy core.RouterID `json:"replaced_by,omitempty"`
 }
 
 // UpstreamStatus is an upstream in the instance list.
@@ -39,23 +78,86 @@
 	Domain  string        `json:"domain"`
 	Owner   core.RouterID `json:"owner"`
 	Leaving bool          `json:"leaving"`
+	// Lent is what its owner knows; nil if this router does not own it and the
+	// owner was not asked or did not answer.
+	Lent *owner.UpstreamStatus `json:"lent,omitempty"`
 }
 
-// Status returns a copy of what operators see.
+// Status returns a copy of what operators see, as of the last step.
 func (s *State) Status() Status {
+	now := s.now
 	out := Status{
-		Router: s.options.Self.ID, Domain: s.options.Self.Domain, Ready: s.ready,
-		Draining: !s.drainSince.IsZero(), Generation: s.generation, Requests: s.entry.Requests(),
-		Owned: s.owner.Status(s.now),
+		Router: s.options.Self.ID, Domain: s.options.Self.Domain, Taken: now, Started: s.steps.started,
+		Ready: s.ready, Draining: !s.drainSince.IsZero(), Pause: s.steps.pause,
+		Generation: s.generation, Digest: s.rollout.Digest(), Requests: s.entry.Requests(),
+		Routers: s.routers(now), Backlog: s.owner.Backlogs(now),
 	}
-	for _, p := range s.view.Alive() {
-		out.Peers = append(out.Peers, PeerStatus{ID: p.ID, Domain: p.Domain, Generation: p.Generation, Heard: p.Heard})
+	lent := make(map[string]*owner.UpstreamStatus)
+	for _, u := range s.owner.Lent(now) {
+		lent[u.ID] = &u
 	}
 	for _, u := range s.view.All() {
 		out.Upstreams = append(out.Upstreams, UpstreamStatus{
-			ID: u.ID, Service: u.Service, Domain: u.Domain,
-			Owner: s.view.Owner(u.ID), Leaving: u.State != core.UpstreamUp,
+			ID: u.ID, Service: u.Service, Domain: u.Domain, Owner: s.view.Owner(u.ID),
+			Leaving: u.State != core.UpstreamUp || s.owner.Leaving(now, u.ID), Lent: lent[u.ID],
 		})
 	}
 	return out
 }
+
+func (s *State) routers(now time.Time) []RouterStatus {
+	known := s.members.All()
+	current := make(map[string]core.RouterID, len(known))
+	for _, p := range known {
+		if _, have := current[p.Name]; !have && routerState(p.State) == RouterAlive {
+			current[p.Name] = p.ID
+		}
+	}
+	out := make([]RouterStatus, 0, len(known))
+	for _, p := range known {
+		r := RouterStatus{
+			ID: p.ID, Name: p.Name, Domain: p.Domain, Admin: p.AdminAddr,
+			State: routerState(p.State), Generation: p.Generation,
+		}
+		if p.ID == s.options.Self.ID {
+			p.Heard = now
+		}
+		if !p.Heard.IsZero() {
+			heard, age := p.Heard, now.Sub(p.Heard).Milliseconds()
+			r.Heard, r.AgeMS = &heard, &age
+		}
+		if id := current[p.Name]; id != p.ID {
+			r.ReplacedBy = id
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func routerState(s wire.MemberState) RouterState {
+	switch s {
+	case wire.MemberState_MEMBER_SUSPECT:
+		return RouterSuspect
+	case wire.MemberState_MEMBER_LEAVING:
+		return RouterLeaving
+	case wire.MemberState_MEMBER_DEAD:
+		return RouterDead
+	default:
+		return RouterAlive
+	}
+}
+
+// steps notes when the reducer was stepped, to tell a pause of the process.
+type steps struct {
+	started, last time.Time
+	pause         *Pause
+}
+
+func (s *steps) note(now time.Time) {
+	if s.started.IsZero() {
+		s.started = now
+	} else if gap := now.Sub(s.last); gap >= pauseMin {
+		s.pause = &Pause{Until: now, ForMS: gap.Milliseconds()}
+	}
+	s.last = now
+}
--- a/router/admin.go
+++ b/router/admin.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-
-	"github.com/jujubeford/jujubeford/internal/reducer"
 )
 
 func (r *Router) adminMux() *http.ServeMux {
@@ -14,6 +12,7 @@
 	mux.HandleFunc("GET /readyz", r.serveReady)
 	mux.HandleFunc("GET /v1/status", r.serveStatus)
 	mux.HandleFunc("GET /v1/explain/{id}", r.serveExplain)
+	mux.HandleFunc("GET /v1/report", r.serveReport)
 	return mux
 }
 
@@ -25,15 +24,6 @@
 	_, _ = w.Write([]byte("ok\n"))
 }
 
-func (r *Router) serveStatus(w http.ResponseWriter, req *http.Request) {
-	var status reducer.Status
-	if !r.look(req.Context(), func(s *reducer.State) { status = s.Status() }) {
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
-		return
-	}
-	writeJSON(w, status)
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
--- a/router/call.go
+++ b/router/call.go
@@ -15,13 +15,14 @@
 
 // call is a caller's request while its handler runs.
 type call struct {
-	id      core.RequestID
-	service *config.Service
-	method  string
-	path    string
-	header  http.Header
-	body    []byte
-	once    bool
+	id           core.RequestID
+	organisation string
+	service      *config.Service
+	method       string
+	path         string
+	header       http.Header
+	body         []byte
+	once         bool
 	// commands are the effects that concern this call, in order.
 	commands chan core.Effect
 
--- a/router/callers.go
+++ b/router/callers.go
@@ -57,12 +57,14 @@
 	}
 	c, arrive, refusal := r.read(index, id, req)
 	if refusal != nil {
-		r.metrics.refused(*refusal)
+		refusal.Request = id
+		r.refused(*refusal)
 		refuse(w, *refusal)
 		return
 	}
 	r.addCall(c)
 	defer r.removeCall(c)
+	r.records.open(id, c.organisation, c.service.Name, time.Now())
 	r.post(*arrive)
 	r.converse(w, req, c)
 }
@@ -102,7 +104,7 @@
 	arrive.Service, arrive.Idempotent = sv.Name, sv.Idempotent
 	arrive.Body = fingerprint(req, body)
 	return &call{
-		id: id, service: sv, method: req.Method, path: req.URL.RequestURI(),
+		id: id, organisation: org.Name, service: sv, method: req.Method, path: req.URL.RequestURI(),
 		header: req.Header, body: body, once: arrive.Once,
 		commands: make(chan core.Effect, commandQueue), attempts: make(map[core.Attempt]*attempt),
 	}, arrive, nil
--- a/router/effects.go
+++ b/router/effects.go
@@ -18,13 +18,14 @@
 func (r *Router) carryOut(effect core.Effect) {
 	switch e := effect.(type) {
 	case core.Refuse:
-		r.metrics.refused(e)
+		r.refused(e)
 		r.command(e.Request, e)
 	case core.Replay:
 		r.command(e.Request, e)
 	case core.Commit:
 		r.command(e.Request, e)
 	case core.Abort:
+		r.aborted(e)
 		r.command(e.Request, e)
 	case core.Send:
 		if c := r.call(e.Request); c != nil {
@@ -56,7 +57,7 @@
 	case core.Record:
 		r.records.add(e, time.Now())
 	case core.Observe:
-		r.metrics.observe(e)
+		r.observed(e)
 	case core.Exit:
 		close(r.done)
 	}
--- /dev/null
+++ b/router/explain_summary.go
@@ -0,0 +1,166 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/owner"
+)
+
+const (
+	// promptMS is the longest wait that counts as none, in milliseconds: it is
+	// the way to an owner and back.
+	promptMS = 5
+	// aheadMost bounds the organisations that a summary names.
+	aheadMost = 5
+)
+
+// summarise puts the explanation into sentences.
+func (e *Explanation) summarise() []string {
+	out := []string{e.intake(), e.wait()}
+	out = append(out, e.ahead()...)
+	for _, o := range e.Owners {
+		for _, d := range o.Granted {
+			out = append(out, grantedSentence(o, d))
+		}
+		if o.Error != "" {
+			out = append(out, fmt.Sprintf("What %s decided is not known: %s.", o.Router, o.Error))
+		}
+	}
+	for _, line := range e.Lines {
+		if text := lineSentence(line); text != "" {
+			out = append(out, text)
+		}
+	}
+	if e.Dropped > 0 {
+		out = append(out, fmt.Sprintf("%d later steps were not kept.", e.Dropped))
+	}
+	return out
+}
+
+func (e *Explanation) intake() string {
+	at := e.Arrived.UTC().Format(time.RFC3339Nano)
+	if e.Service == "" {
+		return fmt.Sprintf("%s refused it at %s before it was given to a service.", e.Router, at)
+	}
+	return fmt.Sprintf("%s asked for %s at %s; %s took it in.", e.Organisation, e.Service, at, e.Router)
+}
+
+func (e *Explanation) wait() string {
+	switch {
+	case !e.Granted && e.over():
+		return fmt.Sprintf("It got no slot in %.1f ms.", e.WaitedMS)
+	case !e.Granted:
+		return fmt.Sprintf("It has waited for a slot for %.1f ms.", e.WaitedMS)
+	case e.WaitedMS <= promptMS:
+		return fmt.Sprintf("A slot was free: it waited %.1f ms.", e.WaitedMS)
+	default:
+		return fmt.Sprintf("It waited %.1f ms for a slot.", e.WaitedMS)
+	}
+}
+
+// over tells whether the request has ended.
+func (e *Explanation) over() bool {
+	return slices.ContainsFunc(e.Lines, func(l Line) bool { return l.What == lineEnded || l.What == lineRefused })
+}
+
+// ahead names the organisations that got slots while the request waited.
+func (e *Explanation) ahead() []string {
+	if e.WaitedMS <= promptMS {
+		return nil
+	}
+	var out []string
+	for _, o := range e.Owners {
+		if o.Error != "" {
+			continue
+		}
+		if len(o.Ahead) == 0 {
+			out = append(out, fmt.Sprintf("%s lent no slot of %s in that time.", o.Router, e.Service))
+			continue
+		}
+		out = append(out, fmt.Sprintf("In that time %s lent slots of %s to %s.", o.Router, e.Service, e.aheadList(o.Ahead)))
+	}
+	return out
+}
+
+func (e *Explanation) aheadList(ahead []owner.Ahead) string {
+	var parts []string
+	for _, a := range ahead[:min(len(ahead), aheadMost)] {
+		text := fmt.Sprintf("%s %d times", a.Organisation, a.Grants)
+		switch {
+		case a.Organisation == e.Organisation:
+			text += " (its own earlier requests)"
+		case a.Lead != nil && *a.Lead >= 0:
+			text += fmt.Sprintf(" (ahead: it had received %.0f less for its share)", *a.Lead)
+		case a.Lead != nil:
+			text += fmt.Sprintf(" (behind by %.0f, but what waited could not use the slot)", -*a.Lead)
+		}
+		parts = append(parts, text)
+	}
+	if more := len(ahead) - aheadMost; more > 0 {
+		parts = append(parts, fmt.Sprintf("%d other organisations", more))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// grantedSentence tells what a grant was weighed against.
+func grantedSentence(o OwnerExplanation, d owner.Decision) string {
+	var ups []string
+	for _, w := range d.Weighed {
+		ups = append(ups, weighedText(w))
+	}
+	var orgs []string
+	for _, s := range d.Standings {
+		orgs = append(orgs, fmt.Sprintf("%s at %.0f", s.Organisation, s.Virtual))
+	}
+	return fmt.Sprintf("%s lent a slot of %s; upstreams weighed: %s; organisations that waited: %d (by service for their share: %s).",
+		o.Router, d.Upstream, strings.Join(ups, ", "), d.Waiting, strings.Join(orgs, ", "))
+}
+
+func weighedText(w owner.Weighed) string {
+	text := fmt.Sprintf("%s with %d free", w.Upstream, w.Free)
+	for _, flag := range []struct {
+		set  bool
+		name string
+	}{{w.Slow, "slow"}, {w.Paused, "paused after a failure"}, {w.Leaving, "leaving"}} {
+		if flag.set {
+			text += ", " + flag.name
+		}
+	}
+	return text
+}
+
+// lineSentence is a step as a sentence; grants have theirs from the owner.
+func lineSentence(l Line) string {
+	switch l.What {
+	case "queued", lineGranted:
+		return ""
+	case lineEnded:
+		return fmt.Sprintf("It ended: %s.", l.Detail)
+	case lineRefused, lineAborted:
+		return l.Detail
+	}
+	text := "It was " + l.What
+	switch l.What {
+	case "failed":
+		text = "It failed"
+	case "answering":
+		text = "The answer began"
+	}
+	if l.Upstream != "" {
+		text += preposition(l.What) + l.Upstream
+	}
+	if detail := strings.TrimSuffix(l.Detail, "."); detail != "" {
+		text += ": " + detail
+	}
+	return text + "."
+}
+
+func preposition(what string) string {
+	if what == "sent" {
+		return " to "
+	}
+	return " at "
+}
--- a/router/query.go
+++ b/router/query.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,9 +14,27 @@
 // queryTimeout is how long a peer may take to answer a query.
 const queryTimeout = 2 * time.Second
 
+// queriesMost bounds the peers' questions that are answered at a time, and
+// asksMost the questions that one operator's request has under way.
+const (
+	queriesMost = 8
+	asksMost    = 16
+)
+
+// queryKind names a document that a router answers with.
+type queryKind string
+
 // The kinds of query between routers.
 const (
-	queryExplain = "explain"
+	// queryExplain asks for the record of a request, by its id.
+	queryExplain queryKind = "explain"
+	// queryDecisions asks an owner for its latest decisions, by an owner.Question
+	// in JSON.
+	queryDecisions queryKind = "decisions"
+	// queryLent asks an owner for its upstreams and what waits there.
+	queryLent queryKind = "lent"
+	// queryReport asks for a burn.Document, by a burn.Question in JSON.
+	queryReport queryKind = "report"
 )
 
 // queries matches peers' answers to the questions of this router.
@@ -27,10 +42,15 @@
 	mu      sync.Mutex
 	last    uint64
 	waiting map[uint64]chan *wire.QueryReply
+	// slots is a semaphore of the answers being made.
+	slots chan struct{}
 }
 
 func newQueries() *queries {
-	return &queries{waiting: make(map[uint64]chan *wire.QueryReply)}
+	return &queries{
+		waiting: make(map[uint64]chan *wire.QueryReply),
+		slots:   make(chan struct{}, queriesMost),
+	}
 }
 
 func (q *queries) open() (uint64, chan *wire.QueryReply) {
@@ -60,12 +80,12 @@
 }
 
 // askPeer puts a question to another router.
-func (r *Router) askPeer(ctx context.Context, to core.RouterID, kind, arg string) ([]byte, error) {
+func (r *Router) askPeer(ctx context.Context, to core.RouterID, kind queryKind, arg string) ([]byte, error) {
 	id, reply := r.queries.open()
 	defer r.queries.close(id)
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	sent := r.peers.Send(to, &wire.Envelope{Body: &wire.Envelope_Query{Query: &wire.Query{Id: id, Kind: kind, Arg: arg}}})
+	sent := r.peers.Send(to, &wire.Envelope{Body: &wire.Envelope_Query{Query: &wire.Query{Id: id, Kind: string(kind), Arg: arg}}})
 	if !sent {
 		return nil, errors.Errorf("router %s cannot be reached", to)
 	}
@@ -80,18 +100,39 @@
 	}
 }
 
+// askAll puts a question to several routers, a few at a time, and passes each
+// answer on as it comes; take is not called concurrently.
+func (r *Router) askAll(ctx context.Context, to []core.RouterID, kind queryKind, arg string, take func(core.RouterID, []byte, error)) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, asksMost)
+	for _, id := range to {
+		slots <- struct{}{}
+		group.Go(func() {
+			data, err := r.ask(ctx, id, kind, arg)
+			mu.Lock()
+			take(id, data, err)
+			mu.Unlock()
+			<-slots
+		})
+	}
+	group.Wait()
+}
+
+// ask puts a question to any router, this one included.
+func (r *Router) ask(ctx context.Context, to core.RouterID, kind queryKind, arg string) ([]byte, error) {
+	if to == r.self.ID {
+		return r.document(ctx, kind, arg)
+	}
+	return r.askPeer(ctx, to, kind, arg)
+}
+
 // query answers a peer's question, or takes its answer to one of ours. It
 // returns false for messages of other kinds.
 func (r *Router) query(from core.RouterID, m *wire.Envelope) bool {
 	switch m := m.Body.(type) {
 	case *wire.Envelope_Query:
-		reply := &wire.QueryReply{Id: m.Query.Id}
-		data, err := r.document(m.Query.Kind, m.Query.Arg)
-		if err != nil {
-			reply.Error = err.Error()
-		}
-		reply.Json = data
-		r.peers.Send(from, &wire.Envelope{Body: &wire.Envelope_QueryReply{QueryReply: reply}})
+		r.reply(from, m.Query)
 	case *wire.Envelope_QueryReply:
 		r.queries.answer(m.QueryReply)
 	default:
@@ -100,48 +141,45 @@
 	return true
 }
 
-// document is this router's own answer to a query.
-func (r *Router) document(kind, arg string) ([]byte, error) {
-	switch kind {
-	case queryExplain:
-		lines, ok := r.records.get(core.RequestID(arg))
-		if !ok {
-			return nil, errors.Errorf("router %s has no record of %s", r.self.ID, arg)
-		}
-		return json.Marshal(lines)
+// reply answers a peer's question without holding up its connection. Questions
+// beyond a few at a time are turned away.
+func (r *Router) reply(to core.RouterID, q *wire.Query) {
+	select {
+	case r.queries.slots <- struct{}{}:
 	default:
-		return nil, errors.Errorf("unknown query %q", kind)
+		r.sendReply(to, &wire.QueryReply{Id: q.Id, Error: "too many questions at a time"})
+		return
 	}
+	go func() {
+		defer func() { <-r.queries.slots }()
+		ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+		defer cancel()
+		reply := &wire.QueryReply{Id: q.Id}
+		data, err := r.document(ctx, queryKind(q.Kind), q.Arg)
+		if err != nil {
+			reply.Error = err.Error()
+		}
+		reply.Json = data
+		r.sendReply(to, reply)
+	}()
 }
 
-// serveExplain answers from this router's record, or from that of the router
-// which took the request in and whose name the request id starts with.
-func (r *Router) serveExplain(w http.ResponseWriter, req *http.Request) {
-	id := req.PathValue("id")
-	home, _, ok := cutLast(id, "-")
-	if !ok {
-		http.Error(w, "not a request id", http.StatusBadRequest)
-		return
-	}
-	var data []byte
-	var err error
-	if core.RouterID(home) == r.self.ID {
-		data, err = r.document(queryExplain, id)
-	} else {
-		data, err = r.askPeer(req.Context(), core.RouterID(home), queryExplain, id)
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(append(data, '\n'))
+func (r *Router) sendReply(to core.RouterID, m *wire.QueryReply) {
+	r.peers.Send(to, &wire.Envelope{Body: &wire.Envelope_QueryReply{QueryReply: m}})
 }
 
-func cutLast(s, sep string) (before, after string, found bool) {
-	i := strings.LastIndex(s, sep)
-	if i < 0 {
-		return s, "", false
+// document is this router's own answer to a query.
+func (r *Router) document(ctx context.Context, kind queryKind, arg string) ([]byte, error) {
+	switch kind {
+	case queryExplain:
+		return r.explainDocument(ctx, core.RequestID(arg))
+	case queryDecisions:
+		return r.decisionsDocument(ctx, arg)
+	case queryLent:
+		return r.lentDocument(ctx)
+	case queryReport:
+		return r.reportDocument(arg)
+	default:
+		return nil, errors.Errorf("unknown query %q", kind)
 	}
-	return s[:i], s[i+len(sep):], true
 }
--- a/router/records.go
+++ b/router/records.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,47 +11,105 @@
 )
 
 const (
-	// recordsMost bounds the requests whose records are kept.
+	// recordsMost bounds the requests whose records are kept; those that were
+	// looked at or added to least recently are dropped.
 	recordsMost = 4096
-	// linesMost bounds the lines of one record.
+	// linesMost bounds the lines of one record; later ones are counted only.
 	linesMost = 32
 )
 
+// The lines that the runtime adds itself.
+const (
+	lineRefused = "refused"
+	lineAborted = "aborted"
+	lineGranted = "granted"
+	lineEnded   = "ended"
+)
+
 // Line is one step in the life of a request.
 type Line struct {
 	At       time.Time `json:"at"`
 	What     string    `json:"what"`
 	Upstream string    `json:"upstream,omitempty"`
 	Detail   string    `json:"detail,omitempty"`
+	// Owner and Grant name the slot of a "granted" line.
+	Owner core.RouterID `json:"owner,omitempty"`
+	Grant core.GrantID  `json:"grant,omitempty"`
+}
+
+// Record is what happened to one request.
+type Record struct {
+	Organisation string    `json:"organisation,omitempty"`
+	Service      string    `json:"service,omitempty"`
+	Arrived      time.Time `json:"arrived"`
+	Lines        []Line    `json:"lines"`
+	// Dropped is the number of lines beyond the bound.
+	Dropped int `json:"dropped,omitempty"`
 }
 
 // records keeps what happened to the latest requests.
 type records struct {
 	mu    sync.Mutex
-	cache *lru.Cache[core.RequestID, []Line]
+	cache *lru.Cache[core.RequestID, *Record]
 }
 
 func newRecords() *records {
-	cache, err := lru.New[core.RequestID, []Line](recordsMost)
+	cache, err := lru.New[core.RequestID, *Record](recordsMost)
 	if err != nil {
 		panic(err) // only for a size under 1
 	}
 	return &records{cache: cache}
 }
 
+// open begins the record of a request that was read.
+func (r *records) open(id core.RequestID, organisation, service string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cache.Add(id, &Record{Organisation: organisation, Service: service, Arrived: now})
+}
+
 func (r *records) add(e core.Record, now time.Time) {
+	r.append(e.Request, Line{At: now, What: e.What, Upstream: e.Upstream, Detail: e.Detail, Owner: e.Owner, Grant: e.Grant})
+}
+
+// refuse notes the final answer that a refused request got.
+func (r *records) refuse(e core.Refuse, now time.Time) {
+	detail := fmt.Sprintf("Answered %d: %s (%s)", e.Status, e.Reason, e.Outcome)
+	if e.RetryAfter > 0 {
+		detail += fmt.Sprintf(", come back in %s", e.RetryAfter.Round(time.Millisecond))
+	}
+	r.append(e.Request, Line{At: now, What: lineRefused, Detail: detail + "."})
+}
+
+// abort notes that an answer under way ended with an explicit error.
+func (r *records) abort(e core.Abort, now time.Time) {
+	r.append(e.Request, Line{At: now, What: lineAborted, Detail: fmt.Sprintf("Ended by an error: %s (%s).", e.Reason, e.Outcome)})
+}
+
+func (r *records) append(id core.RequestID, line Line) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lines, _ := r.cache.Get(e.Request)
-	if len(lines) >= linesMost {
+	record, ok := r.cache.Get(id)
+	if !ok {
+		record = &Record{Arrived: line.At}
+		r.cache.Add(id, record)
+	}
+	if len(record.Lines) >= linesMost {
+		record.Dropped++
 		return
 	}
-	r.cache.Add(e.Request, append(lines, Line{At: now, What: e.What, Upstream: e.Upstream, Detail: e.Detail}))
+	record.Lines = append(record.Lines, line)
 }
 
-func (r *records) get(id core.RequestID) ([]Line, bool) {
+// get returns a copy of a request's record.
+func (r *records) get(id core.RequestID) (Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lines, ok := r.cache.Get(id)
-	return append([]Line(nil), lines...), ok
+	record, ok := r.cache.Get(id)
+	if !ok {
+		return Record{}, false
+	}
+	out := *record
+	out.Lines = append([]Line(nil), record.Lines...)
+	return out, true
 }
--- a/router/router.go
+++ b/router/router.go
@@ -38,16 +38,18 @@
 
 // Router is one instance of the fleet.
 type Router struct {
-	options Options
-	self    core.Peer
-	state   *reducer.State
-	events  chan core.Event
-	inspect chan func(*reducer.State)
-	peers   *peer.Transport
-	client  *upstream.Client
-	metrics *metrics
-	records *records
-	queries *queries
+	options  Options
+	self     core.Peer
+	state    *reducer.State
+	events   chan core.Event
+	inspect  chan func(*reducer.State)
+	peers    *peer.Transport
+	client   *upstream.Client
+	metrics  *metrics
+	records  *records
+	queries  *queries
+	platform platformViews
+	burn     *burnLedger
 
 	index   atomic.Pointer[config.Index]
 	ready   atomic.Bool
@@ -81,6 +83,7 @@
 		client:  upstream.New(upstream.DefaultOptions()),
 		records: newRecords(),
 		queries: newQueries(),
+		burn:    newBurnLedger(),
 		fetch:   make(chan struct{}, 1),
 		store:   make(chan struct{}, storeCalls),
 		calls:   make(map[core.RequestID]*call),
--- a/router/store.go
+++ b/router/store.go
@@ -59,6 +59,7 @@
 		klog.V(1).InfoS("Config: not read from the store.", "err", err)
 		return
 	}
+	r.platform.config.note()
 	r.post(head)
 }
 
@@ -88,6 +89,7 @@
 			pause(ctx, retryStore)
 			continue
 		}
+		r.platform.instances.note()
 		if next != index || index == 0 {
 			r.post(instances(list))
 		}
