--- a/internal/faults/fairness_test.go
+++ b/internal/faults/fairness_test.go
@@ -62,7 +62,7 @@
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			for seed := uint64(1); seed <= fairnessSeeds; seed++ {
-				f := newFleet(seed, 4, testConfig(), testUpstreams())
+				f := newFleet(setup{seed: seed})
 				if row.fault != nil {
 					row.fault(f)
 				}
@@ -79,7 +79,7 @@
 // TestBaselineBreaksTheBound shows that the check can fail: routers that
 // schedule alone know nothing of each other.
 func TestBaselineBreaksTheBound(t *testing.T) {
-	f := newFleetUnder(reducer.PolicyBaseline, 1, 4, testConfig(), testUpstreams())
+	f := newFleet(setup{seed: 1, policy: reducer.PolicyBaseline})
 	gap, bound := f.worstGap(uneven)
 	t.Logf("seed 1: gap %.0f, bound %.0f", gap, bound)
 	if gap <= bound {
@@ -91,7 +91,7 @@
 // one that floods every router.
 func TestNobodyStarvesBesideAFlood(t *testing.T) {
 	for seed := uint64(1); seed <= fairnessSeeds; seed++ {
-		f := newFleet(seed, 4, testConfig(), testUpstreams())
+		f := newFleet(setup{seed: seed})
 		for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
 			n := f.nodes[f.rng.IntN(4)]
 			f.after(at, func() { f.arrive(n, request(f, 2, 200)) })
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -8,10 +8,16 @@
 	"slices"
 	"time"
 
-	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/reducer"
-	"github.com/jujubeford/jujubeford/internal/wire"
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// routers is the size of the fleet, warmUp the time in which they find each
+// other.
+const (
+	routers = 4
+	warmUp  = 2 * time.Second
 )
 
 const (
@@ -37,18 +43,25 @@
 	upstreams map[string]*fakeUpstream
 	store     *fakeStore
 	callers   map[core.RequestID]*caller
-	conf      core.ConfigHead
-	// cut holds pairs of node indices that cannot reach each other.
-	cut map[[2]int]bool
-	// seen is called with each effect before it is carried out.
-	seen func(n *node, e core.Effect)
-	// duplicate and late act on messages between routers.
-	duplicate, late bool
-	policy          reducer.Policy
+	// heads are the accepted configurations, in order.
+	heads []core.ConfigHead
+	// cut holds pairs of node indices that cannot reach each other; domain is a
+	// failure domain that reaches nothing outside itself, not the platform either.
+	cut    map[[2]int]bool
+	domain string
+	// seen is told of each effect before it is carried out, and of other steps.
+	seen func(n *node, what any)
+	// duplicate, late and lossy act on messages between routers.
+	duplicate, late, lossy bool
+	policy                 reducer.Policy
 	// served is the service delivered to each organisation.
 	served map[string]uint64
-	// cutByExit are requests that a router still held when it ended its drain.
-	cutByExit []core.RequestID
+	// disable are mechanisms of the routers that are switched off.
+	disable reducer.Mechanism
+	// broken are the promises that were broken on the way.
+	broken []string
+	// healed is when the last fault is over.
+	healed time.Time
 }
 
 // node is one router; a restart gives it a new state and incarnation.
@@ -62,21 +75,23 @@
 	up          bool
 	ready       bool
 	paused      time.Time
-	linked      map[core.RouterID]bool
-	wakeAt      time.Time
-	sends       map[string]*run
+	// force is the generation in force in this incarnation, highest in any.
+	force, highest uint64
+	linked         map[core.RouterID]bool
+	wakeAt         time.Time
+	sends          map[string]*run
 }
 
 // caller is what one caller was told.
 type caller struct {
-	arrive    core.Arrive
-	node      *node
-	committed core.Attempt
-	tokens    uint64
-	finals    []string
-	outcome   core.Outcome
-	reason    core.Reason
-	at        time.Time
+	arrive core.Arrive
+	node   *node
+	// gone tells that the caller closed its connection.
+	gone    bool
+	tokens  uint64
+	finals  []string
+	outcome core.Outcome
+	reason  core.Reason
 }
 
 type event struct {
@@ -100,24 +115,30 @@
 	return x
 }
 
-// newFleet starts routers over two failure domains, with a configuration.
-func newFleet(seed uint64, routers int, conf *config.Config, upstreams []core.Upstream) *fleet {
-	return newFleetUnder(reducer.PolicyOwner, seed, routers, conf, upstreams)
+// setup is what a fleet is made of.
+type setup struct {
+	seed    uint64
+	policy  reducer.Policy
+	disable reducer.Mechanism
 }
 
-func newFleetUnder(policy reducer.Policy, seed uint64, routers int, conf *config.Config, upstreams []core.Upstream) *fleet {
+// newFleet starts four routers over two failure domains, with a configuration.
+func newFleet(o setup) *fleet {
 	f := &fleet{
-		policy:    policy,
+		policy:    o.policy,
+		disable:   o.disable,
 		served:    make(map[string]uint64),
 		now:       time.Unix(1_700_000_000, 0),
-		rng:       rand.New(rand.NewPCG(seed, 1)),
+		rng:       rand.New(rand.NewPCG(o.seed, 1)),
 		upstreams: make(map[string]*fakeUpstream),
 		callers:   make(map[core.RequestID]*caller),
 		cut:       make(map[[2]int]bool),
-		conf:      core.ConfigHead{Generation: 1, Digest: "one", Config: conf},
 	}
-	f.store = &fakeStore{fleet: f, entries: make(map[string]fakeEntry)}
-	for _, u := range upstreams {
+	f.store = &fakeStore{fleet: f, entries: make(map[string]platform.Entry)}
+	if err := f.submit(&operator{store: f.store}, testConfig(), 0, "submission-0"); err != nil {
+		panic(err)
+	}
+	for _, u := range testUpstreams() {
 		f.upstreams[u.ID] = &fakeUpstream{Upstream: u, ran: make(map[string]int)}
 	}
 	for i := range routers {
@@ -125,14 +146,39 @@
 		f.nodes = append(f.nodes, n)
 		f.start(n)
 	}
-	f.run(2 * time.Second)
+	f.run(warmUp)
 	return f
 }
 
+// breaks notes a broken promise.
+func (f *fleet) breaks(format string, args ...any) {
+	f.broken = append(f.broken, fmt.Sprintf(format, args...))
+}
+
+// heals notes that a fault is over after d.
+func (f *fleet) heals(d time.Duration) {
+	if at := f.now.Add(d); at.After(f.healed) {
+		f.healed = at
+	}
+}
+
+// mend ends a fault after d.
+func (f *fleet) mend(d time.Duration, end func()) {
+	f.heals(d)
+	f.after(d, end)
+}
+
+// mark tells of a step that is no effect.
+func (f *fleet) mark(n *node, what any) {
+	if f.seen != nil {
+		f.seen(n, what)
+	}
+}
+
 func (f *fleet) start(n *node) {
 	n.incarnation++
 	n.id = core.RouterID(fmt.Sprintf("%s.%d", n.name, n.incarnation))
-	n.up, n.ready = true, false
+	n.up, n.ready, n.force = true, false, 0
 	n.linked = make(map[core.RouterID]bool)
 	n.sends = make(map[string]*run)
 	n.wakeAt = time.Time{}
@@ -144,7 +190,7 @@
 	}
 	n.state = reducer.New(reducer.Options{
 		Self:  core.Peer{ID: n.id, Name: n.name, Domain: n.domain, PeerAddr: addrOf(n)},
-		Seeds: seeds, Seed: f.rng.Uint64(), Policy: f.policy, Routers: len(f.nodes),
+		Seeds: seeds, Seed: f.rng.Uint64(), Policy: f.policy, Routers: routers, Disable: f.disable,
 	})
 	f.deliver(n, core.Tick{})
 	f.list(n)
@@ -153,8 +199,14 @@
 
 func addrOf(n *node) string { return fmt.Sprintf("127.0.0.1:%d", 8200+n.index) }
 
-// list gives a node the instance list.
+// listed marks, for the steps, that the instance list changed.
+type listed struct{}
+
+// list gives a node the instance list, if the platform answers.
 func (f *fleet) list(n *node) {
+	if f.store.down || f.isolated(n) {
+		return
+	}
 	var ev core.Instances
 	for _, id := range slices.Sorted(maps.Keys(f.upstreams)) {
 		ev.Upstreams = append(ev.Upstreams, f.upstreams[id].Upstream)
@@ -162,14 +214,17 @@
 	f.deliver(n, ev)
 }
 
-func (f *fleet) fetch(n *node) {
-	if f.store.down {
-		return
-	}
-	head, inc := f.conf, n.incarnation
-	f.after(storeDelay, func() {
-		if n.incarnation == inc {
-			f.deliver(n, head)
+// listAll tells all nodes of a change of the instance list, after its lag.
+func (f *fleet) listAll(lag time.Duration) {
+	f.after(lag, func() {
+		f.mark(f.nodes[0], listed{})
+		for _, u := range f.upstreams {
+			if u.State == core.UpstreamLeaving {
+				u.leaves(f.now)
+			}
+		}
+		for _, n := range f.nodes {
+			f.list(n)
 		}
 	})
 }
@@ -206,9 +261,7 @@
 		return
 	}
 	for _, e := range n.state.Step(f.now, ev) {
-		if f.seen != nil {
-			f.seen(n, e)
-		}
+		f.mark(n, e)
 		if n.up {
 			f.carryOut(n, e)
 		}
@@ -259,14 +312,21 @@
 		f.store.call(n, e)
 	case core.FetchConfig:
 		f.fetch(n)
+	case core.DecodeConfig:
+		f.decode(n, e)
+	case core.Apply:
+		f.applied(n, e.Generation)
 	case core.Probe:
-		alive := f.upstreams[e.Upstream].alive(f.now)
-		f.later(n, dialDelay, core.Probed{Probe: e, Alive: alive})
+		u := f.upstreams[e.Upstream]
+		f.later(n, dialDelay, core.Probed{Probe: e, Alive: u.alive(f.now) && f.reaches(n, u)})
 	case core.Ready:
 		n.ready = e.Ready
 	case core.Exit:
-		f.cutByExit = append(f.cutByExit, f.pending(n)...)
+		for _, id := range f.pending(n) {
+			f.breaks("%s was cut by the end of a drain", id)
+		}
 		f.kill(n)
+		f.mend(faultTime, func() { f.restart(n) })
 	}
 }
 
@@ -282,8 +342,11 @@
 
 func (f *fleet) final(id core.RequestID, kind string, outcome core.Outcome, reason core.Reason) {
 	c := f.callers[id]
+	if c.gone {
+		return
+	}
 	c.finals = append(c.finals, kind)
-	c.outcome, c.reason, c.at = outcome, reason, f.now
+	c.outcome, c.reason = outcome, reason
 }
 
 // arrive gives a request to a node.
@@ -301,6 +364,13 @@
 	}
 }
 
+// leave closes a caller's connection.
+func (f *fleet) leave(id core.RequestID) {
+	c := f.callers[id]
+	c.finals, c.gone = []string{"gone"}, true
+	f.deliver(c.node, core.CallerGone{Request: id})
+}
+
 // pending lists the requests that wait for their end at a node.
 func (f *fleet) pending(n *node) []core.RequestID {
 	var out []core.RequestID
@@ -336,84 +406,3 @@
 		f.start(n)
 	}
 }
-
-func member(n *node) *wire.Member {
-	return &wire.Member{Id: string(n.id), Name: n.name, Domain: n.domain, PeerAddr: addrOf(n)}
-}
-
-func (f *fleet) dial(n *node, addr string) {
-	for _, other := range f.nodes {
-		if addrOf(other) != addr {
-			continue
-		}
-		f.after(2*linkDelay, func() {
-			if !n.up {
-				return
-			}
-			if !other.up || f.parted(n, other) {
-				f.deliver(n, core.DialFailed{Addr: addr})
-				return
-			}
-			f.link(n, other)
-		})
-	}
-}
-
-func (f *fleet) link(a, b *node) {
-	if a.linked[b.id] && b.linked[a.id] {
-		return
-	}
-	a.linked[b.id], b.linked[a.id] = true, true
-	f.deliver(a, core.PeerUp{Member: member(b)})
-	f.deliver(b, core.PeerUp{Member: member(a)})
-}
-
-func pair(a, b *node) [2]int { return [2]int{min(a.index, b.index), max(a.index, b.index)} }
-
-func (f *fleet) parted(a, b *node) bool { return f.cut[pair(a, b)] }
-
-// part cuts a node off from all others; rejoin mends it.
-func (f *fleet) part(n *node) {
-	for _, other := range f.nodes {
-		if other == n {
-			continue
-		}
-		f.cut[pair(n, other)] = true
-		if n.linked[other.id] {
-			delete(n.linked, other.id)
-			delete(other.linked, n.id)
-			f.later(n, detectTime, core.PeerDown{Peer: other.id})
-			f.later(other, detectTime, core.PeerDown{Peer: n.id})
-		}
-	}
-}
-
-func (f *fleet) rejoin(n *node) {
-	for _, other := range f.nodes {
-		delete(f.cut, pair(n, other))
-	}
-}
-
-// message carries a message between routers over their connection.
-func (f *fleet) message(from *node, e core.SendPeer) {
-	for _, to := range f.nodes {
-		if to.id != e.To || !from.linked[to.id] {
-			continue
-		}
-		delay, inc := linkDelay, to.incarnation
-		if f.late {
-			delay += time.Duration(f.rng.IntN(50)) * time.Millisecond
-		}
-		copies := 1
-		if f.duplicate {
-			copies = 2
-		}
-		for range copies {
-			f.after(delay, func() {
-				if to.incarnation == inc && to.linked[from.id] {
-					f.deliver(to, core.PeerMessage{From: from.id, Message: e.Message})
-				}
-			})
-		}
-	}
-}
--- /dev/null
+++ b/internal/faults/load_test.go
@@ -0,0 +1,108 @@
+package faults
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+const (
+	modelService = "assistant"
+	plainService = "booking"
+)
+
+const (
+	// loadEvery is the time between two requests of a kind.
+	loadEvery = 50 * time.Millisecond
+	// soon is when a caller sends an operation again while it still runs, later
+	// when it has long ended; sameSoon of sameSoon operations come soon.
+	soon     = 60 * time.Millisecond
+	later    = 700 * time.Millisecond
+	sameSoon = 4
+)
+
+// load sends model and plain requests of all organisations through all routers,
+// and non-idempotent work again, through another router.
+func (f *fleet) load(d time.Duration) {
+	for at := time.Duration(0); at < d; at += loadEvery {
+		k := int(at / loadEvery)
+		n, again := f.nodes[k%len(f.nodes)], f.nodes[(k+1)%len(f.nodes)]
+		f.after(at, func() { f.arrive(n, f.modelRequest(k)) })
+		f.after(at, func() {
+			once := f.onceRequest(k)
+			f.arrive(n, once)
+			if k%sameSoon == 0 {
+				f.after(soon, func() { f.arrive(again, once) })
+			}
+			f.after(later, func() { f.arrive(again, once) })
+		})
+	}
+}
+
+// modelRequest is the k-th of a load; its body is unique.
+func (f *fleet) modelRequest(k int) core.Arrive {
+	return core.Arrive{
+		Organisation: fmt.Sprintf("org%d", k%3), Service: modelService, Idempotent: true,
+		Hint: 60 + uint64(k%5)*60, Body: f.body(),
+	}
+}
+
+// onceRequest is the k-th of a load; its key and body are unique.
+func (f *fleet) onceRequest(k int) core.Arrive {
+	body := f.body()
+	return core.Arrive{
+		Organisation: fmt.Sprintf("org%d", k%3), Service: plainService, Once: true,
+		Key: "op-" + hex.EncodeToString(body[:4]), Hint: 20, Body: body,
+	}
+}
+
+func (f *fleet) body() [32]byte {
+	f.serial++
+	return sha256.Sum256([]byte(fmt.Sprint(f.serial)))
+}
+
+func testConfig() *config.Config {
+	c := &config.Config{
+		Fleet: "test",
+		Services: []config.Service{
+			{
+				Name: modelService, Kind: config.Model, Model: "m", Slots: 4, MaxWait: 10 * time.Second,
+				SilentAfter: time.Second, Idempotent: true,
+			},
+			{
+				Name: plainService, Kind: config.Plain, Prefix: "/booking/", Slots: 4, MaxWait: 10 * time.Second,
+				SilentAfter: time.Second, Once: []config.Once{{Method: "POST", Path: "/booking/", Why: "books"}},
+			},
+		},
+	}
+	for i := range 3 {
+		name := fmt.Sprintf("org%d", i)
+		key := sha256.Sum256([]byte(name))
+		c.Organisations = append(c.Organisations, config.Organisation{
+			Name: name, Share: i + 1, Keys: []string{hex.EncodeToString(key[:])},
+			Services: []string{modelService, plainService}, MaxQueued: 1000,
+		})
+	}
+	return c
+}
+
+func testUpstreams() []core.Upstream {
+	var out []core.Upstream
+	for i := range 4 {
+		out = append(out, core.Upstream{
+			ID: fmt.Sprintf("m%d", i), Service: modelService, Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i),
+			Domain: string(rune('a' + i%2)),
+		})
+	}
+	for i := range 2 {
+		out = append(out, core.Upstream{
+			ID: fmt.Sprintf("p%d", i), Service: plainService, Addr: fmt.Sprintf("127.0.0.1:%d", 9100+i),
+			Domain: string(rune('a' + i%2)),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/faults/network_test.go
@@ -0,0 +1,114 @@
+package faults
+
+import (
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+// lossOneIn messages is lost while messages get lost.
+const lossOneIn = 4
+
+func member(n *node) *wire.Member {
+	return &wire.Member{Id: string(n.id), Name: n.name, Domain: n.domain, PeerAddr: addrOf(n)}
+}
+
+func (f *fleet) dial(n *node, addr string) {
+	for _, other := range f.nodes {
+		if addrOf(other) != addr {
+			continue
+		}
+		f.after(2*linkDelay, func() {
+			if !n.up {
+				return
+			}
+			if !other.up || f.parted(n, other) {
+				f.deliver(n, core.DialFailed{Addr: addr})
+				return
+			}
+			f.link(n, other)
+		})
+	}
+}
+
+func (f *fleet) link(a, b *node) {
+	if a.linked[b.id] && b.linked[a.id] {
+		return
+	}
+	a.linked[b.id], b.linked[a.id] = true, true
+	f.deliver(a, core.PeerUp{Member: member(b)})
+	f.deliver(b, core.PeerUp{Member: member(a)})
+}
+
+func pair(a, b *node) [2]int { return [2]int{min(a.index, b.index), max(a.index, b.index)} }
+
+func (f *fleet) parted(a, b *node) bool {
+	return f.cut[pair(a, b)] || f.domain != "" && (a.domain == f.domain) != (b.domain == f.domain)
+}
+
+// isolated tells whether a node cannot reach the platform.
+func (f *fleet) isolated(n *node) bool { return f.domain != "" && n.domain == f.domain }
+
+// reaches tells whether a node reaches an upstream.
+func (f *fleet) reaches(n *node, u *fakeUpstream) bool {
+	return f.domain == "" || (n.domain == f.domain) == (u.Domain == f.domain)
+}
+
+// part cuts a node off from all others; rejoin mends it.
+func (f *fleet) part(n *node) {
+	for _, other := range f.nodes {
+		if other != n {
+			f.cut[pair(n, other)] = true
+		}
+	}
+	f.dropLinks()
+}
+
+func (f *fleet) rejoin(n *node) {
+	for _, other := range f.nodes {
+		delete(f.cut, pair(n, other))
+	}
+}
+
+// partDomain cuts a failure domain off; an empty name mends it.
+func (f *fleet) partDomain(domain string) {
+	f.domain = domain
+	f.dropLinks()
+}
+
+// dropLinks ends the connections that a cut goes through.
+func (f *fleet) dropLinks() {
+	for _, n := range f.nodes {
+		for _, other := range f.nodes {
+			if n.linked[other.id] && f.parted(n, other) {
+				delete(n.linked, other.id)
+				f.later(n, detectTime, core.PeerDown{Peer: other.id})
+			}
+		}
+	}
+}
+
+// message carries a message between routers over their connection.
+func (f *fleet) message(from *node, e core.SendPeer) {
+	for _, to := range f.nodes {
+		if to.id != e.To || !from.linked[to.id] || f.lossy && f.rng.IntN(lossOneIn) == 0 {
+			continue
+		}
+		delay, inc := linkDelay, to.incarnation
+		if f.late {
+			delay += time.Duration(f.rng.IntN(50)) * time.Millisecond
+		}
+		copies := 1
+		if f.duplicate {
+			copies = 2
+		}
+		for range copies {
+			f.after(delay, func() {
+				if to.incarnation == inc && to.linked[from.id] {
+					f.deliver(to, core.PeerMessage{From: from.id, Message: e.Message})
+				}
+			})
+		}
+	}
+}
--- a/internal/faults/outside_test.go
+++ b/internal/faults/outside_test.go
@@ -7,33 +7,52 @@
 	"github.com/jujubeford/jujubeford/internal/core"
 )
 
+// leaveGrace is how long after its word a leaving upstream may still get work.
+const leaveGrace = 3 * time.Second
+
 // fakeUpstream runs requests; cost is in units of tokenTime.
 type fakeUpstream struct {
 	core.Upstream
 	deadUntil time.Time
 	silent    bool
+	// slow is added to the time before a first token.
+	slow time.Duration
+	// leaving refuses new work and says so. The instance list is another matter:
+	// it has State.
+	leaving bool
+	// word is when routers could first know that it is leaving.
+	word time.Time
 	// ran counts what was run, by request and by idempotency key.
 	ran map[string]int
 	// poison crashes the upstream when it runs such a body.
 	poison [32]byte
-	crash  int
-	// lastStart is when work was last started.
-	lastStart time.Time
-	running   int
+	// poisoned counts those crashes.
+	poisoned int
 }
 
 func (u *fakeUpstream) alive(now time.Time) bool { return !now.Before(u.deadUntil) }
 
+// leaves notes that routers can know from now on.
+func (u *fakeUpstream) leaves(now time.Time) {
+	if u.word.IsZero() {
+		u.word = now
+	}
+}
+
+// stay ends the leaving.
+func (u *fakeUpstream) stay() {
+	u.leaving, u.word, u.State = false, time.Time{}, core.UpstreamUp
+}
+
 // run is one request at an upstream.
 type run struct {
 	up      *fakeUpstream
 	request core.RequestID
 	attempt core.Attempt
-	started time.Time
 	cost    uint64
+	silent  time.Duration
 	orphan  bool
 	ended   bool
-	forward bool
 }
 
 func (r *run) key() string { return fmt.Sprintf("%s/%d", r.request, r.attempt) }
@@ -49,88 +68,90 @@
 func (f *fleet) send(n *node, e core.Send) {
 	u := f.upstreams[e.Upstream]
 	c := f.callers[e.Request]
-	r := &run{up: u, request: e.Request, attempt: e.Attempt, cost: work(c.arrive)}
+	r := &run{up: u, request: e.Request, attempt: e.Attempt, cost: work(c.arrive), silent: e.SilentAfter}
 	n.sends[r.key()] = r
 	f.after(dialDelay, func() {
-		if !u.alive(f.now) {
+		if !u.alive(f.now) || !f.reaches(n, u) {
 			f.fail(n, r, core.FailDial, false)
 			return
 		}
 		if !e.Resume {
-			f.startRun(n, r, c.arrive)
+			f.offer(n, r, c.arrive)
 		}
 		if r.ended {
 			return
 		}
 		if u.silent {
-			f.after(e.SilentAfter, func() { f.fail(n, r, core.FailSilent, true) })
+			f.after(r.silent, func() { f.fail(n, r, core.FailSilent, true) })
 			return
 		}
-		r.started = f.now
-		f.after(firstDelay, func() {
-			if r.ended {
-				return
-			}
-			if !u.alive(f.now) {
-				f.fail(n, r, core.FailReset, true)
-				return
-			}
-			f.deliver(n, core.AttemptFirst{Request: r.request, Attempt: r.attempt, Status: 200})
-		})
+		f.after(firstDelay+u.slow, func() { f.first(n, r) })
 	})
 }
 
-func (f *fleet) startRun(n *node, r *run, a core.Arrive) {
+// offer brings new work to an upstream, which may refuse it.
+func (f *fleet) offer(n *node, r *run, a core.Arrive) {
 	u := r.up
-	u.lastStart = f.now
-	u.running++
+	if !u.word.IsZero() && f.now.Sub(u.word) > leaveGrace {
+		f.breaks("%s got new work %s after its word that it is leaving", u.ID, f.now.Sub(u.word))
+	}
+	if u.leaving {
+		u.leaves(f.now)
+		f.fail(n, r, core.FailRefused, false)
+		return
+	}
 	u.ran[string(a.Request)]++
 	if a.Once {
 		u.ran["key/"+a.Key]++
 	}
 	if u.poison != [32]byte{} && a.Body == u.poison {
+		u.poisoned++
 		f.crash(u, time.Second)
 		f.fail(n, r, core.FailReset, true)
 	}
 }
 
+func (f *fleet) first(n *node, r *run) {
+	switch {
+	case r.ended:
+	case !r.up.alive(f.now):
+		f.fail(n, r, core.FailReset, true)
+	case !f.reaches(n, r.up):
+		f.after(r.silent, func() { f.fail(n, r, core.FailSilent, true) })
+	default:
+		f.deliver(n, core.AttemptFirst{Request: r.request, Attempt: r.attempt, Status: 200})
+	}
+}
+
 // crash takes an upstream down for a while.
 func (f *fleet) crash(u *fakeUpstream, d time.Duration) {
-	u.crash++
 	u.deadUntil = f.now.Add(d)
+	f.heals(d)
 }
 
 func (f *fleet) fail(n *node, r *run, kind core.Failure, sent bool) {
 	if r.ended {
 		return
 	}
-	f.endRun(r)
+	r.ended = true
 	if r.orphan {
 		return
 	}
-	f.deliver(n, core.AttemptFailed{Request: r.request, Attempt: r.attempt, Failure: kind, Sent: sent})
-}
-
-func (f *fleet) endRun(r *run) {
-	r.ended = true
-	if r.up.running > 0 {
-		r.up.running--
-	}
+	f.deliver(n, core.AttemptFailed{
+		Request: r.request, Attempt: r.attempt, Failure: kind, Sent: sent, Leaving: r.up.leaving,
+	})
 }
 
 func (f *fleet) cancelRun(n *node, id core.RequestID, a core.Attempt) {
-	if r := n.sends[(&run{request: id, attempt: a}).key()]; r != nil && !r.ended {
-		f.endRun(r)
+	if r := n.sends[(&run{request: id, attempt: a}).key()]; r != nil {
+		r.ended = true
 	}
 }
 
 // commit forwards an answer until its end.
 func (f *fleet) commit(n *node, e core.Commit) {
 	r := n.sends[(&run{request: e.Request, attempt: e.Attempt}).key()]
-	c := f.callers[e.Request]
-	c.committed = e.Attempt
-	r.forward = true
-	f.after(reportTime, func() { f.advance(n, r, c) })
+	f.after(reportTime, func() { f.advance(n, r, f.callers[e.Request]) })
 }
 
 func (f *fleet) advance(n *node, r *run, c *caller) {
@@ -141,99 +162,25 @@
 		f.fail(n, r, core.FailReset, true)
 		return
 	}
-	if r.up.silent {
-		f.after(time.Second, func() { f.fail(n, r, core.FailSilent, true) })
+	if r.up.silent || !f.reaches(n, r.up) {
+		f.after(r.silent, func() { f.fail(n, r, core.FailSilent, true) })
 		return
 	}
 	step := min(r.cost-c.tokens, uint64(reportTime/tokenTime))
 	c.tokens += step
 	f.served[c.arrive.Organisation] += step
-	if c.tokens == r.cost {
-		f.endRun(r)
-		f.final(r.request, "answered", core.Complete, "")
-		f.deliver(n, core.AttemptDone{
-			Request: r.request, Attempt: r.attempt, Status: 200, Cost: r.cost, Answer: []byte("{}"),
-		})
+	if c.tokens < r.cost {
+		f.deliver(n, core.AttemptProgress{Request: r.request, Attempt: r.attempt, Tokens: c.tokens})
+		f.after(reportTime, func() { f.advance(n, r, c) })
 		return
 	}
-	f.deliver(n, core.AttemptProgress{Request: r.request, Attempt: r.attempt, Tokens: c.tokens})
-	f.after(reportTime, func() { f.advance(n, r, c) })
-}
-
-// fakeStore is the key-value service with its faults.
-type fakeStore struct {
-	fleet   *fleet
-	entries map[string]fakeEntry
-	index   uint64
-	calls   int
-	// down carries nothing out; loseAnswers carries writes out without an
-	// answer; lateBy carries them out later, without an answer.
-	down        bool
-	loseAnswers bool
-	lateBy      time.Duration
-}
-
-type fakeEntry struct {
-	value []byte
-	index uint64
-}
-
-func (s *fakeStore) call(n *node, e core.Effect) {
-	s.calls++
-	f := s.fleet
-	f.after(storeDelay, func() {
-		if s.down {
-			f.later(n, storeDelay, core.KVResult{Op: opOf(e), Status: core.KVUnavailable})
-			return
-		}
-		_, read := e.(core.KVGet)
-		switch {
-		case !read && s.lateBy > 0:
-			f.after(s.lateBy, func() { s.apply(e) })
-			f.later(n, time.Second, core.KVResult{Op: opOf(e), Status: core.KVUnknown})
-		case !read && s.loseAnswers:
-			s.apply(e)
-			f.later(n, time.Second, core.KVResult{Op: opOf(e), Status: core.KVUnknown})
-		default:
-			f.later(n, storeDelay, s.apply(e))
-		}
-	})
-}
-
-func opOf(e core.Effect) core.OpID {
-	switch e := e.(type) {
-	case core.KVGet:
-		return e.Op
-	case core.KVCAS:
-		return e.Op
-	case core.KVDelete:
-		return e.Op
-	}
-	return 0
-}
-
-func (s *fakeStore) apply(e core.Effect) core.KVResult {
-	switch e := e.(type) {
-	case core.KVGet:
-		have, ok := s.entries[e.Key]
-		if !ok {
-			return core.KVResult{Op: e.Op, Key: e.Key, Status: core.KVNotFound}
-		}
-		return core.KVResult{Op: e.Op, Key: e.Key, Status: core.KVOK, Value: have.value, Index: have.index}
-	case core.KVCAS:
-		if s.entries[e.Key].index != e.Index {
-			return core.KVResult{Op: e.Op, Key: e.Key, Status: core.KVConflict}
-		}
-		s.index++
-		s.entries[e.Key] = fakeEntry{e.Value, s.index}
-		return core.KVResult{Op: e.Op, Key: e.Key, Status: core.KVOK, Index: s.index}
-	case core.KVDelete:
-		if s.entries[e.Key].index != e.Index {
-			return core.KVResult{Op: e.Op, Key: e.Key, Status: core.KVConflict}
-		}
-		s.index++
-		delete(s.entries, e.Key)
-		return core.KVResult{Op: e.Op, Key: e.Key, Status: core.KVOK}
+	r.ended = true
+	if r.up.leaving {
+		r.up.leaves(f.now)
 	}
-	panic("not a key-value effect")
+	f.final(r.request, "answered", core.Complete, "")
+	f.deliver(n, core.AttemptDone{
+		Request: r.request, Attempt: r.attempt, Status: 200, Cost: r.cost, Answer: []byte("{}"),
+		Leaving: r.up.leaving,
+	})
 }
--- /dev/null
+++ b/internal/faults/promises_test.go
@@ -0,0 +1,126 @@
+package faults
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/quarantine"
+)
+
+const (
+	// spreadTime is how long after healing an accepted configuration may take to
+	// be in force everywhere.
+	spreadTime = 12 * time.Second
+	// settleTime is how long after that everything has ended.
+	settleTime = 25 * time.Second
+	// freshTime is how long the load lasts that shows that all is mended.
+	freshTime = time.Second
+	// poisonRace is how many sends of a poison request may be under way when its
+	// last crash becomes known.
+	poisonRace = 1
+)
+
+// settle lets a run end and checks what must hold then.
+func (f *fleet) settle(loadEnds time.Time) {
+	if f.healed.Before(loadEnds) {
+		f.healed = loadEnds
+	}
+	f.run(f.healed.Add(spreadTime).Sub(f.now))
+	f.inForce()
+	f.run(settleTime)
+	f.nothingLeft()
+	f.serveFresh()
+	f.nothingLeft()
+	f.checkCallers()
+	f.checkOnce()
+	f.checkPoison()
+}
+
+// nothingLeft checks that all routers are up and that no request and no grant is
+// left behind.
+func (f *fleet) nothingLeft() {
+	for _, n := range f.nodes {
+		if !n.up || !n.ready {
+			f.breaks("%s is up %t and ready %t after healing", n.name, n.up, n.ready)
+			continue
+		}
+		status := n.state.Status()
+		if status.Requests > 0 {
+			f.breaks("%s still holds %d requests", n.name, status.Requests)
+		}
+		for _, u := range status.Owned.Upstreams {
+			if u.Lent > 0 {
+				f.breaks("%s still has %d slots of %s lent", n.name, u.Lent, u.ID)
+			}
+		}
+	}
+}
+
+// serveFresh checks that a new load is served completely.
+func (f *fleet) serveFresh() {
+	before := maps.Clone(f.callers)
+	f.load(freshTime)
+	f.run(settleTime)
+	for _, id := range slices.Sorted(maps.Keys(f.callers)) {
+		if _, old := before[id]; old {
+			continue
+		}
+		c := f.callers[id]
+		if c.reason == core.ReasonInProgress {
+			continue // the same operation, sent again while it ran
+		}
+		if len(c.finals) != 1 || c.outcome != core.Complete {
+			f.breaks("%s was not served after healing: %s (%s)", id, strings.Join(c.finals, ", "), c.reason)
+		}
+	}
+}
+
+// checkCallers checks what each caller was told.
+func (f *fleet) checkCallers() {
+	for _, id := range slices.Sorted(maps.Keys(f.callers)) {
+		c := f.callers[id]
+		ran := 0
+		for _, u := range f.upstreams {
+			ran += u.ran[string(id)]
+		}
+		switch {
+		case len(c.finals) != 1:
+			f.breaks("%s got %d final answers: %s", id, len(c.finals), strings.Join(c.finals, ", "))
+		case c.outcome == core.NotRun && ran > 0:
+			f.breaks("%s was told not-run (%s) but ran %d times", id, c.reason, ran)
+		case c.finals[0] == "answered" && c.tokens != work(c.arrive):
+			f.breaks("%s got %d of %d tokens as a whole answer", id, c.tokens, work(c.arrive))
+		}
+	}
+}
+
+// checkOnce checks that work that must run once did not run twice.
+func (f *fleet) checkOnce() {
+	ran := make(map[string]int)
+	for _, u := range f.upstreams {
+		for key, n := range u.ran {
+			if strings.HasPrefix(key, "key/") {
+				ran[key] += n
+			}
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(ran)) {
+		if ran[key] > 1 {
+			f.breaks("%s ran %d times", key, ran[key])
+		}
+	}
+}
+
+// checkPoison checks that a request stops being sent after it crashed upstreams.
+func (f *fleet) checkPoison() {
+	crashes := 0
+	for _, u := range f.upstreams {
+		crashes += u.poisoned
+	}
+	if crashes > quarantine.Threshold+poisonRace {
+		f.breaks("one request crashed %d upstreams", crashes)
+	}
+}
--- /dev/null
+++ b/internal/faults/store_test.go
@@ -0,0 +1,148 @@
+package faults
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// answerTimeout is how long a router waits for a key-value call.
+const answerTimeout = time.Second
+
+// fakeStore is the key-value service with its faults.
+type fakeStore struct {
+	fleet   *fleet
+	entries map[string]platform.Entry
+	index   uint64
+	calls   int
+	// down carries nothing out; loseAnswers carries writes out without an
+	// answer; lateBy carries them out later, without an answer; stale serves the
+	// first configuration, whatever was accepted since.
+	down        bool
+	loseAnswers bool
+	lateBy      time.Duration
+	stale       bool
+}
+
+// call carries out a router's effect.
+func (s *fakeStore) call(n *node, e core.Effect) {
+	s.calls++
+	f := s.fleet
+	f.after(storeDelay, func() {
+		if f.isolated(n) {
+			f.later(n, answerTimeout, core.KVResult{Op: opOf(e), Status: core.KVUnknown})
+			return
+		}
+		if s.down {
+			f.later(n, storeDelay, core.KVResult{Op: opOf(e), Status: core.KVUnavailable})
+			return
+		}
+		_, read := e.(core.KVGet)
+		switch {
+		case !read && s.lateBy > 0:
+			f.after(s.lateBy, func() { s.apply(e) })
+			f.later(n, answerTimeout, core.KVResult{Op: opOf(e), Status: core.KVUnknown})
+		case !read && s.loseAnswers:
+			s.apply(e)
+			f.later(n, answerTimeout, core.KVResult{Op: opOf(e), Status: core.KVUnknown})
+		default:
+			f.later(n, storeDelay, s.apply(e))
+		}
+	})
+}
+
+func opOf(e core.Effect) core.OpID {
+	switch e := e.(type) {
+	case core.KVGet:
+		return e.Op
+	case core.KVCAS:
+		return e.Op
+	case core.KVDelete:
+		return e.Op
+	}
+	return 0
+}
+
+func (s *fakeStore) apply(e core.Effect) core.KVResult {
+	status := func(ok bool) core.KVStatus {
+		if ok {
+			return core.KVOK
+		}
+		return core.KVConflict
+	}
+	switch e := e.(type) {
+	case core.KVGet:
+		have, ok := s.entries[e.Key]
+		if !ok {
+			return core.KVResult{Op: e.Op, Key: e.Key, Status: core.KVNotFound}
+		}
+		return core.KVResult{Op: e.Op, Key: e.Key, Status: core.KVOK, Value: have.Value, Index: have.Index}
+	case core.KVCAS:
+		ok := s.write(e.Key, e.Value, e.Index)
+		return core.KVResult{Op: e.Op, Key: e.Key, Status: status(ok), Index: s.entries[e.Key].Index}
+	case core.KVDelete:
+		return core.KVResult{Op: e.Op, Key: e.Key, Status: status(s.remove(e.Key, e.Index))}
+	}
+	panic("not a key-value effect")
+}
+
+func (s *fakeStore) write(key string, value []byte, index uint64) bool {
+	if s.entries[key].Index != index {
+		return false
+	}
+	s.index++
+	s.entries[key] = platform.Entry{Key: key, Value: value, Index: s.index}
+	return true
+}
+
+func (s *fakeStore) remove(key string, index uint64) bool {
+	if s.entries[key].Index != index {
+		return false
+	}
+	s.index++
+	delete(s.entries, key)
+	return true
+}
+
+// operator is the same service as an operator's program sees it: each call
+// takes effect at once, and before runs ahead of the first write of a key.
+type operator struct {
+	platform.Store
+	store  *fakeStore
+	before map[string]func()
+}
+
+func (o *operator) Get(_ context.Context, key string) (platform.Entry, error) {
+	have, ok := o.store.entries[key]
+	if !ok {
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return have, nil
+}
+
+func (o *operator) List(_ context.Context, prefix string) ([]platform.Entry, error) {
+	var out []platform.Entry
+	for _, key := range slices.Sorted(maps.Keys(o.store.entries)) {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, o.store.entries[key])
+		}
+	}
+	return out, nil
+}
+
+func (o *operator) CAS(_ context.Context, key string, value []byte, index uint64) (bool, error) {
+	if before := o.before[key]; before != nil {
+		delete(o.before, key)
+		before()
+	}
+	return o.store.write(key, value, index), nil
+}
+
+func (o *operator) Delete(_ context.Context, key string, index uint64) (bool, error) {
+	return o.store.remove(key, index), nil
+}
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -25,6 +25,9 @@
 
 func (s *State) membersChanged(now time.Time) {
 	alive := s.members.Alive()
+	if s.off(DeathDetection) {
+		alive = s.neverDead(alive)
+	}
 	if len(alive) == 0 {
 		// A router that drains alone still owns what its callers wait for.
 		alive = []core.Peer{s.options.Self}
@@ -73,7 +76,10 @@
 
 // finish ends the process once nothing is left to do.
 func (s *State) finish(now time.Time) {
-	if s.exited || s.drainSince.IsZero() || s.entry.Requests() > 0 || now.Sub(s.drainSince) < handoverFor {
+	if s.exited || s.drainSince.IsZero() {
+		return
+	}
+	if (s.entry.Requests() > 0 || now.Sub(s.drainSince) < handoverFor) && !s.off(DrainWait) {
 		return
 	}
 	s.exited = true
@@ -91,6 +97,9 @@
 type gates struct{ s *State }
 
 func (g *gates) Blocked(now time.Time, org string, fingerprint [32]byte) (time.Time, bool) {
+	if g.s.off(QuarantineBlock) {
+		return time.Time{}, false
+	}
 	return g.s.quarantine.Blocked(now, org, fingerprint)
 }
 
--- /dev/null
+++ b/internal/reducer/mechanism.go
@@ -0,0 +1,107 @@
+package reducer
+
+import (
+	"slices"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+// Mechanism is a set of safeguards. Options.Disable names those to switch off;
+// it is for tests only, which show that their checks notice the lack.
+type Mechanism uint32
+
+// The mechanisms that can be switched off.
+const (
+	// ClaimCompare makes a claim's write fail when another claim stands.
+	ClaimCompare Mechanism = 1 << iota
+	// ClaimQuestion asks the holder of a claim whether its work was sent.
+	ClaimQuestion
+	// GrantReconciliation frees grants whose release got lost.
+	GrantReconciliation
+	// DeathDetection takes dead routers out of the fleet.
+	DeathDetection
+	// GenerationGuard refuses generations that are not newer.
+	GenerationGuard
+	// QuarantineBlock refuses requests that crashed upstreams.
+	QuarantineBlock
+	// DrainWait keeps a draining router until its requests have ended.
+	DrainWait
+	// SentCheck tells work that may have run from work that did not.
+	SentCheck
+	// LeavingWord passes on what upstreams say of their own leaving.
+	LeavingWord
+	// LeavingList takes leaving from the instance list.
+	LeavingList
+)
+
+// off tells whether a mechanism is switched off.
+func (s *State) off(m Mechanism) bool { return s.options.Disable&m != 0 }
+
+// weaken returns an event as it looks without the mechanisms that are switched
+// off; nil if nothing is left of it.
+func (s *State) weaken(ev core.Event) core.Event {
+	switch ev := ev.(type) {
+	case core.KVResult:
+		if s.off(ClaimCompare) && ev.Status == core.KVConflict {
+			ev.Status = core.KVOK
+		}
+		return ev
+	case core.AttemptFailed:
+		ev.Sent = ev.Sent && !s.off(SentCheck)
+		ev.Leaving = ev.Leaving && !s.off(LeavingWord)
+		return ev
+	case core.AttemptDone:
+		ev.Leaving = ev.Leaving && !s.off(LeavingWord)
+		return ev
+	case core.Instances:
+		return s.weakenList(ev)
+	case core.PeerMessage:
+		return s.weakenMessage(ev)
+	}
+	return ev
+}
+
+// neverDead adds the routers that were alive before.
+func (s *State) neverDead(alive []core.Peer) []core.Peer {
+	have := make(map[core.RouterID]bool, len(alive))
+	for _, p := range alive {
+		have[p.ID] = true
+	}
+	out := slices.Clone(alive)
+	for _, p := range s.view.Alive() {
+		if !have[p.ID] {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (s *State) weakenList(ev core.Instances) core.Event {
+	if !s.off(LeavingList) {
+		return ev
+	}
+	list := make([]core.Upstream, len(ev.Upstreams))
+	for i, u := range ev.Upstreams {
+		u.State = core.UpstreamUp
+		list[i] = u
+	}
+	ev.Upstreams = list
+	return ev
+}
+
+func (s *State) weakenMessage(ev core.PeerMessage) core.Event {
+	switch m := ev.Message.Body.(type) {
+	case *wire.Envelope_ClaimReply:
+		if s.off(ClaimQuestion) {
+			ev.Message = &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: &wire.ClaimReply{
+				Key: m.ClaimReply.Key, Nonce: m.ClaimReply.Nonce, State: wire.ClaimState_CLAIM_NEVER_SENT,
+			}}}
+		}
+	case *wire.Envelope_Progress:
+		if s.off(GrantReconciliation) && !m.Progress.Full {
+			return nil
+		}
+	}
+	return ev
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -44,6 +44,8 @@
 	// Routers is the number of routers that slice the upstreams under
 	// PolicyBaseline.
 	Routers int
+	// Disable switches mechanisms off; it is for tests only.
+	Disable Mechanism
 }
 
 // State is the whole state of a router.
@@ -97,6 +99,9 @@
 // Step takes one event and returns what is to be done.
 func (s *State) Step(now time.Time, ev core.Event) []core.Effect {
 	s.now, s.out = now, nil
+	if s.options.Disable != 0 {
+		ev = s.weaken(ev)
+	}
 	s.handle(now, ev)
 	s.settle(now)
 	return s.out
@@ -143,6 +148,9 @@
 		s.viewChanged(now)
 	case core.ConfigHead:
 		s.emit(s.rollout.Step(now, ev))
+		if s.off(GenerationGuard) && ev.Config != nil {
+			s.emit([]core.Effect{core.Apply{Generation: ev.Generation, Config: ev.Config}})
+		}
 	case core.Drain:
 		s.drain(now)
 	case core.Expire:
