Free grants that their entry does not list any more

Cause: an entry lists what it holds each second, but only to owners of whom it still holds something. When the release of its last grant got lost (a connection broke, or a draining router ended before its release arrived) the owner never heard of that grant again and kept the slot lent for good; enough of them and an upstream takes no work any more. Ruled out: a release that the entry never sent (the entries held nothing), and the death of routers (a router that drains has left the live ones before it ends, so its end changes nothing there).

Now a grant that its entry has not listed for 5 s counts as given back. Entries list each second, so four lists in a row must get lost before a slot is lent twice, and that only until its request ends.

--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -123,7 +123,8 @@
 	s.last++
 	id := s.prefix | s.last
 	key := grantKey{k.entry, id}
-	u.grants[key] = &grant{key: key, org: org, class: k.class, at: now, rest: d.cost, markedAt: now}
+	u.grants[key] = &grant{key: key, org: org, class: k.class, at: now, heard: now, rest: d.cost, markedAt: now}
+	s.next = timers.Earliest(s.next, now.Add(unheardAfter))
 	sv.queue.Expect(org, d.cost)
 	d.waiting--
 	if d.waiting == 0 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/fair"
+	"github.com/jujubeford/jujubeford/internal/timers"
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
@@ -27,6 +28,9 @@
 	// lostAfter is the age at which a grant that its entry does not list any
 	// more counts as given back.
 	lostAfter = 2 * time.Second
+	// unheardAfter is how long a grant counts that its entry does not list.
+	// Entries list what they hold each second, and nothing once they hold nothing.
+	unheardAfter = 5 * time.Second
 )
 
 // State holds the slots of the owned upstreams and the demand for them.
@@ -200,6 +204,7 @@
 		if g == nil {
 			continue
 		}
+		g.heard = now
 		u.speed.progressed(now, g, h.Cost)
 		s.charge(g, s.service(u.Service), h.Cost)
 	}
@@ -216,7 +221,10 @@
 	if u == nil {
 		return nil, nil
 	}
-	g := &grant{key: key, org: h.Organisation, class: h.Class, at: now, cost: h.Cost, marked: h.Cost, markedAt: now}
+	g := &grant{
+		key: key, org: h.Organisation, class: h.Class, at: now, heard: now,
+		cost: h.Cost, marked: h.Cost, markedAt: now,
+	}
 	u.grants[key] = g
 	return u, g
 }
@@ -265,6 +273,12 @@
 	for _, sv := range s.services {
 		sv.expire(now)
 	}
+	for _, u := range s.upstreams {
+		s.dropGrants(u, func(g *grant) bool { return now.Sub(g.heard) > unheardAfter })
+		if len(u.grants) > 0 {
+			s.next = timers.Earliest(s.next, now.Add(unheardAfter/2))
+		}
+	}
 	return s.lendAll(now)
 }
 
--- a/internal/owner/upstream.go
+++ b/internal/owner/upstream.go
@@ -40,6 +40,8 @@
 	org   string
 	class core.Class
 	at    time.Time
+	// heard is when the entry last listed it.
+	heard time.Time
 	// cost is what was charged so far, rest what is still expected.
 	cost, rest uint64
 	// marked is the cost at markedAt, for the speed.
