Stop a poison request after two crashes, also within its own retries

Cause: the quarantine was asked only when a request arrived. A request that crashed its upstream went back to its queue in the same step and was sent to the next upstream before the probe had told that the first one was dead, up to five times; copies that waited in queues were sent too. Ruled out: notices that come late to other routers (one router alone did it), and the caller's resends, which were refused once the crashes were known.

An upstream that only broke the connection is found alive, and the retry goes on.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/quarantine"
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
@@ -31,7 +32,7 @@
 	}
 	if ev.Status >= serverError && s.mayRetry(now, r) {
 		effects := s.cancel(r, a)
-		return append(effects, s.retry(now, r, a)...)
+		return append(effects, s.retry(now, r, a.slot.upstream)...)
 	}
 	effects := []core.Effect{
 		core.Commit{Request: r.Request, Attempt: a.number},
@@ -135,7 +136,12 @@
 	}
 	unsent := !ev.Sent && len(r.attempts) < attemptsMost && now.Before(r.deadline)
 	if unsent || (ev.Sent && s.retriable(now, r)) {
-		return append(effects, s.retry(now, r, a)...)
+		if r.suspicions >= quarantine.Threshold && r.probes > 0 {
+			// One more crash may be one too many: Probed goes on.
+			r.state = probing
+			return effects
+		}
+		return append(effects, s.retry(now, r, a.slot.upstream)...)
 	}
 	reason := core.ReasonUpstreamFailed
 	if ev.Failure == core.FailSilent {
@@ -144,11 +150,11 @@
 	return append(effects, s.refuse(r, statusBadGateway, reason, retryMin)...)
 }
 
-func (s *State) retry(now time.Time, r *request, a *attempt) []core.Effect {
-	r.avoid[a.slot.upstream] = now.Add(avoidFor)
+func (s *State) retry(now time.Time, r *request, failed string) []core.Effect {
+	r.avoid[failed] = now.Add(avoidFor)
 	s.enqueue(now, r, true)
 	return []core.Effect{
-		core.Record{Request: r.Request, What: "retried", Upstream: a.slot.upstream, Detail: "Back in its place in the queue."},
+		core.Record{Request: r.Request, What: "retried", Upstream: failed, Detail: "Back in its place in the queue."},
 		core.Observe{Metric: core.MetricRetried, Service: r.Service, Organisation: r.Organisation, Value: 1},
 	}
 }
@@ -193,6 +199,8 @@
 	}
 	effects := s.notice(now, a.slot.upstream, wire.UpstreamState_UPSTREAM_CRASHED)
 	if u, ok := s.view.Upstream(a.slot.upstream); ok && f != core.FailDial {
+		r.suspicions++
+		r.probes++
 		effects = append(effects, core.Probe{Request: r.Request, Organisation: r.Organisation, Fingerprint: r.Body, Upstream: u.ID, Addr: u.Addr})
 	}
 	return effects
@@ -201,11 +209,23 @@
 // Probed takes whether an upstream that failed a request still stands. If not,
 // the request may be what crashed it.
 func (s *State) Probed(now time.Time, ev core.Probed) []core.Effect {
-	if ev.Alive {
-		return nil
-	}
 	p := ev.Probe
-	return s.gates.Crash(now, p.Organisation, p.Fingerprint, p.Upstream)
+	var effects []core.Effect
+	if !ev.Alive {
+		effects = s.gates.Crash(now, p.Organisation, p.Fingerprint, p.Upstream)
+	}
+	r := s.requests[p.Request]
+	if r == nil {
+		return effects
+	}
+	r.probes--
+	if r.state != probing || r.probes > 0 {
+		return effects
+	}
+	if until, blocked := s.gates.Blocked(now, r.Organisation, r.Body); blocked {
+		return append(effects, s.refusePoison(r, until.Sub(now))...)
+	}
+	return append(effects, s.retry(now, r, p.Upstream)...)
 }
 
 // leaving passes on an upstream's word that it is leaving.
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/claims"
@@ -20,12 +21,13 @@
 	q.granted(now, from)
 	_, known := s.view.Upstream(g.Upstream)
 	var r *request
+	var refused []core.Effect
 	if known {
-		r = q.take(now, g.Upstream)
+		r, refused = s.takeUnblocked(now, q, g.Upstream)
 	}
 	if r == nil {
 		s.giveBack(now, q, from, core.GrantID(g.Id))
-		return nil
+		return refused
 	}
 	slot := heldKey{g.Upstream, core.GrantID(g.Id)}
 	if len(s.held) == 0 {
@@ -33,9 +35,34 @@
 	}
 	s.held[slot] = &held{owner: from, grant: g, request: r.Request}
 	if r.Once {
-		return s.claim(now, r, slot)
+		return append(refused, s.claim(now, r, slot)...)
+	}
+	return append(refused, s.send(now, r, slot)...)
+}
+
+// takeUnblocked takes the oldest request that may go to an upstream, and refuses
+// those that were quarantined while they waited.
+func (s *State) takeUnblocked(now time.Time, q *queue, upstream string) (*request, []core.Effect) {
+	var refused []core.Effect
+	for {
+		r := q.take(now, upstream)
+		if r == nil {
+			return nil, refused
+		}
+		until, blocked := s.gates.Blocked(now, r.Organisation, r.Body)
+		switch {
+		case !blocked:
+			return r, refused
+		case r.hedging:
+			r.hedging = false
+		default:
+			refused = append(refused, s.refusePoison(r, until.Sub(now))...)
+		}
 	}
-	return s.send(now, r, slot)
+}
+
+func (s *State) refusePoison(r *request, retry time.Duration) []core.Effect {
+	return s.refuse(r, http.StatusUnprocessableEntity, core.ReasonPoison, retry)
 }
 
 // giveBack returns a slot that nothing was run on. The owner forgets the demand
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -21,6 +21,9 @@
 	waiting phase = iota
 	claiming
 	sent
+	// probing: an upstream that failed the request is being probed before the
+	// request is sent again.
+	probing
 	committed
 )
 
@@ -44,6 +47,9 @@
 	commit  *attempt
 	tokens  uint64
 	resumes int
+	// suspicions are the attempts after which an upstream was probed, probes the
+	// answers still to come.
+	suspicions, probes int
 }
 
 // attempt is one send of a request.
--- a/internal/faults/promises_test.go
+++ b/internal/faults/promises_test.go
@@ -18,9 +18,6 @@
 	settleTime = 25 * time.Second
 	// freshTime is how long the load lasts that shows that all is mended.
 	freshTime = time.Second
-	// poisonRace is how many sends of a poison request may be under way when its
-	// last crash becomes known.
-	poisonRace = 1
 )
 
 // settle lets a run end and checks what must hold then.
@@ -114,13 +111,22 @@
 	}
 }
 
-// checkPoison checks that a request stops being sent after it crashed upstreams.
+// checkPoison checks that a request that crashed upstreams is sent no more, and
+// refused with the reason.
 func (f *fleet) checkPoison() {
-	crashes := 0
+	crashes, refused := 0, 0
 	for _, u := range f.upstreams {
 		crashes += u.poisoned
 	}
-	if crashes > quarantine.Threshold+poisonRace {
+	for _, c := range f.callers {
+		if c.reason == core.ReasonPoison {
+			refused++
+		}
+	}
+	if crashes > quarantine.Threshold {
 		f.breaks("one request crashed %d upstreams", crashes)
 	}
+	if crashes >= quarantine.Threshold && refused == 0 {
+		f.breaks("a request crashed %d upstreams and was never refused as poison", crashes)
+	}
 }
