--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -21,6 +21,9 @@
 	waiting phase = iota
 	claiming
 	sent
+	// probing: an upstream that failed the request is being probed before the
+	// request is sent again.
+	probing
 	committed
 )
 
@@ -45,6 +48,9 @@
 	tokens  uint64
 	resumes int
 	moves   int
+	// suspicions are the attempts after which an upstream was probed, probes the
+	// answers still to come.
+	suspicions, probes int
 }
 
 // attempt is one send of a request.
