Let each owner make up for its own part of an imbalance; shorten demand

Cause: all owners learn of the same imbalance each second and each made up for the whole of it, so two organisations of equal share took turns of seconds with nearly all the capacity. Demand named its service in each queue and was repeated each second to every owner asked.

Change: the virtual time that an owner works with counts only its own part of the fleet's slots of what was charged up to the last exchange. Counters are reported for every organisation charged since the last report. Demand is grouped by service, a grant does not name the service, demand is repeated each 5 s.

Ruled out: a shorter exchange period (bytes); extrapolating other owners' rates (under take-turns they mislead); a smaller correction for all (slow to converge where one owner has most slots).

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -74,8 +74,9 @@
 // Wake is when the next report is due.
 func (s *State) Wake() time.Time { return s.next }
 
-// Report sends own counters of the given accounts to their aggregators.
-func (s *State) Report(now time.Time, own []*wire.Counter, alive []core.RouterID) ([]core.Effect, []Remote) {
+// Report sends own counters to the aggregators of their organisations. What this
+// router aggregates itself is returned at once.
+func (s *State) Report(now time.Time, own []*wire.Counter, alive []core.RouterID, current Own) ([]core.Effect, []Remote) {
 	s.next = now.Add(Period)
 	batches := make(map[core.RouterID][]*wire.Counter)
 	var order []core.RouterID
@@ -91,7 +92,7 @@
 	for _, to := range order {
 		if to == s.self {
 			totals := s.Merge(now, s.self, batches[to])
-			remotes = append(remotes, s.Totals(s.self, totals, own)...)
+			remotes = append(remotes, s.Totals(s.self, totals, current)...)
 			continue
 		}
 		effects = append(effects, core.SendPeer{To: to, Message: &wire.Envelope{Body: &wire.Envelope_CounterReport{
@@ -130,18 +131,17 @@
 	return t
 }
 
+// Own returns this router's present counter of an account.
+type Own func(service, organisation string) uint64
+
 // Totals takes an aggregator's answer and returns what others served since the
-// last one. own holds the reporter's present counters.
-func (s *State) Totals(from core.RouterID, totals, own []*wire.Counter) []Remote {
-	mine := make(map[Key]uint64, len(own))
-	for _, c := range own {
-		mine[Key{c.Service, c.Organisation}] = c.Served
-	}
+// last one.
+func (s *State) Totals(from core.RouterID, totals []*wire.Counter, own Own) []Remote {
 	out := make([]Remote, 0, len(totals))
 	for _, t := range totals {
 		k := Key{t.Service, t.Organisation}
 		last, known := s.seen[k]
-		current := seen{from: from, total: t.Served, own: mine[k]}
+		current := seen{from: from, total: t.Served, own: own(t.Service, t.Organisation)}
 		s.seen[k] = current
 		r := Remote{Key: k, Backlogged: t.Backlogged}
 		if known && last.from == from && current.total >= last.total {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,8 +52,8 @@
 // held is a slot lent to this entry.
 type held struct {
 	owner   core.RouterID
+	service string
 	grant   *wire.Grant
-	request core.RequestID
 	cost    uint64
 }
 
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -16,15 +16,14 @@
 // Granted binds a lent slot to the request that has waited longest, or gives it
 // back if nothing waits for it any more.
 func (s *State) Granted(now time.Time, from core.RouterID, g *wire.Grant) []core.Effect {
-	k := queueKey{g.Service, g.Organisation, g.Class}
-	q := s.queue(k)
-	q.granted(now, from)
-	_, known := s.view.Upstream(g.Upstream)
-	var r *request
-	var refused []core.Effect
-	if known {
-		r, refused = s.takeUnblocked(now, q, g.Upstream)
+	u, known := s.view.Upstream(g.Upstream)
+	if !known {
+		s.pending.settle(from, &wire.Settled{Id: g.Id, Unused: true})
+		return nil
 	}
+	q := s.queue(queueKey{u.Service, g.Organisation, g.Class})
+	q.granted(now, from)
+	r, refused := s.takeUnblocked(now, q, g.Upstream)
 	if r == nil {
 		s.giveBack(now, q, from, core.GrantID(g.Id))
 		return refused
@@ -33,7 +32,7 @@
 	if len(s.held) == 0 {
 		s.progress = now.Add(progressEvery)
 	}
-	s.held[slot] = &held{owner: from, grant: g, request: r.Request}
+	s.held[slot] = &held{owner: from, service: u.Service, grant: g}
 	granted := core.Record{Request: r.Request, What: "granted", Upstream: g.Upstream, Owner: from, Grant: slot.id}
 	if r.Once {
 		return append(append(refused, granted), s.claim(now, r, slot)...)
@@ -193,7 +192,7 @@
 		}
 		m := &wire.Held{Id: uint64(key.id), Cost: h.cost}
 		if full {
-			m.Upstream, m.Service, m.Organisation, m.Class = key.upstream, h.grant.Service, h.grant.Organisation, h.grant.Class
+			m.Upstream, m.Service, m.Organisation, m.Class = key.upstream, h.service, h.grant.Organisation, h.grant.Class
 		}
 		out = append(out, m)
 	}
--- a/internal/entry/outbox.go
+++ b/internal/entry/outbox.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/jujubeford/jujubeford/internal/core"
@@ -12,7 +14,7 @@
 type outbox struct{ to map[core.RouterID]*parcel }
 
 type parcel struct {
-	demand   []*wire.Queue
+	demand   map[string][]*wire.Queue // by service
 	settled  []*wire.Settled
 	progress []*wire.Held
 	listed   bool
@@ -24,15 +26,15 @@
 func (o *outbox) parcel(to core.RouterID) *parcel {
 	p := o.to[to]
 	if p == nil {
-		p = &parcel{}
+		p = &parcel{demand: make(map[string][]*wire.Queue)}
 		o.to[to] = p
 	}
 	return p
 }
 
-func (o *outbox) demand(to core.RouterID, q *wire.Queue) {
+func (o *outbox) demand(to core.RouterID, service string, q *wire.Queue) {
 	p := o.parcel(to)
-	p.demand = append(p.demand, q)
+	p.demand[service] = append(p.demand[service], q)
 }
 
 func (o *outbox) settle(to core.RouterID, s *wire.Settled) {
@@ -66,13 +68,22 @@
 			effects = append(effects, send(to, &wire.Envelope{Body: &wire.Envelope_Progress{Progress: &wire.Progress{Held: p.progress, Full: p.full}}}))
 		}
 		if len(p.demand) > 0 {
-			effects = append(effects, send(to, &wire.Envelope{Body: &wire.Envelope_Demand{Demand: &wire.Demand{Queues: p.demand}}}))
+			effects = append(effects, send(to, &wire.Envelope{Body: &wire.Envelope_Demand{Demand: p.message()}}))
 		}
 	}
 	*o = newOutbox()
 	return effects
 }
 
+// message is the demand of all services in one message.
+func (p *parcel) message() *wire.Demand {
+	m := &wire.Demand{}
+	for _, service := range slices.Sorted(maps.Keys(p.demand)) {
+		m.Services = append(m.Services, &wire.ServiceDemand{Service: service, Queues: p.demand[service]})
+	}
+	return m
+}
+
 func send(to core.RouterID, m *wire.Envelope) core.Effect {
 	return core.SendPeer{To: to, Message: m}
 }
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -20,8 +20,9 @@
 	// roundEvery the time between two rounds.
 	fanout     = 4
 	roundEvery = 25 * time.Millisecond
-	// repeatAfter is how often demand is repeated once all owners were asked.
-	repeatAfter = time.Second
+	// repeatAfter is how often demand is repeated once all owners were asked, for
+	// the sake of messages that got lost.
+	repeatAfter = 5 * time.Second
 	// rateWindow is the time over which grants to a queue are counted.
 	rateWindow = 4 * time.Second
 	// rateMin is how many grants in the window make the rate worth believing.
@@ -261,8 +262,8 @@
 	}
 	a.count, a.at = q.len(), now
 	head := q.requests[0]
-	s.pending.demand(owner, &wire.Queue{
-		Service: k.service, Organisation: k.organisation, Class: k.class,
+	s.pending.demand(owner, k.service, &wire.Queue{
+		Organisation: k.organisation, Class: k.class,
 		Waiting:  uint32(q.len()),
 		OldestMs: uint32(now.Sub(head.arrived).Milliseconds()),
 		Cost:     uint32(min(head.expected, 1<<31)),
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -2,12 +2,16 @@
 // service they have received for their share, across the whole fleet as far as
 // it is known here.
 //
-// Each organisation has a virtual time: the service charged to it, here and
-// elsewhere, divided by its share. The organisation with the least virtual time
-// is served next (start-time fair queueing). The cost of a request is unknown
-// until it ends, so an expected cost is charged when a slot is granted and
-// corrected as tokens stream; an organisation that was idle starts at the
-// present virtual time, so idleness earns no credit.
+// Each organisation has a virtual time: the service charged to it divided by its
+// share. The organisation with the least virtual time is served next (start-time
+// fair queueing). The cost of a request is unknown until it ends, so an expected
+// cost is charged when a slot is granted and corrected as tokens stream; an
+// organisation that was idle starts at the present virtual time, so idleness
+// earns no credit.
+//
+// All owners of a service learn of the same imbalance at about the same time. If
+// each made up for the whole of it they would overshoot together, so an owner
+// makes up for its own part: the fraction of the fleet's slots that it lends.
 package fair
 
 import "sort"
@@ -17,20 +21,23 @@
 	accounts map[string]*account
 	// shares are those of the organisations that differ from 1.
 	shares map[string]float64
-	// now is the virtual time of the last organisation picked; it never falls.
-	now float64
+	// part is the fraction of the fleet's slots that is lent here.
+	part float64
+	// last is the virtual time of the last organisation picked.
+	last float64
 }
 
 type account struct {
 	share float64
-	// own is what owners here charged, settled or streamed so far; monotonic.
+	// time is the virtual time of what was charged.
+	time float64
+	// own is what was charged here so far, settled or streamed; monotonic.
 	own uint64
+	// told is own at the last word on what others charged, reported at the last
+	// report, and remote what others charged.
+	told, reported, remote uint64
 	// pending is the expected rest of the grants in flight here.
-	pending uint64
-	// remote is what other owners charged since this queue began to listen.
-	remote uint64
-	// lift stands for credit given up while idle, in virtual time.
-	lift       float64
+	pending    uint64
 	backlogged bool
 	// elsewhere tells that other owners saw the organisation backlogged.
 	elsewhere bool
@@ -38,9 +45,12 @@
 
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{accounts: make(map[string]*account), shares: make(map[string]float64)}
+	return &Queue{accounts: make(map[string]*account), shares: make(map[string]float64), part: 1}
 }
 
+// SetPart sets the fraction of the fleet's slots that is lent here, 0 to 1.
+func (q *Queue) SetPart(part float64) { q.part = part }
+
 // SetShare sets an organisation's share; shares under 1 count as 1. It makes no
 // account: most organisations are idle at most owners.
 func (q *Queue) SetShare(org string, share int) {
@@ -56,13 +66,25 @@
 func (q *Queue) SetBacklogged(org string, waiting bool) {
 	a := q.account(org)
 	if waiting && !a.backlogged && !a.elsewhere {
-		if behind := q.now - a.virtual(); behind > 0 {
-			a.lift += behind
+		if behind := q.now() - a.virtual(); behind > 0 {
+			a.time += behind
 		}
 	}
 	a.backlogged = waiting
 }
 
+// now is the present virtual time: the least of those that wait, or the last
+// one served if none does.
+func (q *Queue) now() float64 {
+	least, any := q.last, false
+	for _, a := range q.accounts {
+		if v := a.virtual(); a.backlogged && (!any || v < least) {
+			least, any = v, true
+		}
+	}
+	return least
+}
+
 // Pick returns the organisation with the least virtual time among the
 // candidates, "" if there are none. Ties go to the first in order of name.
 func (q *Queue) Pick(candidates []string) string {
@@ -76,7 +98,7 @@
 		}
 	}
 	if best != "" {
-		q.now = max(q.now, least)
+		q.last = least
 	}
 	return best
 }
@@ -90,6 +112,7 @@
 func (q *Queue) Charge(org string, cost, rest uint64) uint64 {
 	a := q.account(org)
 	a.own += cost
+	a.time += float64(cost) / a.share
 	used := min(cost, rest)
 	a.pending -= min(used, a.pending)
 	return rest - used
@@ -101,8 +124,30 @@
 	a.pending -= min(rest, a.pending)
 }
 
-// AddRemote adds service that other owners gave.
-func (q *Queue) AddRemote(org string, cost uint64) { q.account(org).remote += cost }
+// AddRemote takes what other owners charged since the last word. From now on
+// this owner's part of all that was charged counts, its own service since then
+// included.
+func (q *Queue) AddRemote(org string, cost uint64) {
+	a := q.account(org)
+	recent := float64(a.own - a.told)
+	a.time += (q.part*(recent+float64(cost)) - recent) / a.share
+	a.told = a.own
+	a.remote += cost
+}
+
+// Report returns the organisations that wait here, or were charged here since
+// the last report.
+func (q *Queue) Report() []Account {
+	var out []Account
+	for org, a := range q.accounts {
+		if a.backlogged || a.own != a.reported {
+			a.reported = a.own
+			out = append(out, a.account(org))
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Organisation < out[j].Organisation })
+	return out
+}
 
 // SetElsewhere tells whether other owners see the organisation backlogged.
 func (q *Queue) SetElsewhere(org string, waiting bool) { q.account(org).elsewhere = waiting }
@@ -128,7 +173,7 @@
 func (q *Queue) Accounts() []Account {
 	out := make([]Account, 0, len(q.accounts))
 	for org, a := range q.accounts {
-		out = append(out, Account{org, a.share, a.own, a.pending, a.remote, a.virtual(), a.backlogged})
+		out = append(out, a.account(org))
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Organisation < out[j].Organisation })
 	return out
@@ -146,6 +191,13 @@
 	return a
 }
 
+func (a *account) account(org string) Account {
+	return Account{
+		Organisation: org, Share: a.share, Own: a.own, Pending: a.pending, Remote: a.remote,
+		Virtual: a.virtual(), Backlogged: a.backlogged,
+	}
+}
+
 func (a *account) virtual() float64 {
-	return float64(a.own+a.pending+a.remote)/a.share + a.lift
+	return a.time + float64(a.pending)/a.share
 }
--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -132,7 +132,7 @@
 		sv.refresh(org)
 	}
 	return core.SendPeer{To: k.entry, Message: &wire.Envelope{Body: &wire.Envelope_Grant{Grant: &wire.Grant{
-		Id: uint64(id), Upstream: u.ID, Service: sv.name, Organisation: org, Class: k.class,
+		Id: uint64(id), Upstream: u.ID, Organisation: org, Class: k.class,
 	}}}}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -21,7 +21,7 @@
 	// entries tell it what they already hold.
 	carefulFor = 500 * time.Millisecond
 	// demandAge is how long an entry's demand counts without being repeated.
-	demandAge = 3 * time.Second
+	demandAge = 15 * time.Second
 	// reservedFraction of the slots is kept from long work while short work
 	// waits.
 	reservedFraction = 4
@@ -127,22 +127,12 @@
 func (s *State) Demand(now time.Time, from core.RouterID, m *wire.Demand) []core.Effect {
 	var effects []core.Effect
 	touched := make(map[string]bool)
-	for _, q := range m.Queues {
-		sv := s.service(q.Service)
-		byEntry := sv.demand[q.Organisation]
-		if byEntry == nil {
-			byEntry = make(map[entryClass]*demand)
-			sv.demand[q.Organisation] = byEntry
+	for _, d := range m.Services {
+		sv := s.service(d.Service)
+		for _, q := range d.Queues {
+			sv.wait(now, from, q)
 		}
-		byEntry[entryClass{from, q.Class}] = &demand{
-			waiting: q.Waiting,
-			oldest:  now.Add(-time.Duration(q.OldestMs) * time.Millisecond),
-			prefer:  q.Prefer,
-			cost:    uint64(max(q.Cost, 1)),
-			at:      now,
-		}
-		sv.refresh(q.Organisation)
-		touched[q.Service] = true
+		touched[d.Service] = true
 	}
 	for _, name := range sorted(touched) {
 		effects = append(effects, s.lend(now, s.services[name])...)
@@ -287,20 +277,26 @@
 // Wake is when Tick is next due; zero if never.
 func (s *State) Wake() time.Time { return s.next }
 
-// Counters are the counters of the organisations that wait here.
-func (s *State) Counters() []*wire.Counter {
+// Report returns the counters of the organisations that wait here or were served
+// here since the last report.
+func (s *State) Report() []*wire.Counter {
 	var out []*wire.Counter
 	for _, name := range sorted(s.services) {
-		sv := s.services[name]
-		for _, org := range sorted(sv.demand) {
+		for _, a := range s.services[name].queue.Report() {
 			out = append(out, &wire.Counter{
-				Service: name, Organisation: org, Served: sv.queue.Own(org), Backlogged: true,
+				Service: name, Organisation: a.Organisation, Served: a.Own, Backlogged: a.Backlogged,
 			})
 		}
 	}
 	return out
 }
 
+// Own is the service charged here, which never falls.
+func (s *State) Own(service, org string) uint64 { return s.service(service).queue.Own(org) }
+
+// SetPart sets the fraction of a service's slots in the fleet that is lent here.
+func (s *State) SetPart(service string, part float64) { s.service(service).queue.SetPart(part) }
+
 // AddRemote takes service that other owners gave.
 func (s *State) AddRemote(service, org string, cost uint64, backlogged bool) {
 	q := s.service(service).queue
@@ -336,6 +332,23 @@
 	}
 }
 
+// wait replaces an entry's word on one of its queues.
+func (sv *service) wait(now time.Time, from core.RouterID, q *wire.Queue) {
+	byEntry := sv.demand[q.Organisation]
+	if byEntry == nil {
+		byEntry = make(map[entryClass]*demand)
+		sv.demand[q.Organisation] = byEntry
+	}
+	byEntry[entryClass{from, q.Class}] = &demand{
+		waiting: q.Waiting,
+		oldest:  now.Add(-time.Duration(q.OldestMs) * time.Millisecond),
+		prefer:  q.Prefer,
+		cost:    uint64(max(q.Cost, 1)),
+		at:      now,
+	}
+	sv.refresh(q.Organisation)
+}
+
 // refresh tells the fair queue whether the organisation waits.
 func (sv *service) refresh(org string) {
 	waiting := false
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -82,6 +82,22 @@
 	return slices.SortedFunc(maps.Values(v.upstreams), func(a, b core.Upstream) int { return strings.Compare(a.ID, b.ID) })
 }
 
+// Parts returns, for each service, the fraction of its upstreams that this
+// router owns.
+func (v *View) Parts() map[string]float64 {
+	parts := make(map[string]float64, len(v.services))
+	for service, ids := range v.services {
+		owned := 0
+		for _, id := range ids {
+			if v.owners[id] == v.self {
+				owned++
+			}
+		}
+		parts[service] = float64(owned) / float64(len(ids))
+	}
+	return parts
+}
+
 // Known tells whether any upstream is known.
 func (v *View) Known() bool { return len(v.upstreams) > 0 }
 
--- a/internal/reducer/capacity_test.go
+++ b/internal/reducer/capacity_test.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		b.step(core.PeerMessage{From: owner, Message: &wire.Envelope{Body: &wire.Envelope_Grant{Grant: &wire.Grant{
-			Id: uint64(b.serial), Upstream: u.ID, Service: service, Organisation: org, Class: core.ClassShort,
+			Id: uint64(b.serial), Upstream: u.ID, Organisation: org, Class: core.ClassShort,
 		}}}})
 		return
 	}
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -61,6 +61,9 @@
 }
 
 func (s *State) viewChanged(now time.Time) {
+	for service, part := range s.view.Parts() {
+		s.owner.SetPart(service, part)
+	}
 	s.emit(s.owner.SetOwned(now, s.view.Owned()))
 	s.entry.ViewChanged(now)
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -212,7 +212,7 @@
 			CounterTotals: &wire.CounterTotals{Totals: totals},
 		}}}})
 	case *wire.Envelope_CounterTotals:
-		s.addRemote(s.counters.Totals(from, m.CounterTotals.Totals, s.owner.Counters()))
+		s.addRemote(s.counters.Totals(from, m.CounterTotals.Totals, s.owner.Own))
 	case *wire.Envelope_ClaimQuery, *wire.Envelope_ClaimReply:
 		s.decide(now, ev)
 	case *wire.Envelope_ConfigNotice, *wire.Envelope_ConfigFetch, *wire.Envelope_ConfigParts:
@@ -238,7 +238,7 @@
 	if s.options.Policy == PolicyBaseline || !s.counters.Due(now) {
 		return
 	}
-	effects, remotes := s.counters.Report(now, s.owner.Counters(), s.view.RouterIDs())
+	effects, remotes := s.counters.Report(now, s.owner.Report(), s.view.RouterIDs(), s.owner.Own)
 	s.emit(effects)
 	s.addRemote(remotes)
 	s.emit(s.owner.Seek(now, s.view.RouterIDs()))
