Give no credit in the ideal while nothing waits

An organisation with running but no waiting work kept its low service as a credit and was then served alone until it had caught up.

An organisation whose queue was empty now starts at the virtual time, the service of the organisation that was started last. The new test fails on the former code (3 of 40 starts in place of 20) and passes now.

Conclusion: the ideal is a fair queue by starting tags; waits were not concerned, as it was work-conserving before and after.

--- a/internal/loadgen/ideal/ideal.go
+++ b/internal/loadgen/ideal/ideal.go
@@ -3,8 +3,8 @@
 //
 // A free slot goes to the waiting organisation with the least service received
 // for its share. The queue knows the cost of a request when it starts and
-// charges it at once. An organisation that comes back from idle gets no credit
-// for the time it did not use.
+// charges it at once. An organisation gets no credit for the time during which
+// none of its work waited.
 package ideal
 
 import (
@@ -42,7 +42,6 @@
 		settings: s,
 		waiting:  make([][]int, len(s.Shares)),
 		service:  make([]float64, len(s.Shares)),
-		running:  make([]int, len(s.Shares)),
 		served:   make([]Served, len(jobs)),
 		free:     s.Slots,
 	}
@@ -65,46 +64,32 @@
 type queue struct {
 	jobs     []Job
 	settings Settings
-	// waiting, service and running have an entry for each organisation; service
-	// is in tokens per unit of share.
+	// waiting and service have an entry for each organisation; service is in
+	// tokens per unit of share.
 	waiting [][]int
 	service []float64
-	running []int
+	// virtual is the service of the organisation that was started last, before
+	// it was charged; it never goes back.
+	virtual float64
 	served  []Served
 	free    int
 	busy    ends
 }
 
+// arrive queues a job. An organisation that had nothing waiting starts at the
+// virtual time, so that it gets no credit for what it did not ask for.
 func (q *queue) arrive(job int) {
 	organisation := q.jobs[job].Organisation
-	if len(q.waiting[organisation]) == 0 && q.running[organisation] == 0 {
-		q.forgetIdle(organisation)
+	if len(q.waiting[organisation]) == 0 {
+		q.service[organisation] = max(q.service[organisation], q.virtual)
 	}
 	q.waiting[organisation] = append(q.waiting[organisation], job)
 }
 
-// forgetIdle lifts the service of an organisation that was idle to the least of
-// the active ones.
-func (q *queue) forgetIdle(organisation int) {
-	least, found := 0.0, false
-	for i, service := range q.service {
-		if len(q.waiting[i]) == 0 && q.running[i] == 0 {
-			continue
-		}
-		if !found || service < least {
-			least, found = service, true
-		}
-	}
-	if found {
-		q.service[organisation] = max(q.service[organisation], least)
-	}
-}
-
 // finishUntil frees the slots whose jobs end by a time and fills each again.
 func (q *queue) finishUntil(now time.Duration) {
 	for q.busy.Len() > 0 && q.busy[0].end <= now {
 		done := heap.Pop(&q.busy).(end)
-		q.running[q.jobs[done.job].Organisation]--
 		q.free++
 		q.start(done.end)
 	}
@@ -122,8 +107,8 @@
 		tokens := q.jobs[job].Tokens
 		finish := now + time.Duration(tokens)*q.settings.TokenTime
 		q.served[job] = Served{Begin: now, End: finish}
+		q.virtual = max(q.virtual, q.service[organisation])
 		q.service[organisation] += float64(tokens) / float64(q.settings.Shares[organisation])
-		q.running[organisation]++
 		q.free--
 		heap.Push(&q.busy, end{end: finish, job: job})
 	}
--- a/internal/loadgen/ideal/ideal_test.go
+++ b/internal/loadgen/ideal/ideal_test.go
@@ -55,6 +55,30 @@
 	g.Expect(after).To(BeNumerically("~", 10, 1), "the newcomer gets half, not all")
 }
 
+func TestScheduleGivesNoCreditForModestDemand(t *testing.T) {
+	g := NewWithT(t)
+	var jobs []Job
+	for range 400 {
+		jobs = append(jobs, Job{0, 0, 10})
+	}
+	// One job at a time, which is less than half of the four slots, then many.
+	for at := time.Duration(0); at < 500*ms; at += 10 * ms {
+		jobs = append(jobs, Job{at, 1, 10})
+	}
+	for range 100 {
+		jobs = append(jobs, Job{500 * ms, 1, 10})
+	}
+	served := Schedule(jobs, Settings{Slots: 4, TokenTime: ms, Shares: []int{1, 1}})
+	var after [2]int
+	for i, s := range served {
+		if s.Begin >= 500*ms && s.Begin < 600*ms {
+			after[jobs[i].Organisation]++
+		}
+	}
+	g.Expect(after[0]).To(BeNumerically("~", 20, 2))
+	g.Expect(after[1]).To(BeNumerically("~", 20, 2))
+}
+
 func TestScheduleNeverIdlesWhileWorkWaits(t *testing.T) {
 	g := NewWithT(t)
 	const seed, slots = 11, 3
