--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/quarantine"
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
@@ -31,7 +33,11 @@
 	}
 	if ev.Status >= serverError && s.mayRetry(now, r) {
 		effects := s.cancel(r, a)
-		return append(effects, s.retry(now, r, a)...)
+		return append(effects, s.retry(now, r, a.slot.upstream)...)
+	}
+	a.begun = true
+	if r.commit == a {
+		return s.firstAgain(r, a, ev.Status)
 	}
 	effects := []core.Effect{
 		core.Commit{Request: r.Request, Attempt: a.number},
@@ -49,6 +55,16 @@
 	return effects
 }
 
+// firstAgain takes the start of a resumed or moved stream.
+func (s *State) firstAgain(r *request, a *attempt, status int) []core.Effect {
+	if status != http.StatusOK {
+		// Another answer than the rest of the stream must not be mixed into it.
+		return append(s.cancel(r, a), s.refuse(r, statusBadGateway, core.ReasonUpstreamFailed, retryMin)...)
+	}
+	r.state = committed
+	return []core.Effect{core.Commit{Request: r.Request, Attempt: a.number}}
+}
+
 // mayRetry tells whether a server error may be tried again elsewhere: only for
 // model work, whose answer is the engine's and not the application's.
 func (s *State) mayRetry(now time.Time, r *request) bool {
@@ -58,7 +74,7 @@
 // retriable tells whether work that may have run may be sent again.
 func (s *State) retriable(now time.Time, r *request) bool {
 	return r.Idempotent && !r.Once && r.commit == nil && !r.callerGone &&
-		len(r.attempts) < attemptsMost && now.Before(r.deadline) && s.gates.Retry(now, r.Service)
+		len(r.attempts) < attemptsMost && now.Before(r.deadline) && s.gates.Retry(r.Service)
 }
 
 // Progress takes how far a committed stream has come.
@@ -67,8 +83,9 @@
 	if a == nil || a.finished {
 		return nil
 	}
+	r.tokens += ev.Tokens - min(ev.Tokens, a.cost)
 	a.cost = max(a.cost, ev.Tokens)
-	r.tokens = max(r.tokens, ev.Tokens)
+	s.measure(now, r, a, ev.Tokens)
 	if h := s.held[a.slot]; h != nil {
 		h.cost = a.cost
 	}
@@ -112,7 +129,7 @@
 	effects = append(effects, s.suspect(now, r, a, ev.Failure)...)
 	effects = append(effects, core.Record{Request: r.Request, What: "failed", Upstream: a.slot.upstream, Detail: ev.Failure.String()})
 	if r.commit == a {
-		return append(effects, s.resume(now, r, a)...)
+		return append(effects, s.resume(now, r, a, ev)...)
 	}
 	s.release(a, a.cost)
 	r.avoid[a.slot.upstream] = now.Add(avoidFor)
@@ -135,7 +152,12 @@
 	}
 	unsent := !ev.Sent && len(r.attempts) < attemptsMost && now.Before(r.deadline)
 	if unsent || (ev.Sent && s.retriable(now, r)) {
-		return append(effects, s.retry(now, r, a)...)
+		if r.suspicions >= quarantine.Threshold && r.probes > 0 {
+			// One more crash may be one too many: Probed goes on.
+			r.state = probing
+			return effects
+		}
+		return append(effects, s.retry(now, r, a.slot.upstream)...)
 	}
 	reason := core.ReasonUpstreamFailed
 	if ev.Failure == core.FailSilent {
@@ -144,23 +166,26 @@
 	return append(effects, s.refuse(r, statusBadGateway, reason, retryMin)...)
 }
 
-func (s *State) retry(now time.Time, r *request, a *attempt) []core.Effect {
-	r.avoid[a.slot.upstream] = now.Add(avoidFor)
+func (s *State) retry(now time.Time, r *request, failed string) []core.Effect {
+	r.avoid[failed] = now.Add(avoidFor)
 	s.enqueue(now, r, true)
 	return []core.Effect{
-		core.Record{Request: r.Request, What: "retried", Upstream: a.slot.upstream, Detail: "Back in its place in the queue."},
+		core.Record{Request: r.Request, What: "retried", Upstream: failed, Detail: "Back in its place in the queue."},
 		core.Observe{Metric: core.MetricRetried, Service: r.Service, Organisation: r.Organisation, Value: 1},
 	}
 }
 
-// resume continues a committed stream on a new connection to the same upstream,
-// or ends it with an explicit error.
-func (s *State) resume(now time.Time, r *request, a *attempt) []core.Effect {
+// resume goes on with a committed stream that broke off: on a new connection to
+// the same upstream, at another upstream, or by ending it with an explicit
+// error.
+func (s *State) resume(now time.Time, r *request, a *attempt, ev core.AttemptFailed) []core.Effect {
+	s.unhedge(r)
 	model := s.services[r.Service].Kind == config.Model
 	u, known := s.view.Upstream(a.slot.upstream)
-	if model && known && !r.callerGone && r.resumes < resumesMost {
+	resumable := model && known && a.begun && ev.Failure != core.FailDial && ev.Failure != core.FailStatus
+	if resumable && !r.callerGone && r.resumes < resumesMost {
 		r.resumes++
-		next := &attempt{number: core.Attempt(len(r.attempts) + 1), slot: a.slot, sentAt: now, sent: true, cost: a.cost}
+		next := &attempt{number: core.Attempt(len(r.attempts) + 1), slot: a.slot, sentAt: now, sent: true, begun: true, cost: a.cost}
 		a.finished = true
 		r.attempts = append(r.attempts, next)
 		r.commit = next
@@ -169,6 +194,9 @@
 			core.Record{Request: r.Request, What: "resumed", Upstream: u.ID},
 		}
 	}
+	if s.movable(r) {
+		return s.requeue(now, r, a)
+	}
 	s.release(a, a.cost)
 	var effects []core.Effect
 	if r.Once {
@@ -193,6 +221,8 @@
 	}
 	effects := s.notice(now, a.slot.upstream, wire.UpstreamState_UPSTREAM_CRASHED)
 	if u, ok := s.view.Upstream(a.slot.upstream); ok && f != core.FailDial {
+		r.suspicions++
+		r.probes++
 		effects = append(effects, core.Probe{Request: r.Request, Organisation: r.Organisation, Fingerprint: r.Body, Upstream: u.ID, Addr: u.Addr})
 	}
 	return effects
@@ -201,11 +231,23 @@
 // Probed takes whether an upstream that failed a request still stands. If not,
 // the request may be what crashed it.
 func (s *State) Probed(now time.Time, ev core.Probed) []core.Effect {
-	if ev.Alive {
-		return nil
-	}
 	p := ev.Probe
-	return s.gates.Crash(now, p.Organisation, p.Fingerprint, p.Upstream)
+	var effects []core.Effect
+	if !ev.Alive {
+		effects = s.gates.Crash(now, p.Organisation, p.Fingerprint, p.Upstream)
+	}
+	r := s.requests[p.Request]
+	if r == nil {
+		return effects
+	}
+	r.probes--
+	if r.state != probing || r.probes > 0 {
+		return effects
+	}
+	if until, blocked := s.gates.Blocked(now, r.Organisation, r.Body); blocked {
+		return append(effects, s.refusePoison(r, until.Sub(now))...)
+	}
+	return append(effects, s.retry(now, r, p.Upstream)...)
 }
 
 // leaving passes on an upstream's word that it is leaving.
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/claims"
@@ -20,22 +21,49 @@
 	q.granted(now, from)
 	_, known := s.view.Upstream(g.Upstream)
 	var r *request
+	var refused []core.Effect
 	if known {
-		r = q.take(now, g.Upstream)
+		r, refused = s.takeUnblocked(now, q, g.Upstream)
 	}
 	if r == nil {
 		s.giveBack(now, q, from, core.GrantID(g.Id))
-		return nil
+		return refused
 	}
 	slot := heldKey{g.Upstream, core.GrantID(g.Id)}
 	if len(s.held) == 0 {
 		s.progress = now.Add(progressEvery)
 	}
 	s.held[slot] = &held{owner: from, grant: g, request: r.Request}
+	granted := core.Record{Request: r.Request, What: "granted", Upstream: g.Upstream, Owner: from, Grant: slot.id}
 	if r.Once {
-		return s.claim(now, r, slot)
+		return append(append(refused, granted), s.claim(now, r, slot)...)
+	}
+	return append(append(refused, granted), s.send(now, r, slot)...)
+}
+
+// takeUnblocked takes the oldest request that may go to an upstream, and refuses
+// those that were quarantined while they waited.
+func (s *State) takeUnblocked(now time.Time, q *queue, upstream string) (*request, []core.Effect) {
+	var refused []core.Effect
+	for {
+		r := q.take(now, upstream)
+		if r == nil {
+			return nil, refused
+		}
+		until, blocked := s.gates.Blocked(now, r.Organisation, r.Body)
+		switch {
+		case !blocked:
+			return r, refused
+		case r.hedging:
+			r.hedging = false
+		default:
+			refused = append(refused, s.refusePoison(r, until.Sub(now))...)
+		}
 	}
-	return s.send(now, r, slot)
+}
+
+func (s *State) refusePoison(r *request, retry time.Duration) []core.Effect {
+	return s.refuse(r, http.StatusUnprocessableEntity, core.ReasonPoison, retry)
 }
 
 // giveBack returns a slot that nothing was run on. The owner forgets the demand
@@ -101,6 +129,9 @@
 	if r.Once {
 		s.gates.Sent(now, r.Request)
 	}
+	if r.commit != nil {
+		return s.proceed(now, r, a, u)
+	}
 	if r.hedging {
 		r.hedging = false
 		return []core.Effect{
@@ -109,6 +140,9 @@
 			core.Observe{Metric: core.MetricHedged, Service: r.Service, Organisation: r.Organisation, Value: 1},
 		}
 	}
+	if len(r.attempts) == 1 {
+		s.gates.FirstSend(r.Service)
+	}
 	s.planHedge(now, r)
 	waited := now.Sub(r.arrived)
 	return []core.Effect{
--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -29,6 +29,7 @@
 		if u == nil {
 			break
 		}
+		s.note(now, sv, owned, u, org, k.entry)
 		effects = append(effects, s.grant(now, sv, u, org, k, d))
 	}
 	s.schedule(now, sv, owned)
@@ -123,7 +124,8 @@
 	s.last++
 	id := s.prefix | s.last
 	key := grantKey{k.entry, id}
-	u.grants[key] = &grant{key: key, org: org, class: k.class, at: now, rest: d.cost, markedAt: now}
+	u.grants[key] = &grant{key: key, org: org, class: k.class, at: now, heard: now, rest: d.cost, markedAt: now}
+	s.next = timers.Earliest(s.next, now.Add(unheardAfter))
 	sv.queue.Expect(org, d.cost)
 	d.waiting--
 	if d.waiting == 0 {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -8,6 +8,7 @@
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/counters"
 	"github.com/jujubeford/jujubeford/internal/entry"
+	"github.com/jujubeford/jujubeford/internal/health"
 	"github.com/jujubeford/jujubeford/internal/membership"
 	"github.com/jujubeford/jujubeford/internal/owner"
 	"github.com/jujubeford/jujubeford/internal/placement"
@@ -44,6 +45,8 @@
 	// Routers is the number of routers that slice the upstreams under
 	// PolicyBaseline.
 	Routers int
+	// Disable switches mechanisms off; it is for tests only.
+	Disable Mechanism
 }
 
 // State is the whole state of a router.
@@ -54,6 +57,7 @@
 	rollout    *rollout.State
 	claims     *claims.State
 	quarantine *quarantine.State
+	health     *health.State
 	entry      *entry.State
 	owner      *owner.State
 	counters   *counters.State
@@ -66,6 +70,7 @@
 	ready      bool
 	drainSince time.Time
 	exited     bool
+	steps      steps
 
 	// now is the time of the step under way.
 	now      time.Time
@@ -82,6 +87,7 @@
 		rollout:    rollout.New(o.Self.ID),
 		claims:     claims.New(o.Self.ID),
 		quarantine: quarantine.New(),
+		health:     health.New(),
 		owner:      owner.New(o.Self.ID, uint16(o.Seed)),
 		counters:   counters.New(o.Self.ID),
 		alive:      make(map[core.RouterID]bool),
@@ -97,6 +103,10 @@
 // Step takes one event and returns what is to be done.
 func (s *State) Step(now time.Time, ev core.Event) []core.Effect {
 	s.now, s.out = now, nil
+	s.steps.note(now)
+	if s.options.Disable != 0 {
+		ev = s.weaken(ev)
+	}
 	s.handle(now, ev)
 	s.settle(now)
 	return s.out
@@ -143,6 +153,9 @@
 		s.viewChanged(now)
 	case core.ConfigHead:
 		s.emit(s.rollout.Step(now, ev))
+		if s.off(GenerationGuard) && ev.Config != nil {
+			s.emit([]core.Effect{core.Apply{Generation: ev.Generation, Config: ev.Config}})
+		}
 	case core.Drain:
 		s.drain(now)
 	case core.Expire:
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -45,6 +45,8 @@
 	id     string
 	prompt string
 	model  string
+	// skip is how many tokens of the answer came from elsewhere.
+	skip   int
 	length int
 }
 
@@ -63,6 +65,7 @@
 		id:           id,
 		seed:         promptSeed(j.prompt),
 		model:        j.model,
+		skip:         j.skip,
 		promptTokens: tokens,
 		cachedTokens: cached,
 		length:       j.length,
@@ -135,10 +138,11 @@
 	return true
 }
 
-// cancelAll ends all streams.
-func (b *batch) cancelAll() {
+// reset ends all streams and forgets the prefixes.
+func (b *batch) reset() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.cache = newPrefixCache(b.options.CacheBlocks)
 	for _, s := range b.streams {
 		b.drop(s)
 	}
