Wait for a stream fault to hit before the test's caller leaves

Cause of the hang: in the stalled row the caller left after five tokens, before the engine came to write the sixth, so that the fault stayed armed and stalled the resumed connection, which nobody ended. Ruled out: a fault in the resume itself, since the goroutine dump shows the resumed handler held by the fault.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -59,7 +59,7 @@
 // ask sends a request on a connection of its own.
 func (f fixture) ask(method, path, body string, header ...string) (*http.Response, error) {
 	f.t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
 	f.t.Cleanup(cancel)
 	request, err := http.NewRequestWithContext(ctx, method, f.url+path, strings.NewReader(body))
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -173,6 +173,11 @@
 			first := readStream(response, limit)
 			f.g.Expect(first.done).To(gomega.BeFalse())
 			f.g.Expect(first.events).To(gomega.Equal(before))
+			// The fault has hit this connection, so that it can't hit the next.
+			f.g.Eventually(func() int {
+				left := f.engine.batch.getFaults()
+				return left.Cut.Count + left.Stall.Count
+			}, eventually, poll).Should(gomega.BeZero())
 			_ = response.Body.Close()
 			second := readStream(f.chat(chatBody("hello", length, true), "Last-Event-ID", first.last), endless)
 			f.g.Expect(second.done).To(gomega.BeTrue())
