Find the loss of many routers at once as fast as that of one

Cause: a new test of a ring of 96 routers cut in two showed views that still counted routers of the other side after 30 s: each router pinged one neighbour a second, at most six updates travelled on a message, and a few views missed one.

Change: while a router is suspected every neighbour is pinged; a long queue puts a quarter of itself on a message; updates are passed on more often, and acks carry the round over all records too.

Ruled out: more pings in quiet times, which cost all the time.

--- a/internal/membership/converge_test.go
+++ b/internal/membership/converge_test.go
@@ -113,3 +113,26 @@
 		})
 	}
 }
+
+// TestRingRejoins checks that the halves of a large fleet find each other again
+// after a cut.
+func TestRingRejoins(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(seed)
+	n.start(3 * MeshLimit)
+	n.run(30 * time.Second)
+	expectViews(g, n)
+	n.cut = sides("r5")
+	n.run(15 * time.Second)
+	ids := n.ids()
+	for id, view := range n.views() {
+		for _, other := range view {
+			g.Expect(n.cut(id, other)).To(BeFalse(), "%s counts %s", id, other)
+		}
+	}
+	n.run(time.Minute)
+	n.cut = func(a, b core.RouterID) bool { return false }
+	n.run(30 * time.Second)
+	expectViews(g, n)
+	g.Expect(n.ids()).To(Equal(ids))
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -12,13 +12,16 @@
 )
 
 const (
-	// maxPiggyback is how many updates travel on one ping or ack.
-	maxPiggyback = 6
+	// minPiggyback is how many updates may travel on one ping or ack, and
+	// piggybackShare the part of a long queue that may, so that the loss of a
+	// whole failure domain spreads as fast as that of one router.
+	minPiggyback   = 6
+	piggybackShare = 4
 	// maxGossip is how many records travel in one message of a whole view.
 	maxGossip = 256
 	// spread times the decimal logarithm of the fleet's size is how often an
 	// update is passed on.
-	spread = 4
+	spread = 6
 )
 
 // message handles what a router sent; any message is a sign of life.
@@ -31,7 +34,7 @@
 	switch body := env.GetBody().(type) {
 	case *wire.Envelope_Ping:
 		s.merge(now, body.Ping.GetUpdates())
-		s.send(from, ack(body.Ping.GetSeq(), s.piggyback(r)))
+		s.send(from, ack(body.Ping.GetSeq(), s.news(r)))
 	case *wire.Envelope_Ack:
 		s.merge(now, body.Ack.GetUpdates())
 	case *wire.Envelope_Gossip:
@@ -160,11 +163,21 @@
 	s.updates.put(pendingUpdate{id: id, left: times})
 }
 
+// news is what the next ping or ack to r carries: updates, or without any the
+// next record of the round over all of them.
+func (s *State) news(r *record) []*wire.Member {
+	if updates := s.piggyback(r); len(updates) > 0 {
+		return updates
+	}
+	return []*wire.Member{s.nextRolling()}
+}
+
 // piggyback takes the updates for the next message to r. Its own record is left
 // out: tell sends that.
 func (s *State) piggyback(r *record) []*wire.Member {
 	var out []*wire.Member
-	taken := slices.Clone(s.updates[:min(len(s.updates), maxPiggyback)])
+	room := max(minPiggyback, len(s.updates)/piggybackShare)
+	taken := slices.Clone(s.updates[:min(len(s.updates), room)])
 	s.updates = slices.Delete(s.updates, 0, len(taken))
 	for _, u := range taken {
 		if m := s.recordOf(u.id); m != nil && u.id != r.id() {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
 const (
@@ -18,10 +19,14 @@
 	ringPings = 1
 )
 
-// pingSome pings the next neighbours of the current round.
+// pingSome pings the next neighbours of the current round. While a router is
+// suspected it pings all of them: failures tend to come together.
 func (s *State) pingSome(now time.Time) {
 	left := ringPings
-	if s.mesh() {
+	switch {
+	case s.suspecting():
+		left = len(s.neighbours)
+	case s.mesh():
 		left = meshPings
 	}
 	for range len(s.neighbours) {
@@ -35,6 +40,16 @@
 	}
 }
 
+// suspecting tells whether a router is under suspicion.
+func (s *State) suspecting() bool {
+	for id := range s.watched {
+		if s.members[id].state() == wire.MemberState_MEMBER_SUSPECT {
+			return true
+		}
+	}
+	return false
+}
+
 // nextToPing goes through the neighbours in rounds, each in a new random order,
 // so that the time between two pings to the same one is bounded.
 func (s *State) nextToPing() core.RouterID {
@@ -58,11 +73,7 @@
 	r.probeSeq = s.seq
 	r.probeUntil = now.Add(AckTimeout)
 	s.watch(r)
-	updates := s.piggyback(r)
-	if len(updates) == 0 {
-		updates = append(updates, s.nextRolling())
-	}
-	s.send(r.id(), ping(s.seq, updates))
+	s.send(r.id(), ping(s.seq, s.news(r)))
 }
 
 // arrange works the neighbours out anew if the fleet has changed.
