Expect the close of a bad connection, not the success of the write before it

Cause: TestBadFramesCloseTheConnection failed in two of four runs under the race detector. The router under test can close the connection before the sender's write call returns, and the test took that write's error for a fault.

Change: the test no longer asks for the write's success and checks in its place that the sender's own link broke; that the router reports the peer down and that no message came out of the bad frame are checked as before.

Ruled out: a wait before the close, which would only hide the order.

--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -224,9 +224,11 @@
 			g.Eventually(n.received, patience).Should(HaveLen(1))
 			stream, err := l.session.OpenStream()
 			g.Expect(err).NotTo(HaveOccurred())
-			_, err = stream.Write(row.input)
-			g.Expect(err).NotTo(HaveOccurred())
+			// The router may close the connection before the write returns, which
+			// is then an error; what counts is that it closes.
+			_, _ = stream.Write(row.input)
 			g.Eventually(n.seen, patience).Should(Equal([]string{"up z.1", "down z.1"}))
+			g.Eventually(l.isBroken, patience).Should(BeTrue())
 			g.Expect(n.received()).To(HaveLen(1))
 		})
 	}
