Report service-level burn over the fleet, as text, JSON and a page

Cause: objectives stood in the configuration and nothing measured them. Each router now keeps per-minute counts by organisation and service, sparse and bounded, and histograms by service; any router merges what the others have and names those it could not reach. Ruled out: organisations as metric labels, which would be thousands of series, and dense rings, which take 17 KB for each organisation whether it asks or not.

Seen at the end of the demo on 4 routers: status, explain and report through routers other than the one that served the request.

--- /dev/null
+++ b/internal/burn/document.go
@@ -0,0 +1,130 @@
+package burn
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// worstMost bounds the minutes with misses that one router tells of, the worst
+// first.
+const worstMost = 256
+
+// windowsMost bounds the windows of a report.
+const windowsMost = 6
+
+// Question asks a router for its figures.
+type Question struct {
+	// Windows are the lengths over which to add up, in minutes.
+	Windows []int `json:"windows"`
+}
+
+// Check refuses windows that no ledger can answer for.
+func (q Question) Check() error {
+	if len(q.Windows) == 0 || len(q.Windows) > windowsMost {
+		return errors.Errorf("%d windows: between 1 and %d are possible", len(q.Windows), windowsMost)
+	}
+	for _, w := range q.Windows {
+		if w < 1 || w > MinutesKept {
+			return errors.Errorf("a window of %d minutes: between 1 and %d are kept", w, MinutesKept)
+		}
+	}
+	return nil
+}
+
+// Document is one router's answer.
+type Document struct {
+	// Started is when the router's figures begin.
+	Started  time.Time         `json:"started"`
+	Taken    time.Time         `json:"taken"`
+	Dropped  uint64            `json:"dropped"`
+	Services []ServiceDocument `json:"services"`
+	Accounts []AccountDocument `json:"accounts"`
+	Worst    []AccountMinute   `json:"worst"`
+}
+
+// ServiceDocument is a service's part of a document.
+type ServiceDocument struct {
+	Name    string           `json:"name"`
+	Windows [][signals]Count `json:"windows"`
+	Minutes []Minute         `json:"minutes"`
+	Encoded [kinds]string    `json:"histograms"`
+}
+
+// AccountDocument is an organisation's part of a document.
+type AccountDocument struct {
+	Key
+	Windows [][signals]Count `json:"windows"`
+}
+
+// AccountMinute is a minute of an organisation with misses.
+type AccountMinute struct {
+	Key
+	Minute
+}
+
+// Document answers a question that was checked.
+func (l *Ledger) Document(now time.Time, q Question) (Document, error) {
+	doc := Document{Started: l.started, Taken: now, Dropped: l.dropped}
+	for _, name := range slices.Sorted(maps.Keys(l.services)) {
+		part, err := l.services[name].document(now, name, q)
+		if err != nil {
+			return Document{}, err
+		}
+		doc.Services = append(doc.Services, part)
+	}
+	for _, key := range l.accounts.Keys() {
+		account, _ := l.accounts.Peek(key)
+		account.forget(now.Unix() / 60)
+		doc.Accounts = append(doc.Accounts, AccountDocument{Key: key, Windows: account.windows(now, q)})
+		for i := range account.minutes {
+			if m := &account.minutes[i]; m.Bad() > 0 {
+				doc.Worst = append(doc.Worst, AccountMinute{Key: key, Minute: m.copied()})
+			}
+		}
+		if len(doc.Worst) > 2*worstMost {
+			doc.Worst = worst(doc.Worst, worstMost)
+		}
+	}
+	slices.SortFunc(doc.Accounts, func(a, b AccountDocument) int { return a.Key.compare(b.Key) })
+	doc.Worst = worst(doc.Worst, worstMost)
+	return doc, nil
+}
+
+func (s *service) document(now time.Time, name string, q Question) (ServiceDocument, error) {
+	s.forget(now.Unix() / 60)
+	part := ServiceDocument{Name: name, Windows: s.windows(now, q)}
+	for i := range s.minutes {
+		part.Minutes = append(part.Minutes, s.minutes[i].copied())
+	}
+	for kind := range s.histograms {
+		var err error
+		if part.Encoded[kind], err = s.histograms[kind].encoded(now); err != nil {
+			return part, err
+		}
+	}
+	return part, nil
+}
+
+func (s *series) windows(now time.Time, q Question) [][signals]Count {
+	out := make([][signals]Count, 0, len(q.Windows))
+	for _, minutes := range q.Windows {
+		out = append(out, s.sum(now, minutes))
+	}
+	return out
+}
+
+// worst keeps the minutes with the most misses, the worst first.
+func worst(list []AccountMinute, most int) []AccountMinute {
+	slices.SortFunc(list, func(a, b AccountMinute) int {
+		return cmp.Or(cmp.Compare(b.Bad(), a.Bad()), cmp.Compare(a.At, b.At), a.Key.compare(b.Key))
+	})
+	return list[:min(len(list), most)]
+}
+
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Service, other.Service), cmp.Compare(k.Organisation, other.Organisation))
+}
--- /dev/null
+++ b/internal/burn/merge.go
@@ -0,0 +1,191 @@
+package burn
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/config"
+)
+
+// Merger adds up the documents of routers.
+type Merger struct {
+	windows  []int
+	routers  []RouterPart
+	services map[string]*mergedService
+	accounts map[Key][][signals]Count
+	worst    map[accountAt]*Minute
+}
+
+type accountAt struct {
+	Key
+	at int64
+}
+
+type mergedService struct {
+	windows    [][signals]Count
+	minutes    map[int64]*Minute
+	histograms [kinds]*hdrhistogram.Histogram
+}
+
+// NewMerger returns a merger of answers to a question.
+func NewMerger(q Question) *Merger {
+	return &Merger{
+		windows:  q.Windows,
+		services: make(map[string]*mergedService),
+		accounts: make(map[Key][][signals]Count),
+		worst:    make(map[accountAt]*Minute),
+	}
+}
+
+// Missing notes that a router did not answer.
+func (m *Merger) Missing(router string, err error) {
+	m.routers = append(m.routers, RouterPart{Router: router, Error: err.Error()})
+}
+
+// Add adds a router's document. One that cannot be read counts as missing, and
+// nothing of it is added.
+func (m *Merger) Add(router string, doc *Document) {
+	decoded, err := m.decode(doc)
+	if err != nil {
+		m.Missing(router, err)
+		return
+	}
+	m.routers = append(m.routers, RouterPart{Router: router, Started: &doc.Started, Dropped: doc.Dropped})
+	for i := range doc.Services {
+		m.service(doc.Services[i].Name).add(&doc.Services[i], decoded[i])
+	}
+	for _, a := range doc.Accounts {
+		m.accounts[a.Key] = addWindows(m.accounts[a.Key], a.Windows)
+	}
+	for i := range doc.Worst {
+		w := &doc.Worst[i]
+		k := accountAt{w.Key, w.At}
+		if m.worst[k] == nil {
+			m.worst[k] = &Minute{At: w.At}
+		}
+		m.worst[k].add(&w.Minute)
+	}
+}
+
+// decode checks a document and decodes its histograms.
+func (m *Merger) decode(doc *Document) ([][kinds]*hdrhistogram.Histogram, error) {
+	for _, a := range doc.Accounts {
+		if len(a.Windows) != len(m.windows) {
+			return nil, errors.New("the answer has other windows than the question")
+		}
+	}
+	out := make([][kinds]*hdrhistogram.Histogram, len(doc.Services))
+	for i, s := range doc.Services {
+		if len(s.Windows) != len(m.windows) {
+			return nil, errors.New("the answer has other windows than the question")
+		}
+		for kind, text := range s.Encoded {
+			if text == "" {
+				continue
+			}
+			h, err := hdrhistogram.Decode([]byte(text))
+			if err != nil {
+				return nil, errors.Wrapf(err, "decode the histogram of %s", s.Name)
+			}
+			out[i][kind] = h
+		}
+	}
+	return out, nil
+}
+
+func (m *Merger) service(name string) *mergedService {
+	s := m.services[name]
+	if s == nil {
+		s = &mergedService{minutes: make(map[int64]*Minute)}
+		for kind := range s.histograms {
+			s.histograms[kind] = newHistogram()
+		}
+		m.services[name] = s
+	}
+	return s
+}
+
+func (s *mergedService) add(doc *ServiceDocument, decoded [kinds]*hdrhistogram.Histogram) {
+	s.windows = addWindows(s.windows, doc.Windows)
+	for i := range doc.Minutes {
+		one := &doc.Minutes[i]
+		if s.minutes[one.At] == nil {
+			s.minutes[one.At] = &Minute{At: one.At}
+		}
+		s.minutes[one.At].add(one)
+	}
+	for kind, h := range decoded {
+		if h != nil {
+			s.histograms[kind].Merge(h)
+		}
+	}
+}
+
+func addWindows(sum, more [][signals]Count) [][signals]Count {
+	if sum == nil {
+		sum = make([][signals]Count, len(more))
+	}
+	for i := range more {
+		for j := range more[i] {
+			sum[i][j].add(more[i][j])
+		}
+	}
+	return sum
+}
+
+// Report is what the documents add up to, under the objectives by service.
+func (m *Merger) Report(now time.Time, byService map[string]config.Objectives) Report {
+	out := Report{Taken: now, Windows: m.windows, Routers: slices.Clone(m.routers)}
+	slices.SortFunc(out.Routers, func(a, b RouterPart) int { return cmp.Compare(a.Router, b.Router) })
+	for _, name := range slices.Sorted(maps.Keys(m.services)) {
+		out.Services = append(out.Services, m.services[name].report(name, m.windows, byService[name]))
+	}
+	m.listOrganisations(&out, byService)
+	m.listWorst(&out)
+	return out
+}
+
+func (s *mergedService) report(name string, windows []int, o config.Objectives) ServiceReport {
+	r := ServiceReport{Name: name, Objectives: objectives(o, windows, s.windows), Latencies: []Latency{}, Minutes: []Minute{}}
+	for kind, h := range s.histograms {
+		if h.TotalCount() > 0 {
+			r.Latencies = append(r.Latencies, latency(Kind(kind), h))
+		}
+	}
+	for _, at := range slices.Sorted(maps.Keys(s.minutes)) {
+		r.Minutes = append(r.Minutes, *s.minutes[at])
+	}
+	return r
+}
+
+func (m *Merger) listOrganisations(out *Report, byService map[string]config.Objectives) {
+	out.Organisations = make([]OrganisationReport, 0, len(m.accounts))
+	for key, counts := range m.accounts {
+		list := objectives(byService[key.Service], m.windows, counts)
+		if len(list) > 0 {
+			out.Organisations = append(out.Organisations, OrganisationReport{Key: key, Objectives: list})
+		}
+	}
+	slices.SortFunc(out.Organisations, func(a, b OrganisationReport) int {
+		return cmp.Or(cmp.Compare(least(a.Objectives), least(b.Objectives)), a.Key.compare(b.Key))
+	})
+	listed := min(len(out.Organisations), organisationsMost)
+	out.Omitted = len(out.Organisations) - listed
+	out.Organisations = out.Organisations[:listed]
+}
+
+func (m *Merger) listWorst(out *Report) {
+	list := make([]AccountMinute, 0, len(m.worst))
+	for k, one := range m.worst {
+		list = append(list, AccountMinute{Key: k.Key, Minute: *one})
+	}
+	out.Worst = []WorstMinute{}
+	for _, w := range worst(list, minutesListed) {
+		out.Worst = append(out.Worst, WorstMinute{Key: w.Key, Start: w.Start(), Bad: w.Bad(), Cause: w.Cause()})
+	}
+}
--- /dev/null
+++ b/internal/cli/report.go
@@ -0,0 +1,80 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"net/url"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/internal/burn"
+	"github.com/jujubeford/jujubeford/internal/settings"
+)
+
+// reportPath is the document with the report.
+const reportPath = "/v1/report"
+
+// ReportCommand is the command "report".
+func ReportCommand() subcommands.Command {
+	return &reportCommand{adminFlags: adminFlags{console: newConsole()}}
+}
+
+// reportCommand prints the report on service-level burn.
+type reportCommand struct {
+	adminFlags
+	windows string
+}
+
+// Name is the command's name.
+func (*reportCommand) Name() string { return "report" }
+
+// Synopsis is the command in one line.
+func (*reportCommand) Synopsis() string { return "report how fast error budgets are spent" }
+
+// Usage is the command's help.
+func (*reportCommand) Usage() string {
+	return `report [-admin IP:port,...] [-o text|json|html] [-window 5m,1h,6h]:
+  Report the service-level burn of services and organisations over the routers
+  that the asked router can reach, with the worst minutes and their causes, and
+  say which routers are missing. The HTML form is one page with nothing outside
+  of it.
+`
+}
+
+// SetFlags registers the flags.
+func (c *reportCommand) SetFlags(fs *flag.FlagSet) {
+	c.register(settings.New(fs), formText, formJSON, formHTML)
+	c.windows = "5m,1h,6h"
+	c.set.String(&c.windows, "window", "`windows` of burn in whole minutes, divided by commas, of 6h at most", settings.Required)
+}
+
+// Execute runs the command.
+func (c *reportCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.set.Resolve(c.env); err != nil {
+		return c.refuse(err)
+	}
+	if fs.NArg() != 0 {
+		return c.refuse(errors.New("report takes no argument"))
+	}
+	var report burn.Report
+	if err := c.ask(ctx, reportPath+"?windows="+url.QueryEscape(c.windows), &report); err != nil {
+		return c.fail(err)
+	}
+	if err := c.print(&report); err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *reportCommand) print(report *burn.Report) error {
+	switch c.form {
+	case formJSON:
+		return printJSON(c.out, report)
+	case formHTML:
+		return printReportPage(c.out, report)
+	default:
+		printReport(c.out, report)
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/cli/report_text.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/burn"
+)
+
+// printReport prints the report as tables.
+func printReport(out io.Writer, r *burn.Report) {
+	fmt.Fprintf(out, "service-level burn at %s\n", r.Taken.UTC().Format(time.RFC3339))
+	printCoverage(out, r)
+	for _, s := range r.Services {
+		printServiceReport(out, r.Windows, s)
+	}
+	printOrganisations(out, r)
+	printWorst(out, r)
+}
+
+// printCoverage tells whose figures are in the report.
+func printCoverage(out io.Writer, r *burn.Report) {
+	merged, missing := coverage(r)
+	fmt.Fprintf(out, "figures of %d routers, %d missing\n", merged, len(missing))
+	for _, part := range missing {
+		fmt.Fprintf(out, "  missing: %s: %s\n", part.Router, part.Error)
+	}
+	for _, part := range r.Routers {
+		if part.Dropped > 0 {
+			fmt.Fprintf(out, "  %s dropped %d accounts at its bounds: their organisations show too little\n", part.Router, part.Dropped)
+		}
+	}
+}
+
+// coverage is how many routers were merged, and those that were not.
+func coverage(r *burn.Report) (merged int, missing []burn.RouterPart) {
+	for _, part := range r.Routers {
+		if part.Error == "" {
+			merged++
+			continue
+		}
+		missing = append(missing, part)
+	}
+	return merged, missing
+}
+
+func printServiceReport(out io.Writer, windows []int, s burn.ServiceReport) {
+	if len(s.Objectives) == 0 {
+		fmt.Fprintf(out, "\nSERVICE %s has no objectives.\n", s.Name)
+	} else {
+		t := newTable(out, "SERVICE "+s.Name, "OBJECTIVE BOUND TARGET "+windowHeads(windows)+" BUDGET-LEFT")
+		for _, o := range s.Objectives {
+			t.row(objectiveCells(o)...)
+		}
+		t.end()
+	}
+	t := newTable(out, "latency over the last hour", "TIME COUNT P50 P95 P99 MAX")
+	for _, l := range s.Latencies {
+		t.row(l.Kind, l.Count, msText(l.P50), msText(l.P95), msText(l.P99), msText(l.Max))
+	}
+	t.end()
+}
+
+func windowHeads(windows []int) string {
+	heads := make([]string, len(windows))
+	for i, minutes := range windows {
+		heads[i] = "BURN-" + strings.ToUpper(windowText(minutes))
+	}
+	return strings.Join(heads, " ")
+}
+
+// windowText is a window in the form in which it is asked for.
+func windowText(minutes int) string {
+	if minutes%60 == 0 {
+		return fmt.Sprintf("%dh", minutes/60)
+	}
+	return fmt.Sprintf("%dm", minutes)
+}
+
+func objectiveCells(o burn.ObjectiveReport) []any {
+	cells := []any{o.Signal, boundText(o.BoundMS), fmt.Sprintf("%.4g%%", 100*o.Target)}
+	return append(cells, burnCells(o)...)
+}
+
+// burnCells are the rates by window and the budget left.
+func burnCells(o burn.ObjectiveReport) []any {
+	var cells []any
+	for _, w := range o.Windows {
+		cells = append(cells, burnText(w))
+	}
+	return append(cells, fmt.Sprintf("%.0f%%", 100*o.BudgetLeft))
+}
+
+// burnText is a rate with the counts behind it.
+func burnText(w burn.Burn) string { return fmt.Sprintf("%.2f (%d/%d)", w.Rate, w.Bad, w.Total) }
+
+func boundText(ms float64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return msText(ms)
+}
+
+func msText(ms float64) string {
+	return time.Duration(ms * float64(time.Millisecond)).Round(100 * time.Microsecond).String()
+}
+
+// printOrganisations prints each organisation's objective with the least budget
+// left.
+func printOrganisations(out io.Writer, r *burn.Report) {
+	if len(r.Organisations) == 0 {
+		return
+	}
+	t := newTable(out, "ORGANISATIONS, the least budget left first",
+		"SERVICE ORGANISATION OBJECTIVE "+windowHeads(r.Windows)+" BUDGET-LEFT")
+	for _, org := range r.Organisations[:min(len(r.Organisations), rowsMost)] {
+		least := slices.MinFunc(org.Objectives, func(a, b burn.ObjectiveReport) int {
+			return cmp.Compare(a.BudgetLeft, b.BudgetLeft)
+		})
+		cells := append([]any{org.Service, org.Organisation, least.Signal}, burnCells(least)...)
+		t.row(cells...)
+	}
+	t.end()
+	more(out, len(r.Organisations))
+	if r.Omitted > 0 {
+		fmt.Fprintf(out, "%d organisations with more budget left are not in the report\n", r.Omitted)
+	}
+}
+
+func printWorst(out io.Writer, r *burn.Report) {
+	if len(r.Worst) == 0 {
+		fmt.Fprintln(out, "\nNo request missed its objectives.")
+		return
+	}
+	t := newTable(out, "WORST MINUTES", "MINUTE SERVICE ORGANISATION MISSES CAUSE")
+	for _, w := range r.Worst {
+		t.row(w.Start.UTC().Format("01-02T15:04Z"), w.Service, w.Organisation, w.Bad, w.Cause)
+	}
+	t.end()
+}
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/burn"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/peer"
 	"github.com/jujubeford/jujubeford/internal/reducer"
@@ -49,7 +50,7 @@
 	records  *records
 	queries  *queries
 	platform platformViews
-	burn     *burnLedger
+	burn     *ledger
 
 	index   atomic.Pointer[config.Index]
 	ready   atomic.Bool
@@ -83,7 +84,7 @@
 		client:  upstream.New(upstream.DefaultOptions()),
 		records: newRecords(),
 		queries: newQueries(),
-		burn:    newBurnLedger(),
+		burn:    &ledger{Ledger: burn.New(time.Now())},
 		fetch:   make(chan struct{}, 1),
 		store:   make(chan struct{}, storeCalls),
 		calls:   make(map[core.RequestID]*call),
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -42,7 +42,7 @@
 # ask ROUTER ORGANISATION TEXT sends a model request and prints its answer.
 ask() {
 	echo "--- $2 asks through r$1: $3"
-	curl -sfN --max-time 20 "http://$(router "$1")/v1/chat/completions" \
+	curl -sfN --max-time 20 -D "$DIR/headers.r$1" "http://$(router "$1")/v1/chat/completions" \
 		-H "Authorization: Bearer example-key-$2" -H 'Content-Type: application/json' \
 		-d "{\"model\":\"assistant-1\",\"stream\":true,\"max_tokens\":12,\"messages\":[{\"role\":\"user\",\"content\":\"$3\"}]}" |
 		words
@@ -79,7 +79,21 @@
 echo "A few seconds of load from all organisations:"
 bin/loadgen run -fleet "$DIR/fleet.yaml" -scenario scenarios/demo.yaml -o "$DIR/demo.json"
 
+# request_id FILE prints the id that an answer carried.
+request_id() { tr -d '\r' <"$1" | sed -n 's/^[Jj]ujubeford-[Rr]equest-[Ii]d: *//p'; }
+
+echo
+echo "The fleet as r4 knows it:"
+bin/jujubeford status -admin "$(admin 4)"
+
+id=$(request_id "$DIR/headers.r1")
+echo
+echo "What became of the first request, which r1 took in, asked of r3:"
+bin/jujubeford explain -admin "$(admin 3)" "$id"
+
 echo
-echo "The fleet as r1 knows it:"
-curl -sf --max-time 5 "http://$(admin 1)/v1/status" | head -c 2000 || echo "r1 gives no status"
+echo "Service-level burn over the fleet, asked of r4:"
+bin/jujubeford report -admin "$(admin 4)"
+bin/jujubeford report -admin "$(admin 4)" -o html >"$DIR/report.html"
 echo
+echo "The same as a page: $DIR/report.html"
