--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -21,6 +21,9 @@
 	waiting phase = iota
 	claiming
 	sent
+	// probing: an upstream that failed the request is being probed before the
+	// request is sent again.
+	probing
 	committed
 )
 
@@ -44,6 +47,10 @@
 	commit  *attempt
 	tokens  uint64
 	resumes int
+	moves   int
+	// suspicions are the attempts after which an upstream was probed, probes the
+	// answers still to come.
+	suspicions, probes int
 }
 
 // attempt is one send of a request.
@@ -52,8 +59,15 @@
 	slot   heldKey
 	sentAt time.Time
 	cost   uint64
+	// marked is the number of tokens at markedAt, slowReports how many reports
+	// in a row were slow.
+	marked      uint64
+	markedAt    time.Time
+	slowReports int
 	// sent tells that a byte may have reached the upstream.
-	sent     bool
+	sent bool
+	// begun tells that its answer has begun.
+	begun    bool
 	finished bool
 }
 
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -25,6 +25,9 @@
 
 func (s *State) membersChanged(now time.Time) {
 	alive := s.members.Alive()
+	if s.off(DeathDetection) {
+		alive = s.neverDead(alive)
+	}
 	if len(alive) == 0 {
 		// A router that drains alone still owns what its callers wait for.
 		alive = []core.Peer{s.options.Self}
@@ -73,7 +76,10 @@
 
 // finish ends the process once nothing is left to do.
 func (s *State) finish(now time.Time) {
-	if s.exited || s.drainSince.IsZero() || s.entry.Requests() > 0 || now.Sub(s.drainSince) < handoverFor {
+	if s.exited || s.drainSince.IsZero() {
+		return
+	}
+	if (s.entry.Requests() > 0 || now.Sub(s.drainSince) < handoverFor) && !s.off(DrainWait) {
 		return
 	}
 	s.exited = true
@@ -91,6 +97,9 @@
 type gates struct{ s *State }
 
 func (g *gates) Blocked(now time.Time, org string, fingerprint [32]byte) (time.Time, bool) {
+	if g.s.off(QuarantineBlock) {
+		return time.Time{}, false
+	}
 	return g.s.quarantine.Blocked(now, org, fingerprint)
 }
 
@@ -116,10 +125,16 @@
 	return g.s.quarantine.Crash(now, org, fingerprint, upstream)
 }
 
-func (g *gates) First(time.Time, string, string, time.Duration) {}
+func (g *gates) First(now time.Time, service, upstream string, latency time.Duration) {
+	g.s.health.First(upstream, service, now, latency)
+}
+
+func (g *gates) FirstSend(service string) { g.s.health.Sent(service) }
 
-func (g *gates) Retry(time.Time, string) bool { return true }
+func (g *gates) Retry(service string) bool { return g.s.health.Retry(service) }
 
-func (g *gates) HedgeDelay(time.Time, string) time.Duration { return 0 }
+func (g *gates) HedgeAfter(service string) (time.Duration, bool) {
+	return g.s.health.HedgeAfter(service)
+}
 
-func (g *gates) Hedge(time.Time, string) bool { return false }
+func (g *gates) Hedge(service string) bool { return g.s.health.Hedge(service) }
