Let a router that meets nobody own its failure domain's upstreams

Cause: owners were worked out only when the set of live routers changed, and it never changes for a router that starts while all others are cut off or that runs alone, so it listed its upstreams without an owner and refused all work with no-upstream. Found by `jujubeford status` on a fleet of one router. Ruled out: owning everything from the first step, which would lend the slots of others for the moments before the first peer is heard of; it waits a second.

--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -9,7 +9,7 @@
 
 // follow carries changes of membership and configuration to the other parts.
 func (s *State) follow(now time.Time) {
-	if c := s.members.Changes(); c != s.changes {
+	if c := s.members.Changes(); c != s.changes || s.alone(now) {
 		s.changes = c
 		s.membersChanged(now)
 	}
@@ -23,6 +23,12 @@
 	}
 }
 
+// alone tells that this router has met no other for so long that it takes the
+// upstreams of its failure domain itself: the others may all be cut off.
+func (s *State) alone(now time.Time) bool {
+	return len(s.view.Alive()) == 0 && s.drainSince.IsZero() && now.Sub(s.steps.started) >= aloneAfter
+}
+
 func (s *State) membersChanged(now time.Time) {
 	alive := s.members.Alive()
 	if s.off(DeathDetection) {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -36,6 +36,10 @@
 // leaving is known and its upstreams have new owners.
 const handoverFor = time.Second
 
+// aloneAfter is how long a router that has just started waits for others before
+// it serves alone.
+const aloneAfter = time.Second
+
 // Options are the settings of a reducer.
 type Options struct {
 	Self   core.Peer
