--- /dev/null
+++ b/router/metrics_table.go
@@ -0,0 +1,84 @@
+package router
+
+import "github.com/jujubeford/jujubeford/internal/core"
+
+// instrumentKind is the kind of an OpenTelemetry instrument.
+type instrumentKind string
+
+// The kinds of instrument.
+const (
+	kindHistogram instrumentKind = "histogram"
+	kindCounter   instrumentKind = "counter"
+	// kindTotal is a counter that is read when it is asked for.
+	kindTotal instrumentKind = "total"
+	kindGauge instrumentKind = "gauge"
+)
+
+// The names of the instruments that the runtime itself feeds.
+const (
+	nameRefused       = "jujubeford.request.refused"
+	nameRequests      = "jujubeford.requests"
+	nameReady         = "jujubeford.ready"
+	nameGeneration    = "jujubeford.config.generation"
+	nameRouters       = "jujubeford.routers"
+	nameUpstreams     = "jujubeford.upstreams"
+	nameSlots         = "jujubeford.upstream.slots"
+	nameWaiting       = "jujubeford.backlog.requests"
+	nameOrganisations = "jujubeford.backlog.organisations"
+	nameGap           = "jujubeford.backlog.gap"
+	nameDropped       = "jujubeford.burn.dropped"
+	namePeerBytes     = "jujubeford.peer"
+	nameKindBytes     = "jujubeford.peer.kind"
+	nameKindMessages  = "jujubeford.peer.messages"
+)
+
+// The labels.
+const (
+	labelService   = "service"
+	labelReason    = "reason"
+	labelOutcome   = "outcome"
+	labelState     = "state"
+	labelDirection = "direction"
+	labelKind      = "kind"
+)
+
+// instrument describes one instrument. docs/METRICS.md lists them all.
+type instrument struct {
+	name   string
+	kind   instrumentKind
+	unit   string
+	labels []string
+	what   string
+	// metric is what the reducer observes; 0 if the runtime feeds it.
+	metric core.Metric
+}
+
+var byService = []string{labelService}
+
+// instruments are all instruments of a router. Their labels are services,
+// states, outcomes, reasons and kinds of message, whose numbers are bounded, and
+// never organisations: 3,400 of them would be too many series.
+var instruments = []instrument{
+	{nameRequests, kindGauge, "{request}", nil, "Requests taken in here that have not ended.", 0},
+	{"jujubeford.request.wait", kindHistogram, "s", byService, "Time a request waited for a slot.", core.MetricWait},
+	{"jujubeford.request.first", kindHistogram, "s", byService, "Time to the first byte of the answer.", core.MetricFirst},
+	{"jujubeford.request.answer", kindHistogram, "s", byService, "Time to the whole answer.", core.MetricAnswer},
+	{"jujubeford.token.gap", kindHistogram, "s", byService, "Largest time between tokens in a report period.", core.MetricGap},
+	{"jujubeford.served", kindCounter, "", byService, "Service given, in the service's unit.", core.MetricServed},
+	{"jujubeford.request.retried", kindCounter, "{send}", byService, "Sends after a request's first.", core.MetricRetried},
+	{"jujubeford.request.hedged", kindCounter, "{send}", byService, "Hedged sends.", core.MetricHedged},
+	{"jujubeford.request.moved", kindCounter, "{stream}", byService, "Streams that went on at another upstream.", core.MetricMoved},
+	{nameRefused, kindCounter, "{request}", []string{labelReason, labelOutcome}, "Refusals by reason and outcome.", 0},
+	{nameReady, kindGauge, "", nil, "1 if the router takes requests, else 0.", 0},
+	{nameGeneration, kindGauge, "{generation}", nil, "Generation of the configuration in force.", 0},
+	{nameRouters, kindGauge, "{router}", []string{labelState}, "Known routers by state, this one included.", 0},
+	{nameUpstreams, kindGauge, "{upstream}", []string{labelService, labelState}, "Upstreams that this router owns, by state.", 0},
+	{nameSlots, kindGauge, "{slot}", []string{labelService, labelState}, "Slots of the upstreams that this router owns, lent and free.", 0},
+	{nameWaiting, kindGauge, "{request}", byService, "Requests that wait for slots of this owner, as entries told.", 0},
+	{nameOrganisations, kindGauge, "{organisation}", byService, "Organisations that wait for slots of this owner.", 0},
+	{nameGap, kindGauge, "", byService, "Largest gap in service for the share between organisations that wait here.", 0},
+	{nameDropped, kindTotal, "{account}", nil, "Accounts of the burn report dropped at its bounds.", 0},
+	{namePeerBytes, kindTotal, "By", []string{labelDirection}, "Bytes between routers on their connections.", 0},
+	{nameKindBytes, kindTotal, "By", []string{labelKind}, "Bytes of messages sent to other routers, by kind.", 0},
+	{nameKindMessages, kindTotal, "{message}", []string{labelKind}, "Messages sent to other routers, by kind.", 0},
+}
