--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -34,10 +34,11 @@
 		s.progress = now.Add(progressEvery)
 	}
 	s.held[slot] = &held{owner: from, grant: g, request: r.Request}
+	granted := core.Record{Request: r.Request, What: "granted", Upstream: g.Upstream, Owner: from, Grant: slot.id}
 	if r.Once {
-		return append(refused, s.claim(now, r, slot)...)
+		return append(append(refused, granted), s.claim(now, r, slot)...)
 	}
-	return append(refused, s.send(now, r, slot)...)
+	return append(append(refused, granted), s.send(now, r, slot)...)
 }
 
 // takeUnblocked takes the oldest request that may go to an upstream, and refuses
@@ -128,6 +129,9 @@
 	if r.Once {
 		s.gates.Sent(now, r.Request)
 	}
+	if r.commit != nil {
+		return s.proceed(now, r, a, u)
+	}
 	if r.hedging {
 		r.hedging = false
 		return []core.Effect{
@@ -136,6 +140,9 @@
 			core.Observe{Metric: core.MetricHedged, Service: r.Service, Organisation: r.Organisation, Value: 1},
 		}
 	}
+	if len(r.attempts) == 1 {
+		s.gates.FirstSend(r.Service)
+	}
 	s.planHedge(now, r)
 	waited := now.Sub(r.arrived)
 	return []core.Effect{
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -178,7 +178,7 @@
 func (f *fleet) start(n *node) {
 	n.incarnation++
 	n.id = core.RouterID(fmt.Sprintf("%s.%d", n.name, n.incarnation))
-	n.up, n.ready, n.force = true, false, 0
+	n.up, n.ready, n.force, n.paused = true, false, 0, time.Time{}
 	n.linked = make(map[core.RouterID]bool)
 	n.sends = make(map[string]*run)
 	n.wakeAt = time.Time{}
--- a/internal/faults/load_test.go
+++ b/internal/faults/load_test.go
@@ -71,7 +71,7 @@
 		Services: []config.Service{
 			{
 				Name: modelService, Kind: config.Model, Model: "m", Slots: 4, MaxWait: 10 * time.Second,
-				SilentAfter: time.Second, Idempotent: true,
+				SilentAfter: time.Second, Idempotent: true, Continues: true,
 			},
 			{
 				Name: plainService, Kind: config.Plain, Prefix: "/booking/", Slots: 4, MaxWait: 10 * time.Second,
--- a/internal/faults/promises_test.go
+++ b/internal/faults/promises_test.go
@@ -48,9 +48,9 @@
 		if status.Requests > 0 {
 			f.breaks("%s still holds %d requests", n.name, status.Requests)
 		}
-		for _, u := range status.Owned.Upstreams {
-			if u.Lent > 0 {
-				f.breaks("%s still has %d slots of %s lent", n.name, u.Lent, u.ID)
+		for _, u := range status.Upstreams {
+			if u.Lent != nil && u.Lent.Lent > 0 {
+				f.breaks("%s still has %d slots of %s lent", n.name, u.Lent.Lent, u.ID)
 			}
 		}
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -8,6 +8,7 @@
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/counters"
 	"github.com/jujubeford/jujubeford/internal/entry"
+	"github.com/jujubeford/jujubeford/internal/health"
 	"github.com/jujubeford/jujubeford/internal/membership"
 	"github.com/jujubeford/jujubeford/internal/owner"
 	"github.com/jujubeford/jujubeford/internal/placement"
@@ -56,6 +57,7 @@
 	rollout    *rollout.State
 	claims     *claims.State
 	quarantine *quarantine.State
+	health     *health.State
 	entry      *entry.State
 	owner      *owner.State
 	counters   *counters.State
@@ -68,6 +70,7 @@
 	ready      bool
 	drainSince time.Time
 	exited     bool
+	steps      steps
 
 	// now is the time of the step under way.
 	now      time.Time
@@ -84,6 +87,7 @@
 		rollout:    rollout.New(o.Self.ID),
 		claims:     claims.New(o.Self.ID),
 		quarantine: quarantine.New(),
+		health:     health.New(),
 		owner:      owner.New(o.Self.ID, uint16(o.Seed)),
 		counters:   counters.New(o.Self.ID),
 		alive:      make(map[core.RouterID]bool),
@@ -99,6 +103,7 @@
 // Step takes one event and returns what is to be done.
 func (s *State) Step(now time.Time, ev core.Event) []core.Effect {
 	s.now, s.out = now, nil
+	s.steps.note(now)
 	if s.options.Disable != 0 {
 		ev = s.weaken(ev)
 	}
