--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -53,7 +53,11 @@
 	seen func(n *node, what any)
 	// duplicate, late and lossy act on messages between routers.
 	duplicate, late, lossy bool
+	// divided tells that a router missed messages at some time.
+	divided bool
 	policy                 reducer.Policy
+	// light makes the load's model requests small.
+	light bool
 	// served is the service delivered to each organisation.
 	served map[string]uint64
 	// disable are mechanisms of the routers that are switched off.
@@ -384,6 +388,7 @@
 
 // kill ends a node at once: its callers lose their connections.
 func (f *fleet) kill(n *node) {
+	f.divided = true
 	n.up = false
 	n.incarnation++
 	for _, id := range f.pending(n) {
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -103,6 +103,7 @@
 			r.fault.strike(f, n)
 		}
 	}
+	f.light = r.step.light
 	f.load(loadTime)
 	if r.step.cause != nil {
 		r.step.cause(f)
--- a/internal/faults/network_test.go
+++ b/internal/faults/network_test.go
@@ -79,6 +79,7 @@
 
 // dropLinks ends the connections that a cut goes through.
 func (f *fleet) dropLinks() {
+	f.divided = true
 	for _, n := range f.nodes {
 		for _, other := range f.nodes {
 			if n.linked[other.id] && f.parted(n, other) {
