Ask again for the instance list while none has come

Cause: a router that restarts while the platform is down asked each peer for the instance list once, when their connection stood. With messages getting lost the answer could be missing for good, and the router never became ready.

--- a/internal/reducer/listing.go
+++ b/internal/reducer/listing.go
@@ -18,6 +18,22 @@
 	}}}})
 }
 
+// fetchListingAgain asks one more peer while no list has come: the first word
+// may have got lost.
+func (s *State) fetchListingAgain() {
+	if s.listed || s.view.Known() {
+		return
+	}
+	peers := s.view.RouterIDs()
+	for range peers {
+		s.listingTurn = (s.listingTurn + 1) % len(peers)
+		if to := peers[s.listingTurn]; to != s.options.Self.ID {
+			s.fetchListing(to)
+			return
+		}
+	}
+}
+
 func (s *State) sendListing(to core.RouterID) {
 	if !s.view.Known() {
 		return
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -66,15 +66,17 @@
 	owner      *owner.State
 	counters   *counters.State
 
-	// listed tells that the platform gave an instance list.
-	listed     bool
-	changes    uint64
-	generation uint64
-	alive      map[core.RouterID]bool
-	ready      bool
-	drainSince time.Time
-	exited     bool
-	steps      steps
+	// listed tells that the platform gave an instance list, listingTurn which
+	// peer was asked for one last.
+	listed      bool
+	listingTurn int
+	changes     uint64
+	generation  uint64
+	alive       map[core.RouterID]bool
+	ready       bool
+	drainSince  time.Time
+	exited      bool
+	steps       steps
 
 	// now is the time of the step under way.
 	now      time.Time
@@ -242,6 +244,7 @@
 	if s.options.Policy == PolicyBaseline || !s.counters.Due(now) {
 		return
 	}
+	s.fetchListingAgain()
 	effects, remotes := s.counters.Report(now, s.owner.Report(), s.view.RouterIDs(), s.owner.Own)
 	s.emit(effects)
 	s.addRemote(remotes)
