--- /dev/null
+++ b/internal/owner/capacity_test.go
@@ -0,0 +1,120 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+const (
+	// benchService is the one service of the benchmark.
+	benchService = "model-0"
+	// benchUpstreams and benchSlots are what one owner has at the target: 600
+	// replicas before 420 routers, with 35,500 requests in flight.
+	benchUpstreams = 2
+	benchSlots     = 60
+	// benchEntries is how many routers tell of each backlogged organisation.
+	benchEntries = 8
+	// benchCost is the mean cost of a request, in tokens.
+	benchCost = 274
+)
+
+// lent is a grant under way.
+type lent struct {
+	entry core.RouterID
+	id    uint64
+	org   string
+}
+
+// busy is an owner all of whose slots are lent while organisations wait.
+type busy struct {
+	state *State
+	now   time.Time
+	lent  []lent
+	bytes int
+}
+
+func newBusy(b *testing.B, organisations int) *busy {
+	o := &busy{state: New("r000.1", 1), now: time.Unix(1_700_000_000, 0)}
+	c := &config.Config{Fleet: "bench", Services: []config.Service{{Name: benchService, Slots: benchSlots}}}
+	for i := range organisations {
+		c.Organisations = append(c.Organisations, config.Organisation{Name: benchOrg(i), Share: 1 + i%10})
+	}
+	o.state.Configure(o.now, c)
+	var owned []core.Upstream
+	for i := range benchUpstreams {
+		owned = append(owned, core.Upstream{ID: fmt.Sprintf("e%03d", i), Service: benchService})
+	}
+	o.state.SetOwned(o.now, owned)
+	o.now = o.now.Add(2 * carefulFor)
+	for i := range organisations {
+		for entry := range benchEntries {
+			o.demand(benchEntry(entry), benchOrg(i))
+		}
+	}
+	if len(o.lent) != benchUpstreams*benchSlots {
+		b.Fatalf("%d slots are lent", len(o.lent))
+	}
+	return o
+}
+
+func benchOrg(i int) string { return fmt.Sprintf("org-%04d", i) }
+
+func benchEntry(i int) core.RouterID { return core.RouterID(fmt.Sprintf("r%03d.%08x", i+1, i+1)) }
+
+// demand tells that four requests of an organisation wait at an entry.
+func (o *busy) demand(entry core.RouterID, org string) {
+	m := &wire.Demand{Services: []*wire.ServiceDemand{{Service: benchService, Queues: []*wire.Queue{{
+		Organisation: org, Class: core.ClassShort, Waiting: 4, OldestMs: 500, Cost: benchCost,
+	}}}}}
+	o.bytes += proto.Size(&wire.Envelope{Body: &wire.Envelope_Demand{Demand: m}})
+	o.take(o.state.Demand(o.now, entry, m))
+}
+
+// release gives the oldest grant back.
+func (o *busy) release() lent {
+	g := o.lent[0]
+	o.lent = o.lent[1:]
+	m := &wire.Release{Settled: []*wire.Settled{{Id: g.id, Cost: benchCost}}}
+	o.bytes += proto.Size(&wire.Envelope{Body: &wire.Envelope_Release{Release: m}})
+	o.take(o.state.Release(o.now, g.entry, m))
+	return g
+}
+
+func (o *busy) take(effects []core.Effect) {
+	for _, e := range effects {
+		if s, ok := e.(core.SendPeer); ok {
+			g := s.Message.GetGrant()
+			o.bytes += proto.Size(s.Message)
+			o.lent = append(o.lent, lent{s.To, g.GetId(), g.GetOrganisation()})
+		}
+	}
+}
+
+// BenchmarkRequest is the owner's part of a request while organisations are
+// backlogged: its demand, its grant and its release.
+func BenchmarkRequest(b *testing.B) {
+	for _, organisations := range []int{16, 50, 340} {
+		b.Run(fmt.Sprintf("backlogged=%d", organisations), func(b *testing.B) {
+			o := newBusy(b, organisations)
+			o.bytes = 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				o.now = o.now.Add(time.Millisecond)
+				g := o.release()
+				o.demand(g.entry, g.org)
+			}
+			b.ReportMetric(float64(o.bytes)/float64(b.N), "control-B/op")
+			if len(o.lent) != benchUpstreams*benchSlots {
+				b.Fatalf("%d slots are lent", len(o.lent))
+			}
+		})
+	}
+}
--- a/internal/reducer/capacity_test.go
+++ b/internal/reducer/capacity_test.go
@@ -112,16 +112,34 @@
 }
 
 func (b *bench) step(ev core.Event) {
+	var answers []core.PeerMessage
 	for _, e := range b.state.Step(b.now, ev) {
 		switch e := e.(type) {
 		case core.SendPeer:
 			b.bytes += proto.Size(e.Message)
+			answers = append(answers, pingAnswers(e)...)
 		case core.Send:
 			b.sends = append(b.sends, e)
 		case core.Refuse:
 			b.refuse++
 		}
 	}
+	for _, answer := range answers {
+		b.step(answer)
+	}
+}
+
+// pingAnswers are a pinged router's answer and, as all routers ping alike, a
+// ping of its own.
+func pingAnswers(e core.SendPeer) []core.PeerMessage {
+	ping := e.Message.GetPing()
+	if ping == nil {
+		return nil
+	}
+	return []core.PeerMessage{
+		{From: e.To, Message: &wire.Envelope{Body: &wire.Envelope_Ack{Ack: &wire.Ack{Seq: ping.Seq}}}},
+		{From: e.To, Message: &wire.Envelope{Body: &wire.Envelope_Ping{Ping: &wire.Ping{Seq: ping.Seq}}}},
+	}
 }
 
 // request takes one request through its life: it is granted here or by the
@@ -180,12 +198,17 @@
 	}
 }
 
+// calm is the time until the news of a whole fleet that started at once has gone
+// round.
+const calm = 5 * time.Minute
+
 // BenchmarkIdleSecond is what a second without requests costs: membership,
 // counters and timers.
 func BenchmarkIdleSecond(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(s.String(), func(b *testing.B) {
 			fleet := newBench(s)
+			fleet.pass(calm)
 			fleet.bytes = 0
 			b.ResetTimer()
 			for range b.N {
