Measure a second of an entry at the target's load, and a message between routers

The benchmark of one request left out what a held slot costs: the list of held grants that goes to every owner each second, and the demand that is told to all owners of a service while work waits. Estimating them from the requests' figure was ruled out, since they grow with owners and time, not with requests.

--- /dev/null
+++ b/internal/peer/capacity_test.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+// benchNode is a transport that passes on what it receives.
+type benchNode struct {
+	*Transport
+	id       core.RouterID
+	addr     string
+	up       chan struct{}
+	received chan *wire.Envelope
+}
+
+func (n *benchNode) PeerUp(*wire.Member)    { n.up <- struct{}{} }
+func (n *benchNode) PeerDown(core.RouterID) {}
+func (n *benchNode) DialFailed(string)      {}
+
+func (n *benchNode) Message(_ core.RouterID, env *wire.Envelope) { n.received <- env }
+
+func startBench(b *testing.B, name string) *benchNode {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	n := &benchNode{
+		id: core.RouterID(name + ".1"), addr: listener.Addr().String(),
+		up: make(chan struct{}, 1), received: make(chan *wire.Envelope, 1),
+	}
+	member := &wire.Member{Id: string(n.id), Name: name, Domain: "a", PeerAddr: n.addr, Version: 1}
+	n.Transport = New(Options{Self: func() *wire.Member { return member }, Key: testKey, Handler: n})
+	go n.Serve(listener)
+	b.Cleanup(func() { n.Close(b.Context()) })
+	return n
+}
+
+// processorTime is what this process has used so far.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkMessage is a small message from one router to another, one at a time
+// as between routers that have little to say. An operation is a message there
+// and one back; the processor time is that of sending and receiving one.
+func BenchmarkMessage(b *testing.B) {
+	from, to := startBench(b, "a"), startBench(b, "b")
+	from.Dial(to.addr)
+	<-from.up
+	<-to.up
+	demand := &wire.Envelope{Body: &wire.Envelope_Demand{Demand: &wire.Demand{Services: []*wire.ServiceDemand{{
+		Service: "model-0", Queues: []*wire.Queue{{Organisation: "org-0001", Class: core.ClassShort, Waiting: 4, OldestMs: 500, Cost: 274}},
+	}}}}}
+	before := from.Stats().SentBytes
+	b.ResetTimer()
+	start := processorTime(b)
+	for range b.N {
+		from.Send(to.id, demand)
+		to.Send(from.id, <-to.received)
+		<-from.received
+	}
+	const messages = 2
+	b.ReportMetric(float64(processorTime(b)-start)/float64(b.N)/messages, "cpu-ns/message")
+	b.ReportMetric(float64(from.Stats().SentBytes-before)/float64(b.N), "B/message")
+}
--- a/internal/reducer/capacity_test.go
+++ b/internal/reducer/capacity_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"runtime"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +47,8 @@
 	bytes  int
 	sends  []core.Send
 	refuse int
+	// watch sees each message that is sent, if set.
+	watch func(*wire.Envelope)
 }
 
 func newBench(s size) *bench {
@@ -99,7 +104,7 @@
 		name := fmt.Sprintf("model-%d", i)
 		names = append(names, name)
 		c.Services = append(c.Services, config.Service{
-			Name: name, Kind: config.Model, Model: name, Slots: 64, MaxWait: 10 * time.Second,
+			Name: name, Kind: config.Model, Model: name, Slots: 64, MaxWait: time.Minute,
 			SilentAfter: 5 * time.Second, Idempotent: true,
 		})
 	}
@@ -117,6 +122,9 @@
 		switch e := e.(type) {
 		case core.SendPeer:
 			b.bytes += proto.Size(e.Message)
+			if b.watch != nil {
+				b.watch(e.Message)
+			}
 			answers = append(answers, pingAnswers(e)...)
 		case core.Send:
 			b.sends = append(b.sends, e)
@@ -237,3 +245,162 @@
 		})
 	}
 }
+
+// The load of one entry at the target: requests a second, how long one holds its
+// slot, and how often its progress is told to the reducer.
+const (
+	entryRate     = 2700.0 / 420
+	holdFor       = 13 * time.Second
+	progressEvery = 168 * time.Millisecond
+	// steadyAfter is when as many requests end as arrive.
+	steadyAfter = 15
+)
+
+// traffic is an entry under the target's load.
+type traffic struct {
+	*bench
+	// backlog is how many requests wait all the time.
+	backlog int
+	waiting []waitingRequest
+	flights []flight
+	// due is the part of a request that is still to arrive.
+	due float64
+	// byKind are the bytes and messages sent and received, by kind.
+	byKind map[string]volume
+}
+
+type waitingRequest struct {
+	id           core.RequestID
+	service, org string
+}
+
+type flight struct {
+	core.Send
+	ends time.Time
+	cost uint64
+}
+
+type volume struct{ bytes, messages int }
+
+// second lets a second pass: requests arrive, wait, are granted by other
+// routers, stream and end.
+func (t *traffic) second() {
+	end := t.now.Add(time.Second)
+	for t.now.Before(end) {
+		t.pass(progressEvery)
+		t.stream()
+		for t.due += entryRate * progressEvery.Seconds(); t.due >= 1; t.due-- {
+			t.arrive()
+		}
+	}
+}
+
+func (t *traffic) arrive() {
+	t.serial++
+	// What waits belongs to a few organisations, each with one model.
+	org := t.serial % max(t.backlog, models)
+	r := waitingRequest{
+		id:      core.RequestID(fmt.Sprintf("r000.0-%d", t.serial)),
+		service: fmt.Sprintf("model-%d", org%models), org: fmt.Sprintf("org-%04d", org),
+	}
+	t.waiting = append(t.waiting, r)
+	t.step(core.Arrive{Request: r.id, Organisation: r.org, Service: r.service, Idempotent: true, Hint: 300})
+	t.started()
+	for len(t.waiting) > t.backlog {
+		before := len(t.waiting)
+		t.lend(t.waiting[0])
+		t.started()
+		if len(t.waiting) == before {
+			return
+		}
+	}
+}
+
+// lend grants a slot of the next upstream of another router's.
+func (t *traffic) lend(r waitingRequest) {
+	ups := t.state.view.Upstreams(r.service)
+	for i := range ups {
+		u := ups[(t.serial+i)%len(ups)]
+		owner := t.state.view.Owner(u.ID)
+		if owner == t.state.options.Self.ID {
+			continue
+		}
+		t.serial++
+		m := &wire.Envelope{Body: &wire.Envelope_Grant{Grant: &wire.Grant{
+			Id: uint64(t.serial) | 1<<40, Upstream: u.ID, Organisation: r.org, Class: core.ClassShort,
+		}}}
+		t.count(m)
+		t.step(core.PeerMessage{From: owner, Message: m})
+		return
+	}
+}
+
+// started moves what was sent from the queue to the flights.
+func (t *traffic) started() {
+	for _, s := range t.sends {
+		t.waiting = slices.DeleteFunc(t.waiting, func(r waitingRequest) bool { return r.id == s.Request })
+		t.flights = append(t.flights, flight{Send: s, ends: t.now.Add(holdFor)})
+	}
+	sends := t.sends
+	t.sends = t.sends[:0]
+	for _, s := range sends {
+		t.step(core.AttemptFirst{Request: s.Request, Attempt: s.Attempt, Status: 200})
+	}
+}
+
+// stream tells the progress of the flights and ends those that are due.
+func (t *traffic) stream() {
+	flights := t.flights
+	t.flights = nil
+	for _, f := range flights {
+		if !t.now.Before(f.ends) {
+			t.step(core.AttemptDone{Request: f.Request, Attempt: f.Attempt, Status: 200, Cost: f.cost})
+			continue
+		}
+		f.cost += 4
+		t.step(core.AttemptProgress{Request: f.Request, Attempt: f.Attempt, Tokens: f.cost, Gap: 42 * time.Millisecond})
+		t.flights = append(t.flights, f)
+	}
+	t.started()
+}
+
+// count adds a message up by its kind.
+func (t *traffic) count(m *wire.Envelope) {
+	kind := fmt.Sprintf("%T", m.Body)
+	kind = strings.ToLower(strings.TrimPrefix(kind, "*wire.Envelope_"))
+	v := t.byKind[kind]
+	t.byKind[kind] = volume{v.bytes + proto.Size(m), v.messages + 1}
+}
+
+// BenchmarkEntrySecond is a second of an entry at the target's load, with so
+// many of its requests waiting all the time. Grants are the bytes received, all
+// others those sent.
+func BenchmarkEntrySecond(b *testing.B) {
+	for _, s := range sizes {
+		for _, backlog := range []int{0, 8, 34} {
+			b.Run(fmt.Sprintf("routers=%d/backlog=%d", s.routers, backlog), func(b *testing.B) {
+				t := &traffic{bench: newBench(s), backlog: backlog, byKind: make(map[string]volume)}
+				t.pass(calm)
+				t.watch = t.count
+				for range steadyAfter {
+					t.second()
+				}
+				clear(t.byKind)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					t.second()
+				}
+				for _, kind := range slices.Sorted(maps.Keys(t.byKind)) {
+					v := t.byKind[kind]
+					b.ReportMetric(float64(v.bytes)/float64(b.N), kind+"-B/op")
+					b.ReportMetric(float64(v.messages)/float64(b.N), kind+"-msgs/op")
+				}
+				b.ReportMetric(float64(len(t.flights)), "held")
+				if t.refuse > 0 {
+					b.Fatalf("%d requests were refused", t.refuse)
+				}
+			})
+		}
+	}
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -14,7 +14,7 @@
 ROUNDS=${ROUNDS:-8:16 16:16 32:16 64:16 8:3400 16:3400 32:3400}
 BENCHTIME=${BENCHTIME:-300x}
 # BENCHMARKS are the packages with benchmarks of capacity, besides config.
-BENCHMARKS="./internal/reducer ./internal/owner ./internal/counters ./internal/claims"
+BENCHMARKS="./internal/reducer ./internal/owner ./internal/counters ./internal/claims ./internal/peer"
 export DIR=${DIR:-out/cap} PORT_BASE=${PORT_BASE:-30000}
 # The target has 600 replicas before 420 routers and 7 failure domains; a fleet
 # here has 3 engines for 2 routers.
