Measure an owner's lists of held slots and its counters

The lists that entries send each second, and the counters that an owner reports, were left out of the owner's figure.

--- a/internal/owner/capacity_test.go
+++ b/internal/owner/capacity_test.go
@@ -21,6 +21,8 @@
 	benchSlots     = 60
 	// benchEntries is how many routers tell of each backlogged organisation.
 	benchEntries = 8
+	// benchWaiting is how many requests of each wait at each.
+	benchWaiting = 4
 	// benchCost is the mean cost of a request, in tokens.
 	benchCost = 274
 )
@@ -40,7 +42,7 @@
 	bytes int
 }
 
-func newBusy(b *testing.B, organisations int) *busy {
+func newBusy(b *testing.B, organisations, entries int, waiting uint32) *busy {
 	o := &busy{state: New("r000.1", 1), now: time.Unix(1_700_000_000, 0)}
 	c := &config.Config{Fleet: "bench", Services: []config.Service{{Name: benchService, Slots: benchSlots}}}
 	for i := range organisations {
@@ -54,8 +56,8 @@
 	o.state.SetOwned(o.now, owned)
 	o.now = o.now.Add(2 * carefulFor)
 	for i := range organisations {
-		for entry := range benchEntries {
-			o.demand(benchEntry(entry), benchOrg(i))
+		for entry := range entries {
+			o.demand(benchEntry(entry), benchOrg(i), waiting)
 		}
 	}
 	if len(o.lent) != benchUpstreams*benchSlots {
@@ -68,10 +70,10 @@
 
 func benchEntry(i int) core.RouterID { return core.RouterID(fmt.Sprintf("r%03d.%08x", i+1, i+1)) }
 
-// demand tells that four requests of an organisation wait at an entry.
-func (o *busy) demand(entry core.RouterID, org string) {
+// demand tells that so many requests of an organisation wait at an entry.
+func (o *busy) demand(entry core.RouterID, org string, waiting uint32) {
 	m := &wire.Demand{Services: []*wire.ServiceDemand{{Service: benchService, Queues: []*wire.Queue{{
-		Organisation: org, Class: core.ClassShort, Waiting: 4, OldestMs: 500, Cost: benchCost,
+		Organisation: org, Class: core.ClassShort, Waiting: waiting, OldestMs: 500, Cost: benchCost,
 	}}}}}
 	o.bytes += proto.Size(&wire.Envelope{Body: &wire.Envelope_Demand{Demand: m}})
 	o.take(o.state.Demand(o.now, entry, m))
@@ -102,14 +104,14 @@
 func BenchmarkRequest(b *testing.B) {
 	for _, organisations := range []int{16, 50, 340} {
 		b.Run(fmt.Sprintf("backlogged=%d", organisations), func(b *testing.B) {
-			o := newBusy(b, organisations)
+			o := newBusy(b, organisations, benchEntries, benchWaiting)
 			o.bytes = 0
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
 				o.now = o.now.Add(time.Millisecond)
 				g := o.release()
-				o.demand(g.entry, g.org)
+				o.demand(g.entry, g.org, benchWaiting)
 			}
 			b.ReportMetric(float64(o.bytes)/float64(b.N), "control-B/op")
 			if len(o.lent) != benchUpstreams*benchSlots {
@@ -118,3 +120,43 @@
 		})
 	}
 }
+
+// BenchmarkProgress is what an owner does with one entry's list of what it
+// holds; each second every entry sends one.
+func BenchmarkProgress(b *testing.B) {
+	o := newBusy(b, 16, benchEntries, benchWaiting)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		o.now = o.now.Add(10 * time.Millisecond)
+		g := o.lent[i%len(o.lent)]
+		m := &wire.Progress{}
+		for _, other := range o.lent {
+			if other.entry == g.entry {
+				m.Held = append(m.Held, &wire.Held{Id: other.id, Cost: uint64(i)})
+			}
+		}
+		o.state.Progress(o.now, g.entry, m)
+	}
+	b.ReportMetric(float64(len(o.lent))/benchEntries, "held/op")
+}
+
+// BenchmarkReport is how many counters an owner reports each second while its
+// slots are held by as many organisations, of which none waits.
+func BenchmarkReport(b *testing.B) {
+	const organisations = benchUpstreams * benchSlots
+	o := newBusy(b, organisations, 1, 1)
+	reported := 0
+	b.ResetTimer()
+	for i := range b.N {
+		byEntry := make(map[core.RouterID][]*wire.Held)
+		for _, g := range o.lent {
+			byEntry[g.entry] = append(byEntry[g.entry], &wire.Held{Id: g.id, Cost: uint64(i) + 1})
+		}
+		for entry, held := range byEntry {
+			o.state.Progress(o.now, entry, &wire.Progress{Held: held})
+		}
+		reported += len(o.state.Report())
+	}
+	b.ReportMetric(float64(reported)/float64(b.N), "counters/op")
+}
