Time the roll-out of a configuration in make capacity

The target asks for changes in force everywhere within 12 s, and nothing timed it. A round now changes one organisation's share and takes from the routers' logs when the generation came into force. The report of config submit was ruled out as the clock: in a fleet of 64 one router hears of the others' generations too late, so that submit counted 1 of 64 routers after 12 s.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -3,7 +3,8 @@
 # sizes, then fleets of real processes at several sizes, idle, loaded and
 # backlogged. Tables and JSON go to out/capacity. It takes about six minutes.
 #
-# From the environment: BENCHTIME, ROUNDS (as ROUTERS:ORGANISATIONS pairs),
+# From the environment: BENCHTIME, ROUNDS (as ROUTERS:ORGANISATIONS pairs), STATES,
+# TARGET (empty leaves the round at the target's rate out),
 # PARTS (bench, fleet), OUT, DIR and PORT_BASE.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,6 +13,8 @@
 OUT=${OUT:-out/capacity}
 PARTS=${PARTS:-bench fleet}
 ROUNDS=${ROUNDS:-8:16 16:16 32:16 64:16 8:3400 16:3400 32:3400}
+TARGET=${TARGET-1}
+STATES=${STATES:-idle rollout loaded backlogged}
 BENCHTIME=${BENCHTIME:-300x}
 # BENCHMARKS are the packages with benchmarks of capacity, besides config.
 BENCHMARKS="./internal/reducer ./internal/owner ./internal/counters ./internal/claims ./internal/peer"
@@ -120,17 +123,41 @@
 	bin/loadgen run -fleet "$DIR/fleet.yaml" -scenario "$OUT/$1.yaml" -o "$OUT/$1-$ROUTERS-$ORGANISATIONS.json" 2>/dev/null
 }
 
+# roll_out changes the share of one organisation, waits until that is in force at
+# all routers as one of them knows it, and takes from their logs when it was.
+roll_out() {
+	local start
+	bin/loadgen config -organisations "$ORGANISATIONS" -large 4 -slots "$SLOTS" >"$OUT/changed.yaml"
+	start=$(date +%H:%M:%S.%N)
+	bin/jujubeford config submit -store "$HOST:$((PORT_BASE + 500))" \
+		-admin "$HOST:$((PORT_BASE + 301))" -wait 12s "$OUT/changed.yaml" 2>&1 || true
+	awk -v start="$start" '
+		function seconds(time, part) { split(time, part, ":"); return part[1] * 3600 + part[2] * 60 + part[3] }
+		/generation in force/ && /generation=2$/ {
+			after = seconds($2) - seconds(start)
+			if (count++ == 0 || after < first) first = after
+			if (after > last) last = after
+		}
+		END { printf "in force at %d routers, the first %.2f s and the last %.2f s after the start\n", count, first, last }
+	' "$DIR"/r[0-9]*.log
+}
+
 # round ROUTERS ORGANISATIONS measures one fleet.
 round() {
+	local state
 	export ROUTERS=$1 ORGANISATIONS=$2
 	export ENGINES=$((ROUTERS * 3 / 2)) DOMAINS=$((ROUTERS < 16 ? 4 : 7))
 	write_scenario "$OUT/loaded.yaml" "$ORGANISATIONS" 0.267 10 30 3s
 	write_scenario "$OUT/backlogged.yaml" "$ORGANISATIONS" 1.07 60 100 12s
 	READY_SECONDS=60 scripts/fleet.sh up >/dev/null
 	sleep 1
-	window idle sleep "$IDLE_SECONDS"
-	window loaded load loaded
-	window backlogged load backlogged
+	for state in $STATES; do
+		case "$state" in
+		idle) window idle sleep "$IDLE_SECONDS" ;;
+		rollout) window rollout roll_out ;;
+		*) window "$state" load "$state" ;;
+		esac
+	done
 	scripts/fleet.sh down
 }
 
@@ -164,7 +191,7 @@
 	for point in $ROUNDS; do
 		round "${point%:*}" "${point#*:}"
 	done
-	target_round
+	[ -z "$TARGET" ] || target_round
 	rm -f "$OUT/before" "$OUT/after" "$OUT"/metrics.*
 	{
 		echo '['
