Let short work go first within a lead, over the slots that long work holds

Cause: a fixed reserve of slots for short work is too small when short work needs more than it, and it favoured short work without limit: an organisation that floods with short work could take the reserve beyond its share.

Change: an organisation with short work is weighed as if two grants to long work had not been charged to it, so the gap grows by at most that; where long work holds the reserved quarter of an engine's slots, short work goes over the slots. An entry at the owner itself goes first if it has waited nearly as long.

Ruled out: keeping reserved slots idle (capacity must not idle while work waits).

--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -85,20 +85,27 @@
 	return least
 }
 
-// Pick returns the organisation with the least virtual time among the
-// candidates, "" if there are none. Ties go to the first in order of name.
-func (q *Queue) Pick(candidates []string) string {
-	sort.Strings(candidates)
+// Candidate is an organisation with work that could be served now.
+type Candidate struct {
+	Organisation string
+	// Lead is the cost by which the organisation may be ahead and still go first.
+	Lead uint64
+}
+
+// Pick returns the organisation with the least virtual time, less its lead, among
+// the candidates, "" if there are none. Ties go to the first in order of name.
+func (q *Queue) Pick(candidates []Candidate) string {
 	var best string
 	var least float64
-	for _, org := range candidates {
-		v := q.account(org).virtual()
-		if best == "" || v < least {
-			best, least = org, v
+	for _, c := range candidates {
+		a := q.account(c.Organisation)
+		v := a.virtual() - float64(c.Lead)/a.share
+		if best == "" || v < least || (v == least && c.Organisation < best) {
+			best, least = c.Organisation, v
 		}
 	}
 	if best != "" {
-		q.last = least
+		q.last = q.account(best).virtual()
 	}
 	return best
 }
--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -4,13 +4,27 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/fair"
 	"github.com/jujubeford/jujubeford/internal/timers"
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
-// slowPatience is how long a request waits for a faster upstream before a slow
-// one is lent to it.
-const slowPatience = 150 * time.Millisecond
+const (
+	// slowPatience is how long a request waits for a faster upstream before a
+	// slow one is lent to it.
+	slowPatience = 150 * time.Millisecond
+	// ownPatience is by how much a request at another entry may be older than
+	// one at this router that is served before it.
+	ownPatience = 250 * time.Millisecond
+	// shortAge is added to the age of short work when it is weighed against long
+	// work of the same organisation.
+	shortAge = time.Second
+	// leadGrants is how many grants to long work an organisation with short work
+	// may be ahead.
+	leadGrants = 2
+	// costWeight is the weight of a new cost in the mean of long work.
+	costWeight = 0.1
+)
 
 func (s *State) lendAll(now time.Time) []core.Effect {
 	var effects []core.Effect
@@ -49,55 +63,91 @@
 // choose finds the next slot to lend: the organisation first, then its entry,
 // then the upstream.
 func (s *State) choose(now time.Time, sv *service, owned []*upstream) (*upstream, string, entryClass, *demand) {
-	shortWaits := sv.shortWaits()
-	orgs := make([]string, 0, len(sv.demand))
+	candidates := make([]fair.Candidate, 0, len(sv.demand))
 	for org, byEntry := range sv.demand {
+		fits, short := false, false
 		for k, d := range byEntry {
-			if d.waiting > 0 && pick(now, owned, k.class, d, shortWaits) != nil {
-				orgs = append(orgs, org)
-				break
+			if d.waiting > 0 && pick(now, owned, k.class, d) != nil {
+				fits = true
+				short = short || k.class == core.ClassShort
 			}
 		}
+		if fits {
+			candidates = append(candidates, fair.Candidate{Organisation: org, Lead: sv.lead(short)})
+		}
 	}
-	org := sv.queue.Pick(orgs)
+	org := sv.queue.Pick(candidates)
 	if org == "" {
 		return nil, "", entryClass{}, nil
 	}
-	var best *demand
-	var bestKey entryClass
-	for k, d := range sv.demand[org] {
-		if d.waiting == 0 || pick(now, owned, k.class, d, shortWaits) == nil {
+	k, d := s.chooseEntry(now, sv.demand[org], owned)
+	return pick(now, owned, k.class, d), org, k, d
+}
+
+// chooseEntry finds the entry that is served next for an organisation: the one
+// that has waited longest, or this router's own if it has waited nearly as long,
+// since a grant to it needs no message.
+func (s *State) chooseEntry(now time.Time, byEntry map[entryClass]*demand, owned []*upstream) (entryClass, *demand) {
+	var best, own *demand
+	var bestKey, ownKey entryClass
+	for k, d := range byEntry {
+		if d.waiting == 0 || pick(now, owned, k.class, d) == nil {
 			continue
 		}
 		if best == nil || before(d, k, best, bestKey) {
 			best, bestKey = d, k
 		}
+		if k.entry == s.self && (own == nil || before(d, k, own, ownKey)) {
+			own, ownKey = d, k
+		}
+	}
+	if own != nil && ownKey.class == bestKey.class && own.oldest.Sub(best.oldest) <= ownPatience {
+		return ownKey, own
 	}
-	return pick(now, owned, bestKey.class, best, shortWaits), org, bestKey, best
+	return bestKey, best
 }
 
-// before orders the demands of one organisation: short work first, then by age.
+// before orders the demands of one organisation by age, where short work counts
+// as older than it is.
 func before(a *demand, ak entryClass, b *demand, bk entryClass) bool {
-	if (ak.class == core.ClassShort) != (bk.class == core.ClassShort) {
-		return ak.class == core.ClassShort
+	aged, bged := a.aged(ak.class), b.aged(bk.class)
+	if !aged.Equal(bged) {
+		return aged.Before(bged)
+	}
+	return ak.entry < bk.entry || (ak.entry == bk.entry && ak.class < bk.class)
+}
+
+func (d *demand) aged(class core.Class) time.Time {
+	if class == core.ClassShort {
+		return d.oldest.Add(-shortAge)
+	}
+	return d.oldest
+}
+
+// lead is by how much cost an organisation with short work may be ahead of
+// others and still go first: so short work does not wait behind long, and the
+// gap between organisations grows by no more than that.
+func (sv *service) lead(short bool) uint64 {
+	if !short {
+		return 0
 	}
-	if !a.oldest.Equal(b.oldest) {
-		return a.oldest.Before(b.oldest)
+	return leadGrants * uint64(sv.longCost)
+}
+
+// learn takes the expected cost of a grant to long work.
+func (sv *service) learn(class core.Class, cost uint64) {
+	if class == core.ClassLong {
+		sv.longCost += costWeight * (float64(cost) - sv.longCost)
 	}
-	return ak.entry < bk.entry
 }
 
-// pick returns the upstream to lend for a demand, nil if none fits. Long work
-// does not take the reserved slots while short work waits; a slow upstream is
+// pick returns the upstream to lend for a demand, nil if none fits. Short work
+// goes over the slots where long work has taken the reserved ones; a slow upstream is
 // lent only to what has waited a while for a faster one.
-func pick(now time.Time, owned []*upstream, class core.Class, d *demand, shortWaits bool) *upstream {
+func pick(now time.Time, owned []*upstream, class core.Class, d *demand) *upstream {
 	var best *upstream
 	for _, u := range owned {
-		free := u.free(now)
-		if free == 0 {
-			continue
-		}
-		if class == core.ClassLong && shortWaits && u.long() >= u.slots-u.slots/reservedFraction {
+		if u.freeFor(now, class) == 0 {
 			continue
 		}
 		if u.speed.slow(now) && now.Sub(d.oldest) < slowPatience {
@@ -127,6 +177,7 @@
 	u.grants[key] = &grant{key: key, org: org, class: k.class, at: now, heard: now, rest: d.cost, markedAt: now}
 	s.next = timers.Earliest(s.next, now.Add(unheardAfter))
 	sv.queue.Expect(org, d.cost)
+	sv.learn(k.class, d.cost)
 	d.waiting--
 	if d.waiting == 0 {
 		sv.refresh(org)
@@ -136,17 +187,6 @@
 	}}}}
 }
 
-func (sv *service) shortWaits() bool {
-	for _, byEntry := range sv.demand {
-		for k, d := range byEntry {
-			if k.class == core.ClassShort && d.waiting > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // schedule sets the next Tick: when a slot opens by itself, when waiting work
 // becomes patient enough for a slow upstream, or when demand may be stale.
 func (s *State) schedule(now time.Time, sv *service, owned []*upstream) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -22,8 +22,8 @@
 	carefulFor = 500 * time.Millisecond
 	// demandAge is how long an entry's demand counts without being repeated.
 	demandAge = 15 * time.Second
-	// reservedFraction of the slots is kept from long work while short work
-	// waits.
+	// reservedFraction of the slots may be lent to short work over the slots,
+	// where long work holds them.
 	reservedFraction = 4
 	// lostAfter is the age at which a grant that its entry does not list any
 	// more counts as given back.
@@ -51,10 +51,13 @@
 
 // service is what waits for one service and how it is shared.
 type service struct {
-	name   string
-	slots  int
-	queue  *fair.Queue
-	demand map[string]map[entryClass]*demand // by organisation
+	name    string
+	slots   int
+	batches bool
+	queue   *fair.Queue
+	// longCost is the mean expected cost of long work.
+	longCost float64
+	demand   map[string]map[entryClass]*demand // by organisation
 }
 
 type entryClass struct {
@@ -90,12 +93,14 @@
 	for _, sc := range c.Services {
 		sv := s.service(sc.Name)
 		sv.slots = max(1, sc.Slots/s.slices)
+		sv.batches = sc.Kind == config.Model
 		for _, org := range c.Organisations {
 			sv.queue.SetShare(org.Name, org.Share)
 		}
 	}
 	for _, u := range s.upstreams {
-		u.slots = s.service(u.Service).slots
+		sv := s.service(u.Service)
+		u.slots, u.batches = sv.slots, sv.batches
 	}
 	return s.lendAll(now)
 }
@@ -108,7 +113,7 @@
 		keep[u.ID] = true
 		have := s.upstreams[u.ID]
 		if have == nil {
-			have = newUpstream(u, s.service(u.Service).slots)
+			have = newUpstream(u, s.service(u.Service))
 			have.careful = now.Add(carefulFor)
 			s.upstreams[u.ID] = have
 		}
--- a/internal/owner/upstream.go
+++ b/internal/owner/upstream.go
@@ -19,7 +19,10 @@
 // upstream is an owned upstream with its slots.
 type upstream struct {
 	core.Upstream
-	slots    int
+	slots int
+	// batches tells that it is a model engine, which admits more than its slots
+	// and then runs all of them slower.
+	batches  bool
 	grants   map[grantKey]*grant
 	careful  time.Time // lent carefully until then
 	failures int
@@ -49,8 +52,8 @@
 	markedAt time.Time
 }
 
-func newUpstream(u core.Upstream, slots int) *upstream {
-	return &upstream{Upstream: u, slots: slots, grants: make(map[grantKey]*grant)}
+func newUpstream(u core.Upstream, sv *service) *upstream {
+	return &upstream{Upstream: u, slots: sv.slots, batches: sv.batches, grants: make(map[grantKey]*grant)}
 }
 
 // list takes the word of the instance list, which lags behind the upstream's
@@ -94,6 +97,26 @@
 	return max(0, limit-len(u.grants))
 }
 
+// freeFor is how many more slots may be lent to work of a class. Engines batch
+// continuously, so short work may go over the slots by as many reserved ones as
+// long work holds: it need not wait for long work to end.
+func (u *upstream) freeFor(now time.Time, class core.Class) int {
+	free := u.free(now)
+	if class != core.ClassShort || !u.batches || u.restrained(now) {
+		return free
+	}
+	over := min(u.reserve(), u.long()-(u.slots-u.reserve()))
+	return max(free, u.slots+max(0, over)-len(u.grants))
+}
+
+// restrained tells whether less than all slots are lent, whatever the class.
+func (u *upstream) restrained(now time.Time) bool {
+	return u.probing || now.Before(u.leaving) || now.Before(u.paused) || now.Before(u.careful)
+}
+
+// reserve is how many slots long work leaves to short work.
+func (u *upstream) reserve() int { return u.slots / reservedFraction }
+
 func (u *upstream) long() int {
 	n := 0
 	for _, g := range u.grants {
