Let short work go over the slots whenever long work is there

Cause: with six of eight slots held by long work and two by short, the next short request waited for one of the short ones, since it could go over the slots only for each slot that long work held above six.

Change: short work goes over the slots by as many as long work holds, at most a quarter of them.

Ruled out: a larger lead (organisations were within it).

--- a/internal/owner/upstream.go
+++ b/internal/owner/upstream.go
@@ -105,7 +105,7 @@
 	if class != core.ClassShort || !u.batches || u.restrained(now) {
 		return free
 	}
-	over := min(u.reserve(), u.long()-(u.slots-u.reserve()))
+	over := min(u.reserve(), u.long())
 	return max(free, u.slots+max(0, over)-len(u.grants))
 }
 
