Weigh all that waits before short work goes over the slots

Cause: over the slots only short work fits, so an organisation that floods with short work was the only candidate there and took them without end.

Change: over the slots, every organisation that waits is weighed, and short work gets a slot only if its organisation would go first anyway.

Ruled out: a smaller allowance (it would only slow the drift).

--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -60,38 +60,56 @@
 	return out
 }
 
+// room is what may be lent: the slots, or also what short work may take over
+// them.
+type room struct {
+	now   time.Time
+	owned []*upstream
+	over  bool
+}
+
 // choose finds the next slot to lend: the organisation first, then its entry,
-// then the upstream.
+// then the upstream. Over the slots, all that wait are weighed, also long work
+// that may not go there: short work takes no more than it would within them.
 func (s *State) choose(now time.Time, sv *service, owned []*upstream) (*upstream, string, entryClass, *demand) {
-	candidates := make([]fair.Candidate, 0, len(sv.demand))
+	for _, over := range []bool{false, true} {
+		r := room{now, owned, over}
+		org := sv.queue.Pick(r.candidates(sv))
+		if org == "" {
+			continue
+		}
+		if k, d := s.chooseEntry(r, sv.demand[org]); d != nil {
+			return r.pick(k.class, d), org, k, d
+		}
+	}
+	return nil, "", entryClass{}, nil
+}
+
+func (r room) candidates(sv *service) []fair.Candidate {
+	out := make([]fair.Candidate, 0, len(sv.demand))
 	for org, byEntry := range sv.demand {
 		fits, short := false, false
 		for k, d := range byEntry {
-			if d.waiting > 0 && pick(now, owned, k.class, d) != nil {
+			if d.waiting > 0 && (r.over || r.pick(k.class, d) != nil) {
 				fits = true
 				short = short || k.class == core.ClassShort
 			}
 		}
 		if fits {
-			candidates = append(candidates, fair.Candidate{Organisation: org, Lead: sv.lead(short)})
+			out = append(out, fair.Candidate{Organisation: org, Lead: sv.lead(short)})
 		}
 	}
-	org := sv.queue.Pick(candidates)
-	if org == "" {
-		return nil, "", entryClass{}, nil
-	}
-	k, d := s.chooseEntry(now, sv.demand[org], owned)
-	return pick(now, owned, k.class, d), org, k, d
+	return out
 }
 
 // chooseEntry finds the entry that is served next for an organisation: the one
 // that has waited longest, or this router's own if it has waited nearly as long,
 // since a grant to it needs no message.
-func (s *State) chooseEntry(now time.Time, byEntry map[entryClass]*demand, owned []*upstream) (entryClass, *demand) {
+func (s *State) chooseEntry(r room, byEntry map[entryClass]*demand) (entryClass, *demand) {
 	var best, own *demand
 	var bestKey, ownKey entryClass
 	for k, d := range byEntry {
-		if d.waiting == 0 || pick(now, owned, k.class, d) == nil {
+		if d.waiting == 0 || r.pick(k.class, d) == nil {
 			continue
 		}
 		if best == nil || before(d, k, best, bestKey) {
@@ -141,22 +159,22 @@
 	}
 }
 
-// pick returns the upstream to lend for a demand, nil if none fits. Short work
-// goes over the slots where long work has taken the reserved ones; a slow upstream is
-// lent only to what has waited a while for a faster one.
-func pick(now time.Time, owned []*upstream, class core.Class, d *demand) *upstream {
+// pick returns the upstream to lend for a demand, nil if none fits. A slow
+// upstream is lent only to what has waited a while for a faster one.
+func (r room) pick(class core.Class, d *demand) *upstream {
 	var best *upstream
-	for _, u := range owned {
-		if u.freeFor(now, class) == 0 {
-			continue
+	for _, u := range r.owned {
+		free := u.free(r.now)
+		if r.over {
+			free = u.over(r.now, class)
 		}
-		if u.speed.slow(now) && now.Sub(d.oldest) < slowPatience {
+		if free == 0 || (u.speed.slow(r.now) && r.now.Sub(d.oldest) < slowPatience) {
 			continue
 		}
 		if u.ID == d.prefer {
 			return u
 		}
-		if best == nil || better(u, best, now) {
+		if best == nil || better(u, best, r.now) {
 			best = u
 		}
 	}
--- a/internal/owner/upstream.go
+++ b/internal/owner/upstream.go
@@ -97,16 +97,14 @@
 	return max(0, limit-len(u.grants))
 }
 
-// freeFor is how many more slots may be lent to work of a class. Engines batch
-// continuously, so short work may go over the slots by as many reserved ones as
-// long work holds: it need not wait for long work to end.
-func (u *upstream) freeFor(now time.Time, class core.Class) int {
-	free := u.free(now)
+// over is how many slots may be lent over the limit to work of a class. Engines
+// batch continuously, so short work may go over the slots by as many reserved
+// ones as long work holds: it need not wait for long work to end.
+func (u *upstream) over(now time.Time, class core.Class) int {
 	if class != core.ClassShort || !u.batches || u.restrained(now) {
-		return free
+		return 0
 	}
-	over := min(u.reserve(), u.long())
-	return max(free, u.slots+max(0, over)-len(u.grants))
+	return max(0, u.slots+min(u.reserve(), u.long())-len(u.grants))
 }
 
 // restrained tells whether less than all slots are lent, whatever the class.
