Show that the fault matrix notices each mechanism that is switched off

A matrix that passes proves little until it is seen to fail. Ten mechanisms can now be switched off one at a time, and a test asserts for each that a named row then breaks the promise it guards.

--- /dev/null
+++ b/internal/faults/callers_test.go
@@ -0,0 +1,63 @@
+package faults
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// caller is what one caller was told.
+type caller struct {
+	arrive core.Arrive
+	node   *node
+	// gone tells that the caller closed its connection.
+	gone    bool
+	tokens  uint64
+	finals  []string
+	outcome core.Outcome
+	reason  core.Reason
+}
+
+func (f *fleet) final(id core.RequestID, kind string, outcome core.Outcome, reason core.Reason) {
+	c := f.callers[id]
+	if c.gone {
+		return
+	}
+	c.finals = append(c.finals, kind)
+	c.outcome, c.reason = outcome, reason
+}
+
+// arrive gives a request to a node.
+func (f *fleet) arrive(n *node, ev core.Arrive) {
+	f.serial++
+	ev.Request = core.RequestID(fmt.Sprintf("%s-%d", n.id, f.serial))
+	f.callers[ev.Request] = &caller{arrive: ev, node: n}
+	switch {
+	case !n.up:
+		f.callers[ev.Request].finals = []string{"no connection"}
+	case !n.ready && n.state.Status().Generation == 0:
+		f.final(ev.Request, "refused", core.NotRun, core.ReasonNotReady)
+	default:
+		f.deliver(n, ev)
+	}
+}
+
+// leave closes a caller's connection.
+func (f *fleet) leave(id core.RequestID) {
+	c := f.callers[id]
+	c.finals, c.gone = []string{"gone"}, true
+	f.deliver(c.node, core.CallerGone{Request: id})
+}
+
+// pending lists the requests that wait for their end at a node.
+func (f *fleet) pending(n *node) []core.RequestID {
+	var out []core.RequestID
+	for _, id := range slices.Sorted(maps.Keys(f.callers)) {
+		if c := f.callers[id]; c.node == n && len(c.finals) == 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/internal/faults/fairness_test.go
+++ b/internal/faults/fairness_test.go
@@ -46,6 +46,7 @@
 }
 
 func TestGapStaysInBound(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name   string
 		spread spread
@@ -61,6 +62,7 @@
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := uint64(1); seed <= fairnessSeeds; seed++ {
 				f := newFleet(setup{seed: seed})
 				if row.fault != nil {
@@ -79,6 +81,7 @@
 // TestBaselineBreaksTheBound shows that the check can fail: routers that
 // schedule alone know nothing of each other.
 func TestBaselineBreaksTheBound(t *testing.T) {
+	t.Parallel()
 	f := newFleet(setup{seed: 1, policy: reducer.PolicyBaseline})
 	gap, bound := f.worstGap(uneven)
 	t.Logf("seed 1: gap %.0f, bound %.0f", gap, bound)
@@ -90,6 +93,7 @@
 // TestNobodyStarvesBesideAFlood pins one organisation with little work beside
 // one that floods every router.
 func TestNobodyStarvesBesideAFlood(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= fairnessSeeds; seed++ {
 		f := newFleet(setup{seed: seed})
 		for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
--- /dev/null
+++ b/internal/faults/mutation_test.go
@@ -0,0 +1,89 @@
+package faults
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/jujubeford/jujubeford/internal/reducer"
+)
+
+// mutation switches one mechanism off; the row must then break a promise, which
+// shows that the matrix would notice the lack.
+type mutation struct {
+	name   string
+	off    reducer.Mechanism
+	step   string
+	fault  string
+	breaks string
+}
+
+var mutations = []mutation{
+	{
+		"claims do not compare", reducer.ClaimCompare,
+		"a claim is written", "callers send their operations again through another router", "ran 2 times",
+	},
+	{
+		"holders of claims are not asked", reducer.ClaimQuestion,
+		"a claim is asked about", "messages come late and crossed", "ran 2 times",
+	},
+	{
+		"work that may have run counts as not run", reducer.SentCheck,
+		"a claim is asked about", "every plain upstream crashes", "ran 2 times",
+	},
+	{
+		"grants are not reconciled", reducer.GrantReconciliation,
+		"a slot is granted", "messages get lost", "lent",
+	},
+	{
+		"dead routers stay in the fleet", reducer.DeathDetection,
+		"ownership moves", "its router is killed and restarts without memory", "was not served after healing",
+	},
+	{
+		"older generations are applied", reducer.GenerationGuard,
+		"a configuration is accepted", "the platform serves a stale configuration to a restarted router",
+		"applied generation 1 after",
+	},
+	{
+		"poison requests are not refused", reducer.QuarantineBlock,
+		"a request is sent", "a request crashes each upstream and its caller sends it again", "one request crashed",
+	},
+	{
+		"a drain waits for nothing", reducer.DrainWait,
+		"an answer begins", "its router drains", "cut by the end of a drain",
+	},
+	{
+		"upstreams' own word is not passed on", reducer.LeavingWord,
+		"a request is sent", "an upstream leaves by its own word", "got new work",
+	},
+	{
+		"the instance list's word is ignored", reducer.LeavingList,
+		"the instance list changes", "an upstream leaves by the lagging list", "got new work",
+	},
+}
+
+// TestMutationsAreNoticed shows for each mechanism that a row fails without it.
+func TestMutationsAreNoticed(t *testing.T) {
+	for _, m := range mutations {
+		t.Run(m.name, func(t *testing.T) {
+			r := m.row()
+			if r == nil {
+				t.Fatalf("there is no row %q with %q", m.step, m.fault)
+			}
+			r.run(matrixSeed, m.off)
+			all := strings.Join(r.broken, "\n")
+			if !r.struck || !strings.Contains(all, m.breaks) {
+				t.Errorf("seed %d: %s: expected %q among %q", matrixSeed, r, m.breaks, all)
+			}
+		})
+	}
+}
+
+// row is the row of the matrix that the mutation must break.
+func (m mutation) row() *row {
+	for _, r := range matrix() {
+		if r.step.name == m.step && r.fault.name == m.fault {
+			return r
+		}
+	}
+	return nil
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -45,6 +45,8 @@
 	turn int
 	// slices divides the slots of each upstream, at least 1.
 	slices int
+	// trusting keeps grants that no entry lists; it is for tests only.
+	trusting bool
 	// decisions are the latest grants, for operators.
 	decisions decisions
 }
@@ -85,6 +87,10 @@
 // Slice makes this owner lend only its fixed slice of each upstream's slots.
 func (s *State) Slice(routers int) { s.slices = routers }
 
+// TrustGrants switches off what frees grants whose release got lost; it is for
+// tests only, which show that their checks notice it.
+func (s *State) TrustGrants() { s.trusting = true }
+
 // Configure takes shares and slots from a configuration.
 func (s *State) Configure(now time.Time, c *config.Config) []core.Effect {
 	for _, sc := range c.Services {
@@ -276,7 +282,7 @@
 		sv.expire(now)
 	}
 	for _, u := range s.upstreams {
-		s.dropGrants(u, func(g *grant) bool { return now.Sub(g.heard) > unheardAfter })
+		s.dropGrants(u, func(g *grant) bool { return now.Sub(g.heard) > unheardAfter && !s.trusting })
 		if len(u.grants) > 0 {
 			s.next = timers.Earliest(s.next, now.Add(unheardAfter/2))
 		}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -96,6 +96,9 @@
 		s.view.Alone()
 		s.owner.Slice(max(o.Routers, 1))
 	}
+	if s.off(GrantReconciliation) {
+		s.owner.TrustGrants()
+	}
 	s.entry = entry.New(o.Self.ID, s.view, &gates{s})
 	return s
 }
