--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -36,6 +36,10 @@
 // leaving is known and its upstreams have new owners.
 const handoverFor = time.Second
 
+// aloneAfter is how long a router that has just started waits for others before
+// it serves alone.
+const aloneAfter = time.Second
+
 // Options are the settings of a reducer.
 type Options struct {
 	Self   core.Peer
@@ -62,15 +66,17 @@
 	owner      *owner.State
 	counters   *counters.State
 
-	// listed tells that the platform gave an instance list.
-	listed     bool
-	changes    uint64
-	generation uint64
-	alive      map[core.RouterID]bool
-	ready      bool
-	drainSince time.Time
-	exited     bool
-	steps      steps
+	// listed tells that the platform gave an instance list, listingTurn which
+	// peer was asked for one last.
+	listed      bool
+	listingTurn int
+	changes     uint64
+	generation  uint64
+	alive       map[core.RouterID]bool
+	ready       bool
+	drainSince  time.Time
+	exited      bool
+	steps       steps
 
 	// now is the time of the step under way.
 	now      time.Time
@@ -215,7 +221,7 @@
 			CounterTotals: &wire.CounterTotals{Totals: totals},
 		}}}})
 	case *wire.Envelope_CounterTotals:
-		s.addRemote(s.counters.Totals(from, m.CounterTotals.Totals, s.owner.Counters()))
+		s.addRemote(s.counters.Totals(from, m.CounterTotals.Totals, s.owner.Own))
 	case *wire.Envelope_ClaimQuery, *wire.Envelope_ClaimReply:
 		s.decide(now, ev)
 	case *wire.Envelope_ConfigNotice, *wire.Envelope_ConfigFetch, *wire.Envelope_ConfigParts:
@@ -241,7 +247,8 @@
 	if s.options.Policy == PolicyBaseline || !s.counters.Due(now) {
 		return
 	}
-	effects, remotes := s.counters.Report(now, s.owner.Counters(), s.view.RouterIDs())
+	s.fetchListingAgain()
+	effects, remotes := s.counters.Report(now, s.owner.Report(), s.view.RouterIDs(), s.owner.Own)
 	s.emit(effects)
 	s.addRemote(remotes)
 	s.emit(s.owner.Seek(now, s.view.RouterIDs()))
