--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -1,17 +1,17 @@
 // Package burn keeps the figures behind the report on service-level burn: how
 // many requests met their objectives, by service, organisation and minute.
 //
-// A router keeps a Ledger and answers a Question with a Document; Merge makes
+// A router keeps a Ledger and answers a Question with a Document; a Merger makes
 // one Report of the documents of many routers. The package is pure: times come
 // in with the calls, and nothing here is safe for concurrent use.
 //
 // Memory is bounded. Minutes without a request take none. A ledger keeps the
 // latest MinutesKept minutes of at most accountsMost organisations and services
-// and at most minutesMost minutes in all, which is under 40 MB; beyond these
-// bounds the account used least recently is dropped whole, so that its
-// organisation's earlier minutes are missing from the report, though not from
-// its service's totals. Ledger.Dropped counts such losses, and the report shows
-// them.
+// and at most minutesMost minutes in all, which is under 40 MB; histograms add
+// half a megabyte for each service. Beyond the bounds the account used least
+// recently is dropped whole, so that its organisation's earlier minutes are
+// missing from the report, though not from its service's totals. Ledger.Dropped
+// counts such losses, and the report shows them.
 package burn
 
 import (
--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,176 @@
+package burn
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+var (
+	noon     = time.Date(2026, 3, 1, 12, 0, 30, 0, time.UTC)
+	model    = config.Objectives{FirstToken: time.Second, TokenGap: 42 * time.Millisecond, Target: 0.9}
+	question = Question{Windows: []int{5, 60}}
+	fiddlers = Key{Service: "assistant", Organisation: "fiddlers"}
+	drummers = Key{Service: "assistant", Organisation: "drummers"}
+)
+
+func served(l *Ledger, at time.Time, k Key, wait, first time.Duration) {
+	l.Took(at, k, Wait, wait, model)
+	l.Took(at, k, First, first, model)
+	l.Took(at, k, Whole, first+time.Second, model)
+}
+
+func merged(t *testing.T, at time.Time, ledgers ...*Ledger) Report {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	m := NewMerger(question)
+	for i, l := range ledgers {
+		doc, err := l.Document(at, question)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		data, err := doc.Pack()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		doc, err = Unpack(data)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		m.Add(fmt.Sprintf("r%d", i+1), &doc)
+	}
+	return m.Report(at, map[string]config.Objectives{"assistant": model})
+}
+
+func TestBurnIsWorkedOutByWindowOverAllRouters(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := New(noon), New(noon)
+	for range 8 {
+		served(a, noon, fiddlers, 0, 100*time.Millisecond)
+	}
+	served(b, noon, fiddlers, 3*time.Second, 4*time.Second)
+	served(b, noon.Add(10*time.Minute), fiddlers, 0, time.Second)
+
+	r := merged(t, noon.Add(11*time.Minute), a, b)
+	first := r.Services[0].Objectives[0]
+	g.Expect(first.Signal).To(gomega.Equal("first token"))
+	g.Expect(first.Windows[0].Count).To(gomega.Equal(Count{Total: 1}), "the bound itself is met")
+	g.Expect(first.Windows[1].Count).To(gomega.Equal(Count{Total: 10, Bad: 1}))
+	g.Expect(first.Windows[1].Rate).To(gomega.BeNumerically("~", 1, 1e-9))
+	g.Expect(first.BudgetLeft).To(gomega.BeNumerically("~", 0, 1e-9))
+	g.Expect(r.Services[0].Latencies[0].Count).To(gomega.BeEquivalentTo(10))
+	g.Expect(r.Organisations).To(gomega.HaveLen(1))
+	g.Expect(r.Worst).To(gomega.ConsistOf(WorstMinute{
+		Key: fiddlers, Start: noon.Truncate(time.Minute), Bad: 1, Cause: CauseWaiting,
+	}))
+}
+
+func TestCauseOfAMinute(t *testing.T) {
+	rows := []struct {
+		name string
+		feed func(*Ledger)
+		want Cause
+	}{
+		{"most of the time was the wait for a slot", func(l *Ledger) { served(l, noon, fiddlers, time.Second, 2*time.Second) }, CauseWaiting},
+		{"most of the time was the upstream's", func(l *Ledger) { served(l, noon, fiddlers, 0, 2*time.Second) }, CauseSlow},
+		{"long gaps between tokens", func(l *Ledger) { l.Took(noon, fiddlers, Gap, time.Second, model) }, CauseSlow},
+		{"sent again", func(l *Ledger) {
+			l.Retried(noon, fiddlers)
+			served(l, noon, fiddlers, 0, 2*time.Second)
+		}, CauseRetried},
+		{"refusals, by their most frequent reason", func(l *Ledger) {
+			l.Refused(noon, fiddlers, core.ReasonNoUpstream)
+			l.Refused(noon, fiddlers, core.ReasonQueueFull)
+			l.Refused(noon, fiddlers, core.ReasonQueueFull)
+			served(l, noon, fiddlers, 0, 2*time.Second)
+		}, CauseRefused + "queue-full"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			l := New(noon)
+			row.feed(l)
+			r := merged(t, noon, l)
+			gomega.NewWithT(t).Expect(r.Worst[0].Cause).To(gomega.Equal(row.want))
+		})
+	}
+}
+
+func TestWhatTheCallerDidWrongDoesNotCount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := New(noon)
+	l.Refused(noon, fiddlers, core.ReasonForbidden)
+	l.Refused(noon, drummers, core.ReasonCallerGone)
+	g.Expect(merged(t, noon, l).Services).To(gomega.BeEmpty())
+}
+
+func TestMissingRoutersAndDamagedAnswersAreNamed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := NewMerger(question)
+	m.Missing("r1", errors.New("did not answer"))
+	m.Add("r2", &Document{Accounts: []AccountDocument{{Key: fiddlers}}})
+	m.Add("r3", &Document{Services: []ServiceDocument{{
+		Name: "assistant", Windows: make([][signals]Count, 2), Encoded: [kinds]string{"no histogram"},
+	}}})
+	r := m.Report(noon, nil)
+	g.Expect(r.Routers).To(gomega.HaveLen(3))
+	for _, part := range r.Routers {
+		g.Expect(part.Error).NotTo(gomega.BeEmpty(), part.Router)
+	}
+	g.Expect(r.Services).To(gomega.BeEmpty(), "nothing of a damaged answer is added")
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := New(noon)
+	for i := range accountsMost + 10 {
+		served(l, noon, Key{"assistant", fmt.Sprint(i)}, 0, time.Second)
+	}
+	g.Expect(l.accounts.Len()).To(gomega.Equal(accountsMost))
+	g.Expect(l.Dropped()).To(gomega.BeEquivalentTo(10))
+
+	l = New(noon)
+	for minute := range 2 * MinutesKept {
+		for i := range 800 {
+			l.Took(noon.Add(time.Duration(minute)*time.Minute), Key{"assistant", fmt.Sprint(i)}, Gap, time.Second, model)
+		}
+	}
+	g.Expect(l.minutes).To(gomega.BeNumerically("<=", minutesMost))
+	sum := 0
+	for _, s := range l.accounts.Values() {
+		sum += len(s.minutes)
+		g.Expect(len(s.minutes)).To(gomega.BeNumerically("<=", MinutesKept))
+	}
+	g.Expect(l.minutes).To(gomega.Equal(sum))
+}
+
+func TestQuestionsAreChecked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, windows := range [][]int{nil, {0}, {MinutesKept + 1}, {1, 2, 3, 4, 5, 6, 7}} {
+		g.Expect(Question{Windows: windows}.Check()).NotTo(gomega.Succeed(), "%v", windows)
+	}
+	g.Expect(question.Check()).To(gomega.Succeed())
+}
+
+// BenchmarkDocument reports the size of a router's answer when all 3,400
+// organisations asked it for something.
+func BenchmarkDocument(b *testing.B) {
+	l := New(noon)
+	for i := range 3400 {
+		for m := range 10 {
+			served(l, noon.Add(time.Duration(m)*time.Minute), Key{"assistant", fmt.Sprintf("org-%04d", i)}, 0, time.Duration(i)*time.Millisecond)
+		}
+	}
+	size := 0
+	for b.Loop() {
+		doc, err := l.Document(noon.Add(10*time.Minute), Question{Windows: []int{5, 60, 360}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		data, err := doc.Pack()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(size), "bytes/document")
+}
--- a/internal/burn/document.go
+++ b/internal/burn/document.go
@@ -76,17 +76,19 @@
 		}
 		doc.Services = append(doc.Services, part)
 	}
+	least := uint32(1)
 	for _, key := range l.accounts.Keys() {
 		account, _ := l.accounts.Peek(key)
-		account.forget(now.Unix() / 60)
 		doc.Accounts = append(doc.Accounts, AccountDocument{Key: key, Windows: account.windows(now, q)})
 		for i := range account.minutes {
-			if m := &account.minutes[i]; m.Bad() > 0 {
+			if m := &account.minutes[i]; m.Bad() >= least && m.At > oldest(now) {
 				doc.Worst = append(doc.Worst, AccountMinute{Key: key, Minute: m.copied()})
 			}
 		}
 		if len(doc.Worst) > 2*worstMost {
 			doc.Worst = worst(doc.Worst, worstMost)
+			// What is not above the least of these need not be among the worst.
+			least = doc.Worst[worstMost-1].Bad() + 1
 		}
 	}
 	slices.SortFunc(doc.Accounts, func(a, b AccountDocument) int { return a.Key.compare(b.Key) })
@@ -94,11 +96,15 @@
 	return doc, nil
 }
 
+// oldest is the last minute that is too old to be told of.
+func oldest(now time.Time) int64 { return now.Unix()/60 - MinutesKept }
+
 func (s *service) document(now time.Time, name string, q Question) (ServiceDocument, error) {
-	s.forget(now.Unix() / 60)
 	part := ServiceDocument{Name: name, Windows: s.windows(now, q)}
 	for i := range s.minutes {
-		part.Minutes = append(part.Minutes, s.minutes[i].copied())
+		if s.minutes[i].At > oldest(now) {
+			part.Minutes = append(part.Minutes, s.minutes[i].copied())
+		}
 	}
 	for kind := range s.histograms {
 		var err error
@@ -109,10 +115,24 @@
 	return part, nil
 }
 
+// windows adds up the latest minutes, in one pass for all windows.
 func (s *series) windows(now time.Time, q Question) [][signals]Count {
-	out := make([][signals]Count, 0, len(q.Windows))
-	for _, minutes := range q.Windows {
-		out = append(out, s.sum(now, minutes))
+	out := make([][signals]Count, len(q.Windows))
+	present := now.Unix() / 60
+	for i := len(s.minutes) - 1; i >= 0; i-- {
+		m := &s.minutes[i]
+		age := present - m.At
+		if age >= MinutesKept {
+			break
+		}
+		for w, minutes := range q.Windows {
+			if age >= int64(minutes) {
+				continue
+			}
+			for j, c := range m.Counts {
+				out[w][j].add(c)
+			}
+		}
 	}
 	return out
 }
--- a/internal/burn/minute.go
+++ b/internal/burn/minute.go
@@ -131,15 +131,3 @@
 		s.minutes = append(s.minutes[:0], s.minutes[old:]...)
 	}
 }
-
-// sum adds up the latest minutes.
-func (s *series) sum(now time.Time, minutes int) [signals]Count {
-	var out [signals]Count
-	from := now.Unix()/60 - int64(minutes)
-	for i := len(s.minutes) - 1; i >= 0 && s.minutes[i].At > from; i-- {
-		for j, c := range s.minutes[i].Counts {
-			out[j].add(c)
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/internal/owner/decision_test.go
@@ -0,0 +1,98 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// oneSlot returns an owner of one upstream with one slot, for two organisations
+// of the same share.
+func oneSlot() *State {
+	s := New("r1.1", 7)
+	s.Configure(noon, &config.Config{
+		Services:      []config.Service{{Name: "assistant", Kind: config.Model, Slots: 1}},
+		Organisations: []config.Organisation{{Name: "drummers", Share: 1}, {Name: "fiddlers", Share: 1}},
+	})
+	s.SetOwned(noon, []core.Upstream{{ID: "e1", Service: "assistant"}})
+	return s
+}
+
+func demandOf(org string, waiting, cost uint32) *wire.Demand {
+	return &wire.Demand{Queues: []*wire.Queue{{
+		Service: "assistant", Organisation: org, Class: core.ClassShort, Waiting: waiting, Cost: cost,
+	}}}
+}
+
+// grantOf finds the one grant among effects.
+func grantOf(t *testing.T, effects []core.Effect) *wire.Grant {
+	t.Helper()
+	for _, e := range effects {
+		if m, ok := e.(core.SendPeer); ok && m.Message.GetGrant() != nil {
+			return m.Message.GetGrant()
+		}
+	}
+	t.Fatal("no grant")
+	return nil
+}
+
+func TestExplainTellsWhoWasAheadAndByHowMuch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := oneSlot()
+	// Fiddlers hold the slot and have been charged 100 when drummers come.
+	first := grantOf(t, s.Demand(noon, "r2.1", demandOf("fiddlers", 1, 100)))
+	at := noon.Add(time.Second)
+	s.Demand(at, "r2.1", demandOf("fiddlers", 1, 100))
+	s.Demand(at, "r3.1", demandOf("drummers", 1, 40))
+
+	at = noon.Add(2 * time.Second)
+	second := grantOf(t, s.Release(at, "r2.1", &wire.Release{Settled: []*wire.Settled{{Id: first.Id, Cost: 100}}}))
+	g.Expect(second.Organisation).To(gomega.Equal("drummers"))
+	at = noon.Add(3 * time.Second)
+	third := grantOf(t, s.Release(at, "r3.1", &wire.Release{Settled: []*wire.Settled{{Id: second.Id, Cost: 40}}}))
+
+	answer := s.Explain(noon.Add(4*time.Second), Question{
+		Service: "assistant", Organisation: "fiddlers", FromMS: 3000, ToMS: 1000,
+		Grants: []core.GrantID{core.GrantID(third.Id)},
+	})
+	g.Expect(answer.Granted).To(gomega.HaveLen(1))
+	g.Expect(answer.Granted[0].Entry).To(gomega.BeEquivalentTo("r2.1"))
+	g.Expect(answer.Granted[0].AgoMS).To(gomega.BeEquivalentTo(1000))
+	g.Expect(answer.Granted[0].Weighed).To(gomega.HaveLen(1))
+	g.Expect(answer.Granted[0].Weighed[0].Upstream).To(gomega.Equal("e1"))
+	g.Expect(answer.Granted[0].Weighed[0].Free).To(gomega.Equal(1))
+	g.Expect(answer.Ahead).To(gomega.HaveLen(1), "the first grant lies before the wait")
+	g.Expect(answer.Ahead[0].Organisation).To(gomega.Equal("drummers"))
+	g.Expect(*answer.Ahead[0].Lead).To(gomega.BeNumerically(">", 0))
+}
+
+func TestBacklogsGiveTheGapToTheNext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := oneSlot()
+	grantOf(t, s.Demand(noon, "r2.1", demandOf("fiddlers", 2, 100)))
+	s.Demand(noon, "r3.1", demandOf("drummers", 3, 40))
+	list := s.Backlogs(noon.Add(time.Second))
+	g.Expect(list).To(gomega.HaveLen(2))
+	g.Expect([]string{list[0].Organisation, list[1].Organisation}).To(gomega.Equal([]string{"drummers", "fiddlers"}))
+	g.Expect(list[0].Gap).To(gomega.BeZero(), "drummers are next")
+	g.Expect(list[1].Gap).To(gomega.BeNumerically(">", 0))
+	g.Expect([]uint32{list[0].Waiting, list[1].Waiting}).To(gomega.Equal([]uint32{3, 1}))
+	g.Expect(list[1].OldestMS).To(gomega.BeEquivalentTo(1000))
+}
+
+func TestDecisionsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var d decisions
+	for i := range decisionsMost + 5 {
+		d.add(Decision{Grant: core.GrantID(i)})
+	}
+	g.Expect(d.ring).To(gomega.HaveLen(decisionsMost))
+	g.Expect(d.ring[d.next].Grant).To(gomega.BeEquivalentTo(5), "the oldest that is left")
+}
