Tell a request's steps in their order, each grant with what it was weighed against

Each granted step now finds its own decision by the grant's number and owner, and says so when the owner does not keep it any more. Ruled out: sorting by the owners' clocks, which need not agree.

--- a/router/explain_summary.go
+++ b/router/explain_summary.go
@@ -17,20 +17,18 @@
 	aheadMost = 5
 )
 
-// summarise puts the explanation into sentences.
+// summarise puts the explanation into sentences: the wait first, then the steps
+// in their order.
 func (e *Explanation) summarise() []string {
 	out := []string{e.intake(), e.wait()}
 	out = append(out, e.ahead()...)
 	for _, o := range e.Owners {
-		for _, d := range o.Granted {
-			out = append(out, grantedSentence(o, d))
-		}
 		if o.Error != "" {
 			out = append(out, fmt.Sprintf("What %s decided is not known: %s.", o.Router, o.Error))
 		}
 	}
 	for _, line := range e.Lines {
-		if text := lineSentence(line); text != "" {
+		if text := e.lineSentence(line); text != "" {
 			out = append(out, text)
 		}
 	}
@@ -106,7 +104,18 @@
 }
 
 // grantedSentence tells what a grant was weighed against.
-func grantedSentence(o OwnerExplanation, d owner.Decision) string {
+func (e *Explanation) grantedSentence(l Line) string {
+	for _, o := range e.Owners {
+		for _, d := range o.Granted {
+			if o.Router == l.Owner && d.Grant == l.Grant {
+				return decisionSentence(l, d)
+			}
+		}
+	}
+	return fmt.Sprintf("%s lent a slot of %s; why is not kept there any more.", l.Owner, l.Upstream)
+}
+
+func decisionSentence(l Line, d owner.Decision) string {
 	var ups []string
 	for _, w := range d.Weighed {
 		ups = append(ups, weighedText(w))
@@ -116,7 +125,7 @@
 		orgs = append(orgs, fmt.Sprintf("%s at %.0f", s.Organisation, s.Virtual))
 	}
 	return fmt.Sprintf("%s lent a slot of %s; upstreams weighed: %s; organisations that waited: %d (by service for their share: %s).",
-		o.Router, d.Upstream, strings.Join(ups, ", "), d.Waiting, strings.Join(orgs, ", "))
+		l.Owner, d.Upstream, strings.Join(ups, ", "), d.Waiting, strings.Join(orgs, ", "))
 }
 
 func weighedText(w owner.Weighed) string {
@@ -132,35 +141,33 @@
 	return text
 }
 
-// lineSentence is a step as a sentence; grants have theirs from the owner.
-func lineSentence(l Line) string {
+// steps are the sentences for steps that concern an upstream.
+var steps = map[string]string{
+	"sent":      "It was sent to %s.",
+	"answering": "The answer of %s began.",
+	"hedged":    "No token came in time, so it was sent a second time, to %s.",
+	"retried":   "After %s failed it went back to its place in the queue.",
+	"resumed":   "Its stream broke and was taken up again at %s.",
+	"moving":    "It left %s and waited for another upstream to go on.",
+	"moved":     "Its stream went on at %s after the tokens that the caller has.",
+}
+
+// lineSentence is a step as a sentence, "" for one that the wait tells of.
+func (e *Explanation) lineSentence(l Line) string {
 	switch l.What {
-	case "queued", lineGranted:
+	case "queued":
 		return ""
+	case lineGranted:
+		return e.grantedSentence(l)
 	case lineEnded:
 		return fmt.Sprintf("It ended: %s.", l.Detail)
 	case lineRefused, lineAborted:
 		return l.Detail
-	}
-	text := "It was " + l.What
-	switch l.What {
 	case "failed":
-		text = "It failed"
-	case "answering":
-		text = "The answer began"
+		return fmt.Sprintf("%s failed it: %s.", l.Upstream, l.Detail)
 	}
-	if l.Upstream != "" {
-		text += preposition(l.What) + l.Upstream
-	}
-	if detail := strings.TrimSuffix(l.Detail, "."); detail != "" {
-		text += ": " + detail
-	}
-	return text + "."
-}
-
-func preposition(what string) string {
-	if what == "sent" {
-		return " to "
+	if format, ok := steps[l.What]; ok {
+		return fmt.Sprintf(format, l.Upstream)
 	}
-	return " at "
+	return strings.TrimSpace(fmt.Sprintf("%s %s: %s", l.What, l.Upstream, l.Detail))
 }
