--- /dev/null
+++ b/internal/faults/pairs_test.go
@@ -0,0 +1,60 @@
+package faults
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	// pairSeed starts the generators and pairChecks is how many pairs are tried;
+	// -rapid.seed and -rapid.checks override them.
+	pairSeed   = "20261204"
+	pairChecks = "150"
+	// pairGap is the longest time between the two faults, in milliseconds.
+	pairGap = 6000
+)
+
+// TestMain fixes and prints the seed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.seed": pairSeed, "rapid.checks": pairChecks, "rapid.nofailfile": "true", "rapid.shrinktime": "1s",
+	} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := f.Value.Set(value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// TestPairsOfFaults lets a second fault strike a random router at a random
+// moment after the first one.
+func TestPairsOfFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &row{
+			step:  steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")],
+			fault: faults[rapid.IntRange(0, len(faults)-1).Draw(t, "first")],
+		}
+		second := faults[rapid.IntRange(0, len(faults)-1).Draw(t, "second")]
+		at := rapid.IntRange(0, routers-1).Draw(t, "router")
+		gap := time.Duration(rapid.IntRange(0, pairGap).Draw(t, "milliseconds")) * time.Millisecond
+		first := r.fault.strike
+		r.fault.strike = func(f *fleet, n *node) {
+			first(f, n)
+			f.heals(gap)
+			f.after(gap, func() { second.strike(f, f.nodes[at]) })
+		}
+		r.run(rapid.Uint64Range(1, 1<<32).Draw(t, "seed"), 0)
+		for _, b := range r.broken {
+			t.Errorf("%s, and %s later %s at %s: %s", r, gap, second.name, fmt.Sprintf("r%d", at), b)
+		}
+	})
+}
