Ask routers without a connection at their port for operators

Cause: beyond 33 routers most have no connection to each other, so a report, status or explanation reached neighbours only. Ruled out: dialling a peer connection for a question, as its end would be news to the membership protocol.

--- a/internal/reducer/operators.go
+++ b/internal/reducer/operators.go
@@ -43,3 +43,9 @@
 	}
 	return out
 }
+
+// AdminAddr is where a router serves operators, "" if it is not known.
+func (s *State) AdminAddr(id core.RouterID) string {
+	p, _ := s.members.Peer(id)
+	return p.AdminAddr
+}
--- a/router/query.go
+++ b/router/query.go
@@ -21,6 +21,9 @@
 	asksMost    = 16
 )
 
+// errBusy turns a question away.
+var errBusy = errors.New("too many questions at a time")
+
 // queryKind names a document that a router answers with.
 type queryKind string
 
@@ -53,6 +56,18 @@
 	}
 }
 
+// begin tells whether one more question may be answered now; end must follow.
+func (q *queries) begin() bool {
+	select {
+	case q.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (q *queries) end() { <-q.slots }
+
 func (q *queries) open() (uint64, chan *wire.QueryReply) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -87,7 +102,7 @@
 	defer cancel()
 	sent := r.peers.Send(to, &wire.Envelope{Body: &wire.Envelope_Query{Query: &wire.Query{Id: id, Kind: string(kind), Arg: arg}}})
 	if !sent {
-		return nil, errors.Errorf("router %s cannot be reached", to)
+		return r.askAdmin(ctx, to, kind, arg)
 	}
 	select {
 	case m := <-reply:
@@ -144,14 +159,12 @@
 // reply answers a peer's question without holding up its connection. Questions
 // beyond a few at a time are turned away.
 func (r *Router) reply(to core.RouterID, q *wire.Query) {
-	select {
-	case r.queries.slots <- struct{}{}:
-	default:
-		r.sendReply(to, &wire.QueryReply{Id: q.Id, Error: "too many questions at a time"})
+	if !r.queries.begin() {
+		r.sendReply(to, &wire.QueryReply{Id: q.Id, Error: errBusy.Error()})
 		return
 	}
 	go func() {
-		defer func() { <-r.queries.slots }()
+		defer r.queries.end()
 		ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 		defer cancel()
 		reply := &wire.QueryReply{Id: q.Id}
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,7 @@
 	records  *records
 	queries  *queries
 	platform platformViews
+	asker    *http.Client
 	burn     *ledger
 
 	index   atomic.Pointer[config.Index]
@@ -84,6 +85,7 @@
 		client:  upstream.New(upstream.DefaultOptions()),
 		records: newRecords(),
 		queries: newQueries(),
+		asker:   newAsker(),
 		burn:    &ledger{Ledger: burn.New(time.Now())},
 		fetch:   make(chan struct{}, 1),
 		store:   make(chan struct{}, storeCalls),
