--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -50,6 +50,9 @@
 	signals = 4
 )
 
+// Signals are all signals.
+func Signals() []Signal { return []Signal{FirstToken, TokenGap, Answer, Answered} }
+
 // String is the signal's name in reports.
 func (s Signal) String() string {
 	return [signals]string{"first token", "token gap", "answer", "answered"}[s]
@@ -109,6 +112,11 @@
 	c.Bad += other.Bad
 }
 
+func (c *Count) sub(other Count) {
+	c.Total -= other.Total
+	c.Bad -= other.Bad
+}
+
 func (c *Count) note(bad bool) {
 	c.Total++
 	if bad {
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -65,6 +66,20 @@
 	}))
 }
 
+func TestRatesMoveOverFiveMinutes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := New(noon)
+	served(l, noon, fiddlers, 0, 2*time.Second)
+	served(l, noon.Add(2*time.Minute), fiddlers, 0, time.Millisecond)
+	s := merged(t, noon.Add(7*time.Minute), l).Services[0]
+	var rates []float64
+	for _, p := range s.Rates(FirstToken, noon.Add(7*time.Minute)) {
+		rates = append(rates, math.Round(p.Rate))
+	}
+	g.Expect(rates).To(gomega.Equal([]float64{10, 10, 5, 5, 5, 0, 0, 0}))
+	g.Expect(s.Rates(Answer, noon)).To(gomega.BeEmpty(), "there is no such objective")
+}
+
 func TestCauseOfAMinute(t *testing.T) {
 	rows := []struct {
 		name string
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
 	"github.com/jujubeford/jujubeford/internal/settings"
@@ -67,6 +69,33 @@
 	}
 }
 
+// prepare resolves the settings and counts the arguments. When it returns false,
+// the faults are already reported.
+func (a *adminFlags) prepare(fs *flag.FlagSet, arguments int) bool {
+	err := a.set.Resolve(a.env)
+	if err == nil && fs.NArg() != arguments {
+		err = errors.Errorf("%s takes %d arguments, not %d", fs.Name(), arguments, fs.NArg())
+	}
+	if err != nil {
+		a.refuse(err)
+	}
+	return err == nil
+}
+
+// show asks for a document and prints it: as JSON itself, else with print.
+func (a *adminFlags) show(ctx context.Context, path string, document any, print func() error) subcommands.ExitStatus {
+	err := a.ask(ctx, path, document)
+	if err == nil && a.form == formJSON {
+		err = printJSON(a.out, document)
+	} else if err == nil {
+		err = print()
+	}
+	if err != nil {
+		return a.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
 // ask reads a document from the first router that answers, and decodes it.
 func (a *adminFlags) ask(ctx context.Context, path string, document any) error {
 	var failures []string
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -8,7 +8,6 @@
 	"net/url"
 
 	"github.com/google/subcommands"
-	"github.com/pkg/errors"
 
 	"github.com/jujubeford/jujubeford/internal/settings"
 	"github.com/jujubeford/jujubeford/router"
@@ -48,24 +47,14 @@
 
 // Execute runs the command.
 func (c *explainCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := c.set.Resolve(c.env); err != nil {
-		return c.refuse(err)
-	}
-	if fs.NArg() != 1 {
-		return c.refuse(errors.New("explain takes one request id"))
+	if !c.prepare(fs, 1) {
+		return exitUsage
 	}
 	var e router.Explanation
-	if err := c.ask(ctx, explainPath+url.PathEscape(fs.Arg(0)), &e); err != nil {
-		return c.fail(err)
-	}
-	if c.form == formJSON {
-		if err := printJSON(c.out, e); err != nil {
-			return c.fail(err)
-		}
-		return subcommands.ExitSuccess
-	}
-	printExplanation(c.out, &e)
-	return subcommands.ExitSuccess
+	return c.show(ctx, explainPath+url.PathEscape(fs.Arg(0)), &e, func() error {
+		printExplanation(c.out, &e)
+		return nil
+	})
 }
 
 // printExplanation prints the sentences, and below them the steps with their
--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -141,9 +141,9 @@
 		want    string
 	}{
 		{"a router's refusal is passed on", explain, []string{"r1.a-3"}, exitFailure, "no record"},
-		{"no request id", explain, nil, exitUsage, "takes one request id"},
+		{"no request id", explain, nil, exitUsage, "explain takes 1 arguments, not 0"},
 		{"a form that status lacks", status, []string{"-o", "html"}, exitUsage, "none of text, json"},
-		{"an argument too many", report, []string{"now"}, exitUsage, "takes no argument"},
+		{"an argument too many", report, []string{"now"}, exitUsage, "report takes 0 arguments, not 1"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -6,7 +6,6 @@
 	"net/url"
 
 	"github.com/google/subcommands"
-	"github.com/pkg/errors"
 
 	"github.com/jujubeford/jujubeford/internal/burn"
 	"github.com/jujubeford/jujubeford/internal/settings"
@@ -51,30 +50,15 @@
 
 // Execute runs the command.
 func (c *reportCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := c.set.Resolve(c.env); err != nil {
-		return c.refuse(err)
-	}
-	if fs.NArg() != 0 {
-		return c.refuse(errors.New("report takes no argument"))
+	if !c.prepare(fs, 0) {
+		return exitUsage
 	}
 	var report burn.Report
-	if err := c.ask(ctx, reportPath+"?windows="+url.QueryEscape(c.windows), &report); err != nil {
-		return c.fail(err)
-	}
-	if err := c.print(&report); err != nil {
-		return c.fail(err)
-	}
-	return subcommands.ExitSuccess
-}
-
-func (c *reportCommand) print(report *burn.Report) error {
-	switch c.form {
-	case formJSON:
-		return printJSON(c.out, report)
-	case formHTML:
-		return printReportPage(c.out, report)
-	default:
-		printReport(c.out, report)
+	return c.show(ctx, reportPath+"?windows="+url.QueryEscape(c.windows), &report, func() error {
+		if c.form == formHTML {
+			return printReportPage(c.out, &report)
+		}
+		printReport(c.out, &report)
 		return nil
-	}
+	})
 }
--- a/internal/cli/report_html.go
+++ b/internal/cli/report_html.go
@@ -32,6 +32,7 @@
 	"class":  budgetClass,
 	"utc":    func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04 UTC") },
 	"plot":   plotMinutes,
+	"rates":  plotRates,
 	"rows":   func(list []burn.OrganisationReport) []burn.OrganisationReport { return list[:min(len(list), rowsMost)] },
 }).Parse(pageText))
 
@@ -82,7 +83,8 @@
 <tr><th>Objective</th><th class="n">Bound</th><th class="n">Target</th>{{range $windows}}<th class="n">Burn {{window .}}</th>{{end}}<th class="n">Budget left</th></tr>
 {{range .Objectives}}<tr><td>{{.Signal}}</td><td class="n">{{bound .BoundMS}}</td><td class="n">{{part .Target}}</td>{{range .Windows}}<td class="n">{{burn .}}</td>{{end}}<td class="n {{class .BudgetLeft}}">{{budget .BudgetLeft}}</td></tr>
 {{end}}</table>{{else}}<p>No objectives are configured.</p>{{end}}
-{{if .Minutes}}<figure>{{plot .Minutes $.Taken}}<figcaption>Requests a minute (grey) and those that missed an objective (red).</figcaption></figure>{{end}}
+{{if .Minutes}}{{if .Objectives}}<figure>{{rates . $.Taken}}<figcaption>Burn rate of each objective over the last 5 minutes; above the dashed line at 1 the budget does not last.</figcaption></figure>{{end}}
+<figure>{{plot . $.Taken}}<figcaption>Requests that ended in each minute (grey), and objectives missed (red).</figcaption></figure>{{end}}
 {{if .Latencies}}<table>
 <tr><th>Last hour</th><th class="n">Count</th><th class="n">p50</th><th class="n">p95</th><th class="n">p99</th><th class="n">Max</th></tr>
 {{range .Latencies}}<tr><td>{{.Kind}}</td><td class="n">{{.Count}}</td><td class="n">{{ms .P50}}</td><td class="n">{{ms .P95}}</td><td class="n">{{ms .P99}}</td><td class="n">{{ms .Max}}</td></tr>
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/pkg/errors"
 
 	"github.com/jujubeford/jujubeford/internal/reducer"
 	"github.com/jujubeford/jujubeford/internal/settings"
@@ -54,28 +53,18 @@
 
 // Execute runs the command.
 func (c *statusCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := c.set.Resolve(c.env); err != nil {
-		return c.refuse(err)
-	}
-	if fs.NArg() != 0 {
-		return c.refuse(errors.New("status takes no argument"))
+	if !c.prepare(fs, 0) {
+		return exitUsage
 	}
 	path := statusPath
 	if !c.local {
 		path += "?fleet=true"
 	}
 	var status router.FleetStatus
-	if err := c.ask(ctx, path, &status); err != nil {
-		return c.fail(err)
-	}
-	if c.form == formJSON {
-		if err := printJSON(c.out, status); err != nil {
-			return c.fail(err)
-		}
-		return subcommands.ExitSuccess
-	}
-	printStatus(c.out, &status)
-	return subcommands.ExitSuccess
+	return c.show(ctx, path, &status, func() error {
+		printStatus(c.out, &status)
+		return nil
+	})
 }
 
 // printStatus prints the status as one screen.
