--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -30,7 +30,7 @@
 func merged(t *testing.T, at time.Time, ledgers ...*Ledger) Report {
 	t.Helper()
 	g := gomega.NewWithT(t)
-	m := NewMerger(question)
+	m := NewMerger(at, question)
 	for i, l := range ledgers {
 		doc, err := l.Document(at, question)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -40,7 +40,7 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		m.Add(fmt.Sprintf("r%d", i+1), &doc)
 	}
-	return m.Report(at, map[string]config.Objectives{"assistant": model})
+	return m.Report(map[string]config.Objectives{"assistant": model})
 }
 
 func TestBurnIsWorkedOutByWindowOverAllRouters(t *testing.T) {
@@ -120,14 +120,18 @@
 
 func TestMissingRoutersAndDamagedAnswersAreNamed(t *testing.T) {
 	g := gomega.NewWithT(t)
-	m := NewMerger(question)
+	m := NewMerger(noon, question)
 	m.Missing("r1", errors.New("did not answer"))
-	m.Add("r2", &Document{Accounts: []AccountDocument{{Key: fiddlers}}})
-	m.Add("r3", &Document{Services: []ServiceDocument{{
+	m.Add("r2", &Document{Taken: noon, Accounts: []AccountDocument{{Key: fiddlers}}})
+	m.Add("r3", &Document{Taken: noon, Services: []ServiceDocument{{
 		Name: "assistant", Windows: make([][signals]Count, 2), Encoded: [kinds]string{"no histogram"},
 	}}})
-	r := m.Report(noon, nil)
-	g.Expect(r.Routers).To(gomega.HaveLen(3))
+	m.Add("r4", &Document{Taken: noon.Add(time.Hour)})
+	m.Add("r5", &Document{Taken: noon, Services: []ServiceDocument{{
+		Name: "assistant", Windows: make([][signals]Count, 2), Minutes: []Minute{{At: 1}},
+	}}})
+	r := m.Report(nil)
+	g.Expect(r.Routers).To(gomega.HaveLen(5))
 	for _, part := range r.Routers {
 		g.Expect(part.Error).NotTo(gomega.BeEmpty(), part.Router)
 	}
--- a/internal/burn/merge.go
+++ b/internal/burn/merge.go
@@ -12,8 +12,13 @@
 	"github.com/jujubeford/jujubeford/config"
 )
 
+// clockMost is by how much a router's clock may differ for its minutes to be put
+// beside those of others.
+const clockMost = 5 * time.Minute
+
 // Merger adds up the documents of routers.
 type Merger struct {
+	now      time.Time
 	windows  []int
 	routers  []RouterPart
 	services map[string]*mergedService
@@ -33,8 +38,9 @@
 }
 
 // NewMerger returns a merger of answers to a question.
-func NewMerger(q Question) *Merger {
+func NewMerger(now time.Time, q Question) *Merger {
 	return &Merger{
+		now:      now,
 		windows:  q.Windows,
 		services: make(map[string]*mergedService),
 		accounts: make(map[Key][][signals]Count),
@@ -74,6 +80,9 @@
 
 // decode checks a document and decodes its histograms.
 func (m *Merger) decode(doc *Document) ([][kinds]*hdrhistogram.Histogram, error) {
+	if off := doc.Taken.Sub(m.now); off.Abs() > clockMost {
+		return nil, errors.Errorf("its clock differs by %s", off.Round(time.Second))
+	}
 	for _, a := range doc.Accounts {
 		if len(a.Windows) != len(m.windows) {
 			return nil, errors.New("the answer has other windows than the question")
@@ -84,6 +93,9 @@
 		if len(s.Windows) != len(m.windows) {
 			return nil, errors.New("the answer has other windows than the question")
 		}
+		if err := doc.checkMinutes(s.Minutes); err != nil {
+			return nil, err
+		}
 		for kind, text := range s.Encoded {
 			if text == "" {
 				continue
@@ -98,6 +110,16 @@
 	return out, nil
 }
 
+// checkMinutes refuses minutes that no ledger keeps.
+func (d *Document) checkMinutes(minutes []Minute) error {
+	for i := range minutes {
+		if at := minutes[i].At; at <= oldest(d.Taken) || at > d.Taken.Add(clockMost).Unix()/60 {
+			return errors.Errorf("the answer has the minute %d, which lies outside of its history", at)
+		}
+	}
+	return nil
+}
+
 func (m *Merger) service(name string) *mergedService {
 	s := m.services[name]
 	if s == nil {
@@ -139,8 +161,8 @@
 }
 
 // Report is what the documents add up to, under the objectives by service.
-func (m *Merger) Report(now time.Time, byService map[string]config.Objectives) Report {
-	out := Report{Taken: now, Windows: m.windows, Routers: slices.Clone(m.routers)}
+func (m *Merger) Report(byService map[string]config.Objectives) Report {
+	out := Report{Taken: m.now, Windows: m.windows, Routers: slices.Clone(m.routers)}
 	slices.SortFunc(out.Routers, func(a, b RouterPart) int { return cmp.Compare(a.Router, b.Router) })
 	for _, name := range slices.Sorted(maps.Keys(m.services)) {
 		out.Services = append(out.Services, m.services[name].report(name, m.windows, byService[name]))
--- a/internal/cli/report_plot.go
+++ b/internal/cli/report_plot.go
@@ -70,7 +70,7 @@
 func (p *plot) end() template.HTML {
 	clock := func(minute int64) string { return time.Unix(minute*60, 0).UTC().Format("15:04") }
 	fmt.Fprintf(p, `<path d="M%d %dV%dH%d" fill="none" stroke="#888"/>`, plotLeft, plotTop, plotBase, plotWidth)
-	fmt.Fprintf(p, `<text x="%d" y="%d" text-anchor="end">%.4g</text>`, plotLeft-5, plotTop+9, p.most)
+	fmt.Fprintf(p, `<text x="%d" y="%d" text-anchor="end">%.3g</text>`, plotLeft-5, plotTop+9, p.most)
 	fmt.Fprintf(p, `<text x="%d" y="%d" text-anchor="end">0</text>`, plotLeft-5, plotBase)
 	fmt.Fprintf(p, `<text x="%d" y="%d">%s</text>`, plotLeft, plotHeight-6, clock(p.first))
 	fmt.Fprintf(p, `<text x="%d" y="%d" text-anchor="end">%s UTC</text>`, plotWidth, plotHeight-6, clock(p.first+p.span-1))
--- a/router/report.go
+++ b/router/report.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		panic(err) // a question always has a form in JSON
 	}
-	merger := burn.NewMerger(q)
+	merger := burn.NewMerger(time.Now(), q)
 	for _, id := range dead {
 		merger.Missing(string(id), errors.New("counts as dead here"))
 	}
@@ -144,7 +144,7 @@
 		}
 		merger.Add(string(id), &doc)
 	})
-	return merger.Report(time.Now(), objectives), nil
+	return merger.Report(objectives), nil
 }
 
 // reportQuestion reads windows such as "5m,1h,6h"; none means the default ones.
