Give engines their orders from one lease-holder per failure domain

The reducer internal/orders holds a lease, takes a fencing number from a counter key by compare-and-swap and orders what config.Service.Load wants, level-triggered. Ruled out: the modify index as the number, because a restored store numbers its keys anew; a number inside the lease key, because acquiring writes without a compare.

--- a/config/build.go
+++ b/config/build.go
@@ -89,6 +89,13 @@
 	return s
 }
 
+// Loading adds model versions or adapters that each upstream is ordered to have
+// loaded.
+func (s Service) Loading(names ...string) Service {
+	s.Load = append(append([]string(nil), s.Load...), names...)
+	return s
+}
+
 // Continuing marks engines that go on with a partial answer of another one.
 func (s Service) Continuing() Service {
 	s.Continues = true
--- a/config/check.go
+++ b/config/check.go
@@ -60,10 +60,27 @@
 	k.between(path+".slots", s.Slots, 1, MaxSlots)
 	k.positive(path+".max_wait", s.MaxWait)
 	k.positive(path+".silent_after", s.SilentAfter)
+	k.load(path+".load", s)
 	k.rules(path+".once", s)
 	k.objectives(path+".objectives", s)
 }
 
+func (k *checker) load(path string, s *Service) {
+	if s.Kind == Plain && len(s.Load) > 0 {
+		k.faults.add(path, "a plain service loads nothing")
+	}
+	if len(s.Load) > MaxLoad {
+		k.faults.add(path, "%d names, at most %d fit", len(s.Load), MaxLoad)
+		return
+	}
+	seen := unique{}
+	for i, name := range s.Load {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		k.text(at, name, true)
+		k.once(at, "name", name, seen)
+	}
+}
+
 func (k *checker) rules(path string, s *Service) {
 	if len(s.Once) > MaxOnce {
 		k.faults.add(path, "%d rules, at most %d fit", len(s.Once), MaxOnce)
--- a/config/config.go
+++ b/config/config.go
@@ -39,6 +39,9 @@
 	// ChecksFencing tells whether upstreams refuse an order that carries an old
 	// fencing number.
 	ChecksFencing bool `yaml:"checks_fencing"`
+	// Load lists the model versions or adapters that each upstream of a model
+	// service is ordered to have loaded; without it no orders are given.
+	Load []string `yaml:"load,omitempty"`
 	// Continues tells whether the engines of a model service take up a partial
 	// answer ("continue_final_message"), so that another one can go on with a
 	// stream that broke off or became slow.
--- a/config/diff.go
+++ b/config/diff.go
@@ -68,6 +68,7 @@
 		{"max_wait", s.MaxWait.String()},
 		{"silent_after", s.SilentAfter.String()},
 		{"checks_fencing", fmt.Sprint(s.ChecksFencing)},
+		{"load", strings.Join(s.Load, ", ")},
 		{"continues", fmt.Sprint(s.Continues)},
 		{"idempotent", fmt.Sprint(s.Idempotent)},
 		{"once", onceText(s.Once)},
--- a/config/example_test.go
+++ b/config/example_test.go
@@ -40,6 +40,7 @@
 	// #   max_wait: longest wait before a request is refused
 	// #   silent_after: how long a replica may say nothing before its work has failed
 	// #   checks_fencing: whether replicas refuse outdated orders
+	// #   load: what each replica is ordered to have loaded
 	// #   continues: whether a replica can go on with an answer that another one began
 	// #   idempotent: whether work that "once" does not list may be sent again
 	// #   once: work that never runs twice
--- a/config/limits.go
+++ b/config/limits.go
@@ -12,6 +12,8 @@
 	MaxOrganisations = 10_000
 	// MaxKeys bounds the API keys of one organisation.
 	MaxKeys = 16
+	// MaxLoad bounds the names that one service's upstreams have loaded.
+	MaxLoad = 256
 	// MaxOnce bounds the once rules of one service.
 	MaxOnce = 64
 	// MaxNameLength bounds names, in bytes.
--- a/config/print.go
+++ b/config/print.go
@@ -77,6 +77,7 @@
 func (c *Config) canonical() *Config {
 	out := &Config{Fleet: c.Fleet}
 	for _, s := range c.Services {
+		s.Load = sorted(s.Load)
 		s.Once = append([]Once(nil), s.Once...)
 		sort.Slice(s.Once, func(i, j int) bool { return s.Once[i].less(s.Once[j]) })
 		out.Services = append(out.Services, s)
@@ -113,6 +114,7 @@
   max_wait: longest wait before a request is refused
   silent_after: how long a replica may say nothing before its work has failed
   checks_fencing: whether replicas refuse outdated orders
+  load: what each replica is ordered to have loaded
   continues: whether a replica can go on with an answer that another one began
   idempotent: whether work that "once" does not list may be sent again
   once: work that never runs twice
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -158,6 +158,8 @@
 	KVUnknown
 	// KVUnavailable: the call was certainly not carried out.
 	KVUnavailable
+	// KVLeaseLost: the lease that the call named has ended.
+	KVLeaseLost
 )
 
 // KVResult answers a key-value effect.
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -5,6 +5,8 @@
 
 	"github.com/jujubeford/jujubeford/internal/claims"
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/orders"
+	"github.com/jujubeford/jujubeford/internal/placement"
 )
 
 // follow carries changes of membership and configuration to the other parts.
@@ -72,6 +74,20 @@
 	}
 	s.emit(s.owner.SetOwned(now, s.view.Owned()))
 	s.entry.ViewChanged(now)
+	s.emit(s.orders.SetView(now, s.givesOrders(), s.view.All()))
+}
+
+// givesOrders tells whether this router is the one of its failure domain that
+// asks for the lease on orders.
+func (s *State) givesOrders() bool {
+	var near []core.RouterID
+	for _, p := range s.view.Alive() {
+		if p.Domain == s.options.Self.Domain {
+			near = append(near, p.ID)
+		}
+	}
+	key := orders.LeaseKey(s.options.Self.Domain)
+	return s.drainSince.IsZero() && placement.Pick(key, near) == s.options.Self.ID
 }
 
 func (s *State) drain(now time.Time) {
@@ -81,6 +97,7 @@
 	s.drainSince = now
 	s.entry.SetDraining()
 	s.emit(s.members.Leave(now))
+	s.emit(s.orders.SetView(now, false, nil))
 }
 
 // finish ends the process once nothing is left to do.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -10,6 +10,7 @@
 	"github.com/jujubeford/jujubeford/internal/entry"
 	"github.com/jujubeford/jujubeford/internal/health"
 	"github.com/jujubeford/jujubeford/internal/membership"
+	"github.com/jujubeford/jujubeford/internal/orders"
 	"github.com/jujubeford/jujubeford/internal/owner"
 	"github.com/jujubeford/jujubeford/internal/placement"
 	"github.com/jujubeford/jujubeford/internal/quarantine"
@@ -65,6 +66,7 @@
 	entry      *entry.State
 	owner      *owner.State
 	counters   *counters.State
+	orders     *orders.State
 
 	// listed tells that the platform gave an instance list, listingTurn which
 	// peer was asked for one last.
@@ -96,6 +98,7 @@
 		health:     health.New(),
 		owner:      owner.New(o.Self.ID, uint16(o.Seed)),
 		counters:   counters.New(o.Self.ID),
+		orders:     orders.New(o.Self.ID, o.Self.Domain),
 		alive:      make(map[core.RouterID]bool),
 	}
 	if o.Policy == PolicyBaseline {
@@ -122,7 +125,7 @@
 func (s *State) Wake() time.Time {
 	next := s.members.Wake()
 	for _, t := range []time.Time{
-		s.rollout.Wake(), s.claims.Wake(), s.entry.Wake(), s.owner.Wake(), s.drainWake(),
+		s.rollout.Wake(), s.claims.Wake(), s.entry.Wake(), s.owner.Wake(), s.drainWake(), s.orders.Wake(),
 	} {
 		next = timers.Earliest(next, t)
 	}
@@ -150,6 +153,9 @@
 		s.emit(s.entry.Probed(now, ev))
 	case core.KVResult:
 		s.decide(now, ev)
+		s.emit(s.orders.Step(now, ev))
+	case core.LeaseResult, core.OrderResult, core.OrdersSeen:
+		s.emit(s.orders.Step(now, ev))
 	case core.PeerMessage:
 		s.message(now, ev.From, ev)
 	case core.Instances:
@@ -189,6 +195,7 @@
 	s.decide(now, ev)
 	s.emit(s.entry.Tick(now))
 	s.emit(s.owner.Tick(now))
+	s.emit(s.orders.Step(now, ev))
 	s.report(now)
 }
 
@@ -298,4 +305,5 @@
 func (s *State) apply(c *config.Config) {
 	s.entry.Configure(c)
 	s.emit(s.owner.Configure(s.now, c))
+	s.emit(s.orders.Configure(s.now, c))
 }
--- /dev/null
+++ b/internal/upstream/order.go
@@ -0,0 +1,165 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+const (
+	// headerFencing carries an order's fencing number.
+	headerFencing = "Fencing-Number"
+	ordersPath    = "/v1/orders"
+	// orderDial bounds the making of a connection for an order.
+	orderDial = time.Second
+	// maxOrders bounds the list of orders that is read, in bytes.
+	maxOrders = 4 << 20
+)
+
+// errTooLate: the time after which no byte of an order may be written has come.
+var errTooLate = errors.New("order is too late to be written")
+
+// OrderClient gives orders to engines. Each order has a connection of its own,
+// which writes nothing from the order's Latest on. It is safe for concurrent
+// use.
+type OrderClient struct {
+	transport *http.Transport
+	// now is the clock.
+	now func() time.Time
+}
+
+// NewOrderClient returns a client.
+func NewOrderClient() *OrderClient {
+	c := &OrderClient{now: time.Now}
+	dialer := &net.Dialer{Timeout: orderDial}
+	c.transport = &http.Transport{
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if w, ok := ctx.Value(windowKey{}).(*window); ok && err == nil {
+				return &windowConn{Conn: conn, window: w}, nil
+			}
+			return conn, err
+		},
+	}
+	return c
+}
+
+// window is the time in which an order's bytes may be written.
+type window struct {
+	latest time.Time
+	now    func() time.Time
+	wrote  atomic.Bool
+}
+
+type windowKey struct{}
+
+// open tells whether bytes may still be written. The monotonic clock stands
+// still while a machine is suspended and the wall clock can be set back, so both
+// must agree.
+func (w *window) open() bool {
+	now := w.now()
+	return now.Before(w.latest) && now.Round(0).Before(w.latest.Round(0))
+}
+
+// windowConn is a connection that writes only within a window.
+type windowConn struct {
+	net.Conn
+	window *window
+}
+
+// Write implements net.Conn. The window is looked at last before the system
+// call, however long the process was stopped before that.
+func (c *windowConn) Write(p []byte) (int, error) {
+	if !c.window.open() {
+		return 0, errTooLate
+	}
+	c.window.wrote.Store(true)
+	return c.Conn.Write(p)
+}
+
+// Give carries out an order and tells how it ended.
+func (c *OrderClient) Give(ctx context.Context, o core.Order) core.OrderStatus {
+	w := &window{latest: o.Latest, now: c.now}
+	ctx, cancel := context.WithDeadline(context.WithValue(ctx, windowKey{}, w), o.Deadline)
+	defer cancel()
+	target := "http://" + o.Addr + ordersPath + "/" + url.PathEscape(o.Name)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, target, io.NopCloser(strings.NewReader(o.Body)))
+	if err != nil {
+		return core.OrderNotSent
+	}
+	req.ContentLength = int64(len(o.Body))
+	req.Header.Set(headerFencing, strconv.FormatUint(o.Number, 10))
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil && !w.wrote.Load() {
+		return core.OrderNotSent
+	}
+	if err != nil {
+		return core.OrderUnknown
+	}
+	defer resp.Body.Close()
+	return orderStatus(resp.StatusCode)
+}
+
+func orderStatus(status int) core.OrderStatus {
+	switch {
+	case status == http.StatusConflict:
+		return core.OrderFenced
+	case status < http.StatusMultipleChoices:
+		return core.OrderObeyed
+	case status >= http.StatusInternalServerError:
+		return core.OrderUnknown
+	default:
+		return core.OrderRefused
+	}
+}
+
+// obeyed is an order that an engine has obeyed, in its own form.
+type obeyed struct {
+	Name   string `json:"name"`
+	Number uint64 `json:"number"`
+	Body   string `json:"body"`
+}
+
+// Read asks an engine which orders it has obeyed.
+func (c *OrderClient) Read(ctx context.Context, r core.OrdersRead) core.OrdersSeen {
+	list, err := c.list(ctx, r.Addr)
+	seen := core.OrdersSeen{Op: r.Op, Known: err == nil}
+	for _, o := range list {
+		seen.Highest = max(seen.Highest, o.Number)
+		if o.Name == r.Name {
+			seen.Body, seen.Number = o.Body, o.Number
+		}
+	}
+	return seen
+}
+
+func (c *OrderClient) list(ctx context.Context, addr string) ([]obeyed, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+ordersPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("orders answered with status %d", resp.StatusCode)
+	}
+	var list []obeyed
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxOrders)).Decode(&list)
+	return list, err
+}
--- a/router/effects.go
+++ b/router/effects.go
@@ -43,6 +43,12 @@
 		r.peers.Hangup(e.Peer)
 	case core.KVGet, core.KVCAS, core.KVDelete:
 		go r.storeCall(e)
+	case core.LeaseGrant, core.LeaseAcquire, core.LeaseRenew, core.LeaseRevoke:
+		go r.leaseCall(e)
+	case core.Order:
+		go r.order(e)
+	case core.OrdersRead:
+		go r.readOrders(e)
 	case core.FetchConfig:
 		r.fetchConfig()
 	case core.DecodeConfig:
--- /dev/null
+++ b/router/orders.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/platform"
+)
+
+// readOrdersTimeout bounds the reading of what an upstream has obeyed.
+const readOrdersTimeout = 2 * time.Second
+
+// leaseCall carries out one lease effect and answers with its result.
+func (r *Router) leaseCall(effect core.Effect) {
+	r.store <- struct{}{}
+	defer func() { <-r.store }()
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	switch e := effect.(type) {
+	case core.LeaseGrant:
+		lease, err := r.options.Store.Grant(ctx, e.TTL)
+		r.post(core.LeaseResult{Op: e.Op, Status: leaseStatus(true, err), Lease: core.LeaseID(lease)})
+	case core.LeaseAcquire:
+		ok, err := r.options.Store.Acquire(ctx, e.Key, e.Value, platform.LeaseID(e.Lease))
+		r.post(core.LeaseResult{Op: e.Op, Status: leaseStatus(ok, err)})
+	case core.LeaseRenew:
+		err := r.options.Store.Renew(ctx, platform.LeaseID(e.Lease))
+		r.post(core.LeaseResult{Op: e.Op, Status: leaseStatus(true, err)})
+	case core.LeaseRevoke:
+		err := r.options.Store.Revoke(ctx, platform.LeaseID(e.Lease))
+		r.post(core.LeaseResult{Op: e.Op, Status: leaseStatus(true, err)})
+	}
+}
+
+func leaseStatus(ok bool, err error) core.KVStatus {
+	if errors.Is(err, platform.ErrLeaseLost) {
+		return core.KVLeaseLost
+	}
+	return status(ok, err)
+}
+
+// order gives an order to an upstream.
+func (r *Router) order(e core.Order) {
+	end := r.orders.Give(context.Background(), e)
+	klog.InfoS("Orders: order given.", "upstream", e.Upstream, "order", e.Name, "number", e.Number, "end", end)
+	r.post(core.OrderResult{Op: e.Op, Status: end})
+}
+
+// readOrders reads what an upstream has obeyed.
+func (r *Router) readOrders(e core.OrdersRead) {
+	ctx, cancel := context.WithTimeout(context.Background(), readOrdersTimeout)
+	defer cancel()
+	r.post(r.orders.Read(ctx, e))
+}
--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,7 @@
 	inspect  chan func(*reducer.State)
 	peers    *peer.Transport
 	client   *upstream.Client
+	orders   *upstream.OrderClient
 	metrics  *metrics
 	records  *records
 	queries  *queries
@@ -82,6 +83,7 @@
 		events:  make(chan core.Event, eventQueue),
 		inspect: make(chan func(*reducer.State)),
 		client:  upstream.New(upstream.DefaultOptions()),
+		orders:  upstream.NewOrderClient(),
 		records: newRecords(),
 		queries: newQueries(),
 		burn:    &ledger{Ledger: burn.New(time.Now())},
