Confirm the lease after the fencing number is taken; prove orders by a matrix

A holder whose lease the service had forgotten could take a number above the new holder's, and a counter restored from an old copy gave a number out twice. The lease is now renewed once more after the number is taken, and the number is above the clock as well as the counter. Ruled out: taking the number before the lease, which can order two holders the wrong way.

--- a/internal/orders/lease.go
+++ b/internal/orders/lease.go
@@ -18,6 +18,9 @@
 	// callRead and callWrite take the fencing number.
 	callRead
 	callWrite
+	// callConfirm renews the lease once the number is taken: a lease that still
+	// stands has stood all along, so no later holder can have a lower number.
+	callConfirm
 	// callRenew keeps the lease; it is the next call only of a holder.
 	callRenew
 )
@@ -76,7 +79,7 @@
 	case callWrite:
 		value := strconv.FormatUint(l.number, 10)
 		s.effect(core.KVCAS{Op: l.op, Key: NumberKey(s.domain), Value: []byte(value), Index: l.index})
-	case callRenew:
+	case callConfirm, callRenew:
 		s.effect(core.LeaseRenew{Op: l.op, Lease: l.id})
 	}
 }
@@ -127,14 +130,33 @@
 			l.next, l.due = callRead, now.Add(retryCall)
 			return
 		}
-		l.next = callRenew
-		s.readAll(now)
+		l.next = callConfirm
+		if s.faults.skipConfirm {
+			s.hold(now)
+		}
+	case callConfirm:
+		l.renewed()
+		s.hold(now)
 	case callRenew:
-		l.until, l.due = l.sent.Add(HoldFor), l.sent.Add(renewEvery)
+		l.renewed()
 	}
 }
 
-// number chooses the fencing number that follows the stored one.
+// hold makes this router the holder, which looks at every engine.
+func (s *State) hold(now time.Time) {
+	s.lease.next = callRenew
+	s.readAll(now)
+}
+
+// renewed takes a renewal. It counts from when it was asked for: the service
+// cannot have carried it out before.
+func (l *lease) renewed() {
+	l.until, l.due = l.sent.Add(HoldFor), l.sent.Add(renewEvery)
+}
+
+// number chooses a fencing number above the stored one. It is above the clock,
+// too, so that numbers go on growing when the counter is lost or restored from
+// an old copy.
 func (s *State) number(now time.Time, a answer) {
 	l := &s.lease
 	var stored uint64
@@ -147,7 +169,8 @@
 			return
 		}
 	}
-	l.number, l.index, l.next = max(stored, l.highest)+1, a.index, callWrite
+	clock := uint64(max(now.UnixMilli(), 0))
+	l.number, l.index, l.next = max(stored, l.highest, clock)+1, a.index, callWrite
 	if s.faults.keepNumber {
 		l.number = max(stored, 1)
 	}
--- a/internal/orders/state.go
+++ b/internal/orders/state.go
@@ -40,6 +40,8 @@
 type faults struct {
 	// keepNumber takes the stored fencing number without raising it.
 	keepNumber bool
+	// skipConfirm gives orders without confirming the lease.
+	skipConfirm bool
 	// skipWait gives orders as soon as the lease is acquired.
 	skipWait bool
 	// skipHold gives orders however old the last renewal is.
--- /dev/null
+++ b/internal/orders/store_test.go
@@ -0,0 +1,112 @@
+package orders
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+// fakeStore is the key-value service.
+type fakeStore struct {
+	w *world
+	// stretch is how long after a renewal a lease ends.
+	stretch   time.Duration
+	ends      map[core.LeaseID]time.Time
+	holders   map[string]core.LeaseID
+	values    map[string]stored
+	index     uint64
+	downUntil time.Time
+	// terms numbers the leases in the order in which they acquired the key.
+	terms map[core.LeaseID]int
+}
+
+type stored struct {
+	value []byte
+	index uint64
+}
+
+func newFakeStore(w *world, stretch time.Duration) *fakeStore {
+	return &fakeStore{
+		w: w, stretch: stretch,
+		ends:    map[core.LeaseID]time.Time{},
+		holders: map[string]core.LeaseID{},
+		values:  map[string]stored{},
+		terms:   map[core.LeaseID]int{},
+	}
+}
+
+// apply carries out a call.
+func (s *fakeStore) apply(e core.Effect) core.Event {
+	s.expire()
+	switch e := e.(type) {
+	case core.LeaseGrant:
+		lease := core.LeaseID(fmt.Sprintf("lease-%d", len(s.ends)+1))
+		s.ends[lease] = s.w.now.Add(s.stretch)
+		return core.LeaseResult{Op: e.Op, Status: core.KVOK, Lease: lease}
+	case core.LeaseAcquire:
+		return core.LeaseResult{Op: e.Op, Status: s.acquire(e)}
+	case core.LeaseRenew:
+		if !s.live(e.Lease) {
+			return core.LeaseResult{Op: e.Op, Status: core.KVLeaseLost}
+		}
+		s.ends[e.Lease] = s.w.now.Add(s.stretch)
+		return core.LeaseResult{Op: e.Op, Status: core.KVOK}
+	case core.LeaseRevoke:
+		s.end(e.Lease)
+		return core.LeaseResult{Op: e.Op, Status: core.KVOK}
+	case core.KVGet:
+		v, ok := s.values[e.Key]
+		if !ok {
+			return core.KVResult{Op: e.Op, Status: core.KVNotFound}
+		}
+		return core.KVResult{Op: e.Op, Status: core.KVOK, Value: bytes.Clone(v.value), Index: v.index}
+	case core.KVCAS:
+		if s.values[e.Key].index != e.Index {
+			return core.KVResult{Op: e.Op, Status: core.KVConflict}
+		}
+		s.index++
+		s.values[e.Key] = stored{e.Value, s.index}
+		return core.KVResult{Op: e.Op, Status: core.KVOK}
+	}
+	panic(fmt.Sprintf("no key-value call: %T", e))
+}
+
+func (s *fakeStore) acquire(e core.LeaseAcquire) core.KVStatus {
+	holder := s.holders[e.Key]
+	switch {
+	case !s.live(e.Lease):
+		return core.KVLeaseLost
+	case holder != "" && holder != e.Lease:
+		return core.KVConflict
+	}
+	s.holders[e.Key] = e.Lease
+	if s.terms[e.Lease] == 0 {
+		s.terms[e.Lease] = len(s.terms) + 1
+	}
+	return core.KVOK
+}
+
+func (s *fakeStore) live(lease core.LeaseID) bool { return s.w.now.Before(s.ends[lease]) }
+
+// expire frees the keys of leases that have ended.
+func (s *fakeStore) expire() {
+	for key, lease := range s.holders {
+		if !s.live(lease) {
+			delete(s.holders, key)
+		}
+	}
+}
+
+func (s *fakeStore) end(lease core.LeaseID) {
+	s.ends[lease] = s.w.now
+	s.expire()
+}
+
+// forget ends every lease, as a service does that lost its sessions.
+func (s *fakeStore) forget() {
+	for lease := range s.ends {
+		s.end(lease)
+	}
+}
