Contract of the order client, pairs of faults, and a table of the orders' matrix

Cause: what the reducer relies on was only faked: that a late order writes no byte, that engines answer an old number with 409 or obey it, that a restarted engine says so. The order client now runs against the engine stand-in as a real server. The stand-in kept its list of orders across a crash while it forgot its highest number, so a restart could not be seen; it now forgets both.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	bash scripts/measure.sh
 
 faults: ## the fault matrix
-	go test -count=1 -v -run TestMatrix ./internal/faults/
+	go test -count=1 -v -run "TestMatrix$$" ./internal/faults/ ./internal/orders/
 
 capacity: build ## the slopes of docs/CAPACITY.md
 	bash scripts/capacity.sh
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -150,6 +150,16 @@
 			[]string{"services[0].once[0].path: "}},
 		{"objectives", func(c *Config) { c.Services[1].Objectives.Target = 95 },
 			[]string{"services[1].objectives.target: target 95"}},
+		{"load", func(c *Config) {
+			c.Services[0].Load = []string{"m"}
+			c.Services[1].Load = []string{"a", "", "a"}
+		}, []string{
+			"services[0].load: a plain service loads nothing",
+			"services[1].load[1]: is missing",
+			`services[1].load[2]: name "a" stands already at services[1].load[0]`,
+		}},
+		{"too much to load", func(c *Config) { c.Services[1].Load = make([]string, MaxLoad+1) },
+			[]string{"services[1].load: 257 names, at most 256 fit"}},
 		{"queue", func(c *Config) { c.Organisations[0].MaxQueued = 0 }, []string{"organisations[0].max_queued"}},
 		{"text", func(c *Config) { c.Services[0].Once[0].Why = "two\nlines" }, []string{"services[0].once[0].why"}},
 	}
@@ -186,11 +196,13 @@
 	after.Organisations[0].Share = 40
 	after.Organisations[1].Name = "macon"
 	after.Services[0].Once = nil
+	after.Services[1].Load = []string{"model-2", "adapter-1"}
 	var lines []string
 	for _, change := range Diff(&before, &after) {
 		lines = append(lines, change.String())
 	}
 	g.Expect(lines).To(Equal([]string{
+		`service "assistant": load changed from nothing to adapter-1, model-2`,
 		`service "payment": once changed from POST /payment/charges (charges a card) to nothing`,
 		`organisation "atlanta" removed`,
 		`organisation "macon" added`,
--- a/internal/orders/world_test.go
+++ b/internal/orders/world_test.go
@@ -43,6 +43,8 @@
 	cutUntil    time.Time
 	dead        bool
 	tickAt      time.Time
+	// pending is what becomes of the next effect.
+	pending treatment
 }
 
 // treatment is what a fault does to one effect.
@@ -154,6 +156,9 @@
 
 func (n *node) carryOut(e core.Effect) {
 	treat := n.w.strike(n, stepOf(n, e))
+	if n.pending != (treatment{}) {
+		treat, n.pending = n.pending, treatment{}
+	}
 	switch e := e.(type) {
 	case core.Order:
 		term := n.w.store.terms[n.state.lease.id]
--- /dev/null
+++ b/internal/reducer/orders_test.go
@@ -0,0 +1,91 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/config"
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/orders"
+)
+
+// bootTime is the time until a first configuration is in force; ticks come every
+// bootTick.
+const (
+	bootTime = 3 * time.Second
+	bootTick = 100 * time.Millisecond
+)
+
+// booting is when the routers of these tests start.
+var booting = time.Unix(1_000_000, 0)
+
+// ordering starts two routers of one failure domain that know each other, and
+// returns them with the lease that each asks for.
+func ordering(g *gomega.WithT, loads ...string) (routers []*State, asked [][]core.LeaseGrant) {
+	c, err := config.New("fleet").
+		Service(config.ModelService("assistant", "m").Loading(loads...)).
+		Organisation(config.NewOrganisation("atlanta", 1).WithKey("example-key").Reaching("assistant")).
+		Build()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	names := []string{"r1", "r2"}
+	for i, name := range names {
+		other := names[1-i]
+		s := New(Options{
+			Self: core.Peer{ID: core.RouterID(name + ".1"), Name: name, Domain: "a", PeerAddr: "127.0.0.1:1"}, Seed: 1,
+		})
+		events := []core.Event{
+			core.PeerUp{Member: member(other+".1", other)},
+			core.Instances{Upstreams: []core.Upstream{
+				{ID: "e1", Service: "assistant", Domain: "a"}, {ID: "e2", Service: "assistant", Domain: "b"},
+			}},
+			core.ConfigHead{Generation: 1, Digest: "d", Config: c},
+		}
+		for range bootTime / bootTick {
+			events = append(events, core.PeerMessage{From: core.RouterID(other + ".1"), Message: ping()}, core.Tick{})
+		}
+		routers, asked = append(routers, s), append(asked, grants(s, events))
+	}
+	return routers, asked
+}
+
+// grants steps a router through events and returns the leases that it asks for.
+func grants(s *State, events []core.Event) (out []core.LeaseGrant) {
+	now := booting
+	for _, ev := range events {
+		if _, ok := ev.(core.Tick); ok {
+			now = now.Add(bootTick)
+		}
+		for _, e := range s.Step(now, ev) {
+			if grant, ok := e.(core.LeaseGrant); ok {
+				out = append(out, grant)
+			}
+		}
+	}
+	return out
+}
+
+// One router per failure domain asks for the lease, and a drain gives it up.
+func TestOneRouterPerDomainAsksForTheLease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	routers, asked := ordering(g, "model-2")
+	all := append(asked[0], asked[1]...)
+	g.Expect(all).To(gomega.HaveLen(1))
+	g.Expect(all[0].TTL).To(gomega.Equal(orders.LeaseTTL))
+	holder := routers[0]
+	if len(asked[1]) > 0 {
+		holder = routers[1]
+	}
+	now := booting.Add(bootTime)
+	holder.Step(now, core.LeaseResult{Op: all[0].Op, Status: core.KVOK, Lease: "lease-1"})
+	g.Expect(holder.Step(now, core.Drain{})).To(gomega.ContainElement(
+		gomega.BeAssignableToTypeOf(core.LeaseRevoke{})))
+}
+
+// Without a wanted state orders cost the key-value service nothing.
+func TestNoLeaseWithoutAWantedState(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, asked := ordering(g)
+	g.Expect(asked).To(gomega.Equal([][]core.LeaseGrant{nil, nil}))
+}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -49,11 +49,12 @@
 	return o.highest, true
 }
 
-// reset forgets the highest number, as a crash does.
+// reset forgets the highest number and what was ordered, as a crash does.
 func (o *orders) reset() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.highest = 0
+	o.obeyed = nil
 }
 
 func (o *orders) handlePut(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/upstream/order_test.go
@@ -0,0 +1,146 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/standin/engine"
+	"github.com/jujubeford/jujubeford/internal/standin/netfault"
+)
+
+// orderLimit is how long an order of these tests may take.
+const orderLimit = 20 * time.Second
+
+// startEngine runs an engine stand-in as a real server.
+func startEngine(t *testing.T, checks bool) (addr string, e *engine.Engine) {
+	t.Helper()
+	listener, err := netfault.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e = engine.New(engine.Options{Name: "e", Slots: 1, CheckFencing: checks}, listener)
+	web := &http.Server{Handler: e.Handler()}
+	go func() { _ = web.Serve(listener) }()
+	t.Cleanup(func() { _ = web.Close() })
+	return listener.Addr().String(), e
+}
+
+// load is an order to have a model loaded.
+func load(addr, body string, number uint64) core.Order {
+	now := time.Now()
+	return core.Order{
+		Addr: addr, Name: "load", Body: body, Number: number,
+		Latest: now.Add(orderLimit), Deadline: now.Add(orderLimit),
+	}
+}
+
+// TestOrdersAtBothKindsOfEngine: what engines do with an old number, and what
+// they say that they have afterwards.
+func TestOrdersAtBothKindsOfEngine(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		checks bool
+		old    core.OrderStatus
+		seen   core.OrdersSeen
+	}{
+		{"checks", true, core.OrderFenced, core.OrdersSeen{Op: 9, Known: true, Body: `["B"]`, Number: 7, Highest: 7}},
+		{"ignores", false, core.OrderObeyed, core.OrdersSeen{Op: 9, Known: true, Body: `["C"]`, Number: 6, Highest: 7}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g, ctx, c := NewWithT(t), context.Background(), NewOrderClient()
+			addr, _ := startEngine(t, tc.checks)
+			read := core.OrdersRead{Op: 9, Addr: addr, Name: "load"}
+			g.Expect(c.Read(ctx, read)).To(Equal(core.OrdersSeen{Op: 9, Known: true}))
+			g.Expect(c.Give(ctx, load(addr, `["A"]`, 5))).To(Equal(core.OrderObeyed))
+			g.Expect(c.Give(ctx, load(addr, `["B"]`, 7))).To(Equal(core.OrderObeyed))
+			g.Expect(c.Give(ctx, load(addr, `["C"]`, 6))).To(Equal(tc.old))
+			g.Expect(c.Read(ctx, read)).To(Equal(tc.seen))
+		})
+	}
+}
+
+// TestOrderAfterItsLatestIsNotWritten: the clock is looked at before the bytes
+// go out, even if it passed the order's Latest while the connection was made.
+func TestOrderAfterItsLatestIsNotWritten(t *testing.T) {
+	g, ctx, c := NewWithT(t), context.Background(), NewOrderClient()
+	addr, _ := startEngine(t, false)
+	read := core.OrdersRead{Addr: addr, Name: "load"}
+
+	c.now = func() time.Time { return time.Now().Add(2 * orderLimit) }
+	g.Expect(c.Give(ctx, load(addr, `["A"]`, 5))).To(Equal(core.OrderNotSent))
+	g.Expect(c.Read(ctx, read)).To(Equal(core.OrdersSeen{Known: true}))
+
+	c.now = time.Now
+	g.Expect(c.Give(ctx, load(addr, `["A"]`, 5))).To(Equal(core.OrderObeyed))
+	g.Expect(c.Read(ctx, read).Body).To(Equal(`["A"]`))
+}
+
+// TestOrderEnds: how an order ends that gets no proper answer, and that reading
+// such an engine tells nothing.
+func TestOrderEnds(t *testing.T) {
+	refusing, e := startEngine(t, true)
+	if err := e.SetFaults(engine.Faults{Refuse: true}); err != nil {
+		t.Fatal(err)
+	}
+	answer := func(status int, body string) string {
+		return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		})
+	}
+	for _, tc := range []struct {
+		name string
+		addr string
+		want core.OrderStatus
+	}{
+		{"no connection", refusing, core.OrderNotSent},
+		{"no answer", silent(t), core.OrderUnknown},
+		{"server error", answer(http.StatusInternalServerError, ""), core.OrderUnknown},
+		{"unknown order", answer(http.StatusNotFound, ""), core.OrderRefused},
+		{"redirect", answer(http.StatusFound, ""), core.OrderRefused},
+		{"no list", answer(http.StatusOK, "<html>"), core.OrderObeyed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g, c := NewWithT(t), NewOrderClient()
+			o := load(tc.addr, `["A"]`, 5)
+			o.Deadline = time.Now().Add(200 * time.Millisecond)
+			g.Expect(c.Give(context.Background(), o)).To(Equal(tc.want))
+			ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(200*time.Millisecond))
+			defer cancel()
+			g.Expect(c.Read(ctx, core.OrdersRead{Op: 3, Addr: tc.addr, Name: "load"})).To(Equal(core.OrdersSeen{Op: 3}))
+		})
+	}
+}
+
+// TestRestartedEngineHasNoOrders: the holder sees that it must repeat them.
+func TestRestartedEngineHasNoOrders(t *testing.T) {
+	g, ctx, c := NewWithT(t), context.Background(), NewOrderClient()
+	addr, e := startEngine(t, true)
+	g.Expect(c.Give(ctx, load(addr, `["A"]`, 5))).To(Equal(core.OrderObeyed))
+	g.Expect(e.SetFaults(engine.Faults{Poison: "doom"})).To(Succeed())
+	body := `{"model":"m","messages":[{"role":"user","content":"doom"}]}`
+	_, f := newClient(t).Do(ctx, &Request{
+		Addr: addr, Method: "POST", Path: "/v1/chat/completions", Body: []byte(body), Fresh: true,
+	})
+	g.Expect(f).NotTo(BeNil())
+	g.Eventually(func() core.OrdersSeen {
+		return c.Read(ctx, core.OrdersRead{Addr: addr, Name: "load"})
+	}, orderLimit, time.Millisecond).Should(Equal(core.OrdersSeen{Known: true}))
+}
+
+// silent takes connections and says nothing.
+func silent(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln.Addr().String()
+}
