Let a process that ends answer what came before; check that no upstream lies idle

Cause: the harness ended a process at its Exit effect, while the router's Run first closes its listeners and lets the requests that came before get their answers. A paused router that drains then looked as if it cut callers. And no row noticed a dead router that stays the owner of an upstream, since the other upstreams had room for its work.

Change: the harness ends a process as Run does. Added checks: every upstream has a running owner after healing, and a drain starts with a request that lasts ten seconds, so a drain that waits for nothing is noticed again.

Ruled out: a fault in the reducer (it refuses what arrives after Exit).

Conclusion: both new checks are stricter than what stood there.

--- a/internal/faults/callers_test.go
+++ b/internal/faults/callers_test.go
@@ -35,7 +35,7 @@
 	ev.Request = core.RequestID(fmt.Sprintf("%s-%d", n.id, f.serial))
 	f.callers[ev.Request] = &caller{arrive: ev, node: n}
 	switch {
-	case !n.up:
+	case !n.up || n.closing:
 		f.callers[ev.Request].finals = []string{"no connection"}
 	case !n.ready && n.state.Status().Generation == 0:
 		f.final(ev.Request, "refused", core.NotRun, core.ReasonNotReady)
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -29,6 +29,10 @@
 	tokenTime = 5 * time.Millisecond
 	// reportTime is the time between two progress reports.
 	reportTime = 100 * time.Millisecond
+	// longCost is that of a request which outlasts exitGrace by far.
+	longCost = 2000
+	// exitGrace is how long a process that ends lets answers be written.
+	exitGrace = 2 * time.Second
 	// detectTime is how long a cut connection takes to be noticed.
 	detectTime = 200 * time.Millisecond
 )
@@ -79,7 +83,9 @@
 	id          core.RouterID
 	up          bool
 	ready       bool
-	paused      time.Time
+	// closing tells that it takes no new connections.
+	closing bool
+	paused  time.Time
 	// force is the generation in force in this incarnation, highest in any.
 	force, highest uint64
 	linked         map[core.RouterID]bool
@@ -171,7 +177,7 @@
 func (f *fleet) start(n *node) {
 	n.incarnation++
 	n.id = core.RouterID(fmt.Sprintf("%s.%d", n.name, n.incarnation))
-	n.up, n.ready, n.force, n.paused = true, false, 0, time.Time{}
+	n.up, n.ready, n.closing, n.force, n.paused = true, false, false, 0, time.Time{}
 	n.linked = make(map[core.RouterID]bool)
 	n.sends = make(map[string]*run)
 	n.wakeAt = time.Time{}
@@ -315,10 +321,7 @@
 	case core.Ready:
 		n.ready = e.Ready
 	case core.Exit:
-		for _, id := range f.pending(n) {
-			f.breaks("%s was cut by the end of a drain", id)
-		}
-		f.kill(n)
+		f.exit(n)
 		f.mend(faultTime, func() { f.restart(n) })
 	}
 }
@@ -353,6 +356,22 @@
 	}
 }
 
+// exit ends a process as the router's Run does: it takes no new connections, lets
+// the requests that came before get their answers, and is gone after that.
+func (f *fleet) exit(n *node) {
+	n.closing = true
+	inc := n.incarnation
+	f.after(exitGrace, func() {
+		if n.incarnation != inc {
+			return
+		}
+		for _, id := range f.pending(n) {
+			f.breaks("%s was cut by the end of a drain", id)
+		}
+		f.kill(n)
+	})
+}
+
 func (f *fleet) restart(n *node) {
 	if !n.up {
 		f.start(n)
--- a/internal/faults/mutation_test.go
+++ b/internal/faults/mutation_test.go
@@ -36,7 +36,7 @@
 	},
 	{
 		"dead routers stay in the fleet", reducer.DeathDetection,
-		"ownership moves", "its router is killed and restarts without memory", "was not served after healing",
+		"ownership moves", "its router is killed and restarts without memory", "lies idle",
 	},
 	{
 		"older generations are applied", reducer.GenerationGuard,
--- a/internal/faults/promises_test.go
+++ b/internal/faults/promises_test.go
@@ -49,6 +49,9 @@
 			f.breaks("%s still holds %d requests", n.name, status.Requests)
 		}
 		for _, u := range status.Upstreams {
+			if !f.runs(u.Owner) {
+				f.breaks("%s holds %s for the owner of %s, which then lies idle", n.name, u.Owner, u.ID)
+			}
 			if u.Lent != nil && u.Lent.Lent > 0 {
 				f.breaks("%s still has %d slots of %s lent", n.name, u.Lent.Lent, u.ID)
 			}
@@ -56,6 +59,11 @@
 	}
 }
 
+// runs tells whether a router of this incarnation is running.
+func (f *fleet) runs(id core.RouterID) bool {
+	return slices.ContainsFunc(f.nodes, func(n *node) bool { return n.up && n.id == id })
+}
+
 // serveFresh checks that a new load is served completely.
 func (f *fleet) serveFresh() {
 	// Nothing strikes a fleet that has healed.
--- a/internal/faults/strike_test.go
+++ b/internal/faults/strike_test.go
@@ -91,7 +91,10 @@
 		f.upstreams["m0"].leaving = true
 		f.returns("m0")
 	}},
-	{name: "its router drains", strike: func(f *fleet, n *node) { f.deliver(n, core.Drain{}) }},
+	{name: "its router drains", strike: func(f *fleet, n *node) {
+		f.arrive(n, request(f, 0, longCost))
+		f.deliver(n, core.Drain{})
+	}},
 	{name: "two operators race", strike: func(f *fleet, _ *node) { f.race() }},
 	{name: "the platform fails right after a configuration is accepted", strike: func(f *fleet, n *node) {
 		f.accept()
