--- /dev/null
+++ b/internal/counters/counters_test.go
@@ -0,0 +1,89 @@
+package counters
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/wire"
+)
+
+var noon = time.Unix(1_700_000_000, 0)
+
+func counter(served uint64) []*wire.Counter {
+	return []*wire.Counter{{Service: "s", Organisation: "o", Served: served, Backlogged: true}}
+}
+
+func own(n uint64) Own { return func(string, string) uint64 { return n } }
+
+// growth is what a reporter learns of others from an aggregator's totals.
+func growth(s *State, from core.RouterID, totals []*wire.Counter, mine uint64) uint64 {
+	return s.Totals(from, totals, own(mine))[0].Cost
+}
+
+func TestTotalsTellWhatOthersServed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	aggregator, reporter := New("agg.1"), New("rep.1")
+	aggregator.Merge(noon, "other.1", counter(100))
+	g.Expect(growth(reporter, "agg.1", aggregator.Merge(noon, "rep.1", counter(10)), 10)).
+		To(gomega.BeZero(), "the first total is where the counting starts")
+
+	aggregator.Merge(noon, "other.1", counter(130))
+	g.Expect(growth(reporter, "agg.1", aggregator.Merge(noon, "rep.1", counter(15)), 15)).
+		To(gomega.BeEquivalentTo(30), "its own 5 are not counted again")
+}
+
+func TestLateAndDoubledReportsAreHarmless(t *testing.T) {
+	g := gomega.NewWithT(t)
+	aggregator := New("agg.1")
+	aggregator.Merge(noon, "a.1", counter(50))
+	aggregator.Merge(noon, "a.1", counter(40))
+	g.Expect(aggregator.Merge(noon, "a.1", counter(50))[0].Served).To(gomega.BeEquivalentTo(50))
+}
+
+func TestRestartsLoseNoMoreThanAPeriod(t *testing.T) {
+	rows := []struct {
+		name string
+		from core.RouterID
+		// total is the first one after the restart.
+		total uint64
+	}{
+		{"the aggregator moved to one that knows less", "agg.2", 20},
+		{"the aggregator moved to one that knows more", "agg.2", 900},
+		{"the total fell, since a dead router was forgotten", "agg.1", 20},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := New("rep.1")
+			growth(s, "agg.1", counter(100), 0)
+			g.Expect(growth(s, row.from, counter(row.total), 0)).To(gomega.BeZero())
+			g.Expect(growth(s, row.from, counter(row.total+7), 0)).To(gomega.BeEquivalentTo(7))
+		})
+	}
+}
+
+func TestBacklogIsThatOfOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	aggregator := New("agg.1")
+	g.Expect(aggregator.Merge(noon, "a.1", counter(1))[0].Backlogged).To(gomega.BeFalse())
+	g.Expect(aggregator.Merge(noon, "b.1", counter(1))[0].Backlogged).To(gomega.BeTrue())
+	later := noon.Add(backlogAge)
+	g.Expect(aggregator.Merge(later, "b.1", counter(1))[0].Backlogged).To(gomega.BeFalse(), "an old word does not count")
+}
+
+func TestReportsGoToOneAggregatorPerOrganisation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New("a.1")
+	alive := []core.RouterID{"a.1", "b.1", "c.1"}
+	messages, organisations := 0, 0
+	for _, name := range []string{"o1", "o2", "o3", "o4", "o5", "o6", "o7", "o8"} {
+		effects, local := s.Report(noon, []*wire.Counter{{Service: "s", Organisation: name}}, alive, own(0))
+		messages += len(effects)
+		organisations += len(effects) + len(local)
+	}
+	g.Expect(organisations).To(gomega.Equal(8))
+	g.Expect(messages).To(gomega.BeNumerically("<", 8), "some are aggregated here")
+}
