Bound what callers can hold: bodies together, slow sending, slow reading

Cause: a caller that stopped reading held its upstream's slot for ever, one that sent its body slowly held a goroutine, and bodies of all requests together had no bound. A draining router told callers that it was not ready.

Change: 64 MB for the bodies of all requests under way, 30 s for a body, 15 s for a write to a caller; a drain is named as the reason; HTTP/2 without TLS too.

Ruled out: a limit on connections (they cost little while idle).

--- a/router/call.go
+++ b/router/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
@@ -13,6 +14,19 @@
 // commandQueue is how many effects may wait for a call's handler.
 const commandQueue = 8
 
+// memory is what requests may hold together, in bytes.
+type memory struct{ left atomic.Int64 }
+
+func (m *memory) take(n int64) bool {
+	if m.left.Add(-n) < 0 {
+		m.left.Add(n)
+		return false
+	}
+	return true
+}
+
+func (m *memory) give(n int64) { m.left.Add(n) }
+
 // call is a caller's request while its handler runs.
 type call struct {
 	id           core.RequestID
@@ -23,6 +37,8 @@
 	header       http.Header
 	body         []byte
 	once         bool
+	// reserved is what the call holds of the memory for bodies.
+	reserved int64
 	// commands are the effects that concern this call, in order.
 	commands chan core.Effect
 
--- a/router/callers.go
+++ b/router/callers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
@@ -34,6 +35,10 @@
 	prefixMin = 64
 	// bytesPerToken is a rough length of a token of a prompt.
 	bytesPerToken = 4
+	// bodyTimeout bounds how long a caller may take to send its body.
+	bodyTimeout = 30 * time.Second
+	// retrySoon is when to come back to a router that drains or is full.
+	retrySoon = time.Second
 	// retryNotReady is when to come back to a router that has no configuration.
 	retryNotReady = 2 * time.Second
 )
@@ -49,19 +54,16 @@
 func (r *Router) serveCaller(w http.ResponseWriter, req *http.Request) {
 	id := r.newRequestID()
 	w.Header().Set(HeaderRequestID, string(id))
-	index := r.index.Load()
-	if index == nil || !r.ready.Load() {
-		reason := core.ReasonNotReady
-		refuse(w, core.Refuse{Status: http.StatusServiceUnavailable, Outcome: core.NotRun, Reason: reason, RetryAfter: retryNotReady})
-		return
-	}
-	c, arrive, refusal := r.read(index, id, req)
+	c, arrive, refusal := r.take(w, req, id)
 	if refusal != nil {
 		refusal.Request = id
 		r.refused(*refusal)
 		refuse(w, *refusal)
 		return
 	}
+	defer r.bodies.give(c.reserved)
+	// Deadlines of this answer must not reach into the connection's next one.
+	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	r.addCall(c)
 	defer r.removeCall(c)
 	r.records.open(id, c.organisation, c.service.Name, time.Now())
@@ -73,19 +75,63 @@
 	return core.RequestID(fmt.Sprintf("%s-%d", r.self.ID, r.serial.Add(1)))
 }
 
-// read turns an HTTP request into an Arrive event, or a refusal.
-func (r *Router) read(index *config.Index, id core.RequestID, req *http.Request) (*call, *core.Arrive, *core.Refuse) {
+// take takes a request in, or refuses it.
+func (r *Router) take(w http.ResponseWriter, req *http.Request, id core.RequestID) (*call, *core.Arrive, *core.Refuse) {
+	index := r.index.Load()
+	switch {
+	case r.draining.Load():
+		return nil, nil, refusalUntil(core.ReasonDraining, retrySoon)
+	case index == nil || !r.ready.Load():
+		return nil, nil, refusalUntil(core.ReasonNotReady, retryNotReady)
+	}
 	org, ok := index.Organisation(bearer(req))
 	if !ok {
 		return nil, nil, refusal(http.StatusUnauthorized, core.ReasonUnknownKey)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, req.Body, int64(r.options.MaxBody)))
-	if err != nil {
-		if _, large := err.(*http.MaxBytesError); large {
-			return nil, nil, refusal(http.StatusRequestEntityTooLarge, core.ReasonTooLarge)
-		}
-		return nil, nil, refusal(http.StatusBadRequest, core.ReasonBadRequest)
+	reserved := req.ContentLength
+	if reserved < 0 {
+		reserved = int64(r.options.MaxBody)
+	}
+	if reserved > int64(r.options.MaxBody) {
+		return nil, nil, refusal(http.StatusRequestEntityTooLarge, core.ReasonTooLarge)
+	}
+	if !r.bodies.take(reserved) {
+		return nil, nil, refusalUntil(core.ReasonQueueFull, retrySoon)
+	}
+	body, refused := r.readBody(w, req)
+	if refused != nil {
+		r.bodies.give(reserved)
+		return nil, nil, refused
 	}
+	c, arrive, refused := r.understand(index, org, id, req, body)
+	if refused != nil {
+		r.bodies.give(reserved)
+		return nil, nil, refused
+	}
+	c.reserved = reserved
+	return c, arrive, nil
+}
+
+// readBody reads a request's body; a caller that stalls is given up.
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, *core.Refuse) {
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, int64(r.options.MaxBody)))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, refusal(http.StatusRequestEntityTooLarge, core.ReasonTooLarge)
+	case err != nil:
+		return nil, refusal(http.StatusBadRequest, core.ReasonBadRequest)
+	}
+	return body, nil
+}
+
+// understand turns an HTTP request into an Arrive event, or a refusal.
+func (r *Router) understand(
+	index *config.Index, org *config.Organisation, id core.RequestID, req *http.Request, body []byte,
+) (*call, *core.Arrive, *core.Refuse) {
 	arrive := &core.Arrive{
 		Request: id, Organisation: org.Name, Method: req.Method, Path: req.URL.Path,
 		Key: req.Header.Get(headerIdempotencyKey), Seed: xxhash.Sum64String(string(id)),
@@ -110,6 +156,12 @@
 	}, arrive, nil
 }
 
+func refusalUntil(reason core.Reason, retry time.Duration) *core.Refuse {
+	r := refusal(http.StatusServiceUnavailable, reason)
+	r.RetryAfter = retry
+	return r
+}
+
 func refusal(status int, reason core.Reason) *core.Refuse {
 	return &core.Refuse{Status: status, Outcome: core.NotRun, Reason: reason}
 }
--- a/router/reply.go
+++ b/router/reply.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// writeTimeout is how long a caller may take to read what was sent.
+	writeTimeout = 15 * time.Second
 	// heldMost is how much of an answer is held back so that its outcome can
 	// stand in the header, in bytes.
 	heldMost = 256 << 10
@@ -101,6 +103,8 @@
 	if o.mute || len(data) == 0 {
 		return nil
 	}
+	// A caller that stops reading must not hold an upstream's slot for ever.
+	_ = o.flush.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := o.w.Write(data); err != nil {
 		return err
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -33,6 +33,8 @@
 	// idleTimeout how long its connection may stay unused.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// bodyMemory bounds the bodies of all requests under way, in bytes.
+	bodyMemory = 64 << 20
 	// headerBytes bounds a caller's header.
 	headerBytes = 64 << 10
 )
@@ -54,15 +56,18 @@
 	asker    *http.Client
 	burn     *ledger
 
-	index   atomic.Pointer[config.Index]
-	ready   atomic.Bool
-	serial  atomic.Uint64
-	fetch   chan struct{}
-	store   chan struct{} // semaphore of key-value calls
-	mu      sync.Mutex
-	calls   map[core.RequestID]*call
-	done    chan struct{}
-	stopped chan struct{}
+	index atomic.Pointer[config.Index]
+	ready atomic.Bool
+	// draining tells callers why the router is not ready.
+	draining atomic.Bool
+	bodies   memory
+	serial   atomic.Uint64
+	fetch    chan struct{}
+	store    chan struct{} // semaphore of key-value calls
+	mu       sync.Mutex
+	calls    map[core.RequestID]*call
+	done     chan struct{}
+	stopped  chan struct{}
 }
 
 // New checks the options and returns a router that is not running yet.
@@ -95,6 +100,7 @@
 		done:    make(chan struct{}),
 		stopped: make(chan struct{}),
 	}
+	r.bodies.left.Store(bodyMemory)
 	r.self.PeerAddr = either(o.PeerAdvertise, o.PeerListen)
 	r.self.AdminAddr = either(o.AdminAdvertise, o.AdminListen)
 	r.state = reducer.New(reducer.Options{
@@ -170,8 +176,13 @@
 }
 
 func (r *Router) server(h http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		Protocols: &protocols,
 	}
 }
 
@@ -208,6 +219,7 @@
 // ended after the drain timeout is ended with an explicit error.
 func (r *Router) Drain() {
 	klog.InfoS("Router: draining.", "id", r.self.ID)
+	r.draining.Store(true)
 	r.post(core.Drain{})
 	time.AfterFunc(r.options.DrainTimeout, r.Expire)
 }
