Refuse to start a fleet where another platform answers

Cause: two fleets with the same PORT_BASE: the second one's platform could not listen, the wait for it was met by the first one's, and the configuration was submitted there, as generation 3 of a fleet that was not meant. Ruled out: relying on the last check of all processes, which comes after the submission. After: up ends with status 1 and names the address, and has started nothing.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -193,11 +193,14 @@
 up() {
 	command -v curl >/dev/null || fail "curl is needed"
 	[ ! -e "$DIR/platform.pid" ] || fail "$DIR is in use; run down first"
+	# Another fleet's platform would take this one's configuration.
+	! answers "$STORE/v1/kv/?keys" || fail "another platform answers at $STORE; choose another PORT_BASE"
 	mkdir -p "$DIR"
 	rm -f "$DIR"/*.log
 	(umask 077 && head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$DIR/cluster.key")
 	start platform bin/standin platform -listen "$STORE" -control "$STORE_CONTROL"
 	wait_for "$READY_SECONDS" answers "$STORE/v1/kv/?keys" || fail "the platform does not answer"
+	running platform || fail "platform has ended; see $DIR/platform.log"
 	start_upstreams engine "$ENGINES" assistant e $((PORT_BASE + 1000)) \
 		$((PORT_BASE + 1500)) -slots "$SLOTS" -token-time "$TOKEN_TIME" \
 		-load-factor "$LOAD_FACTOR"
