Test drain, kill, pause, killed engines and platform outages on real processes

The fault matrix runs the reducers with a fake clock; the runtime around them, its signals, sockets and deadlines were tested only part by part. Verdicts come from the callers' answers, compared word by word with the engine's, and from the plain service's own count of what ran; waits poll with generous limits and no time is asserted.

--- /dev/null
+++ b/internal/e2e/e2e_test.go
@@ -0,0 +1,190 @@
+package e2e
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+
+	"github.com/jujubeford/jujubeford/internal/loadgen/client"
+)
+
+const (
+	// longAnswer is the tokens of a stream that is still under way when a fault
+	// strikes, shortAnswer those of one that is served quickly.
+	longAnswer  = 150
+	shortAnswer = 5
+	// keys is how many operations are under way when a fault strikes.
+	keys = 24
+)
+
+// TestDrainCutsNoAnswer ends a router by SIGTERM while streams run through it.
+func TestDrainCutsNoAnswer(t *testing.T) {
+	f := newFleet(t)
+	streams := f.longStreams()
+	f.routers[0].signal(t, syscall.SIGTERM)
+	others := f.shortStreams(1, 2)
+	for _, r := range append(all(streams), all(others)...) {
+		if r.End != client.Whole {
+			t.Errorf("%s through r%d ended %s: %s", r.Name, r.Router, r.End, r.Error)
+		}
+	}
+	<-f.routers[0].done
+	if err := f.routers[0].err; err != nil {
+		t.Errorf("the drained router ended with %v", err)
+	}
+	f.serves(1, 2)
+}
+
+// TestKillDoublesNothing ends a router by SIGKILL while work runs through it
+// that must run at most once, and sends all of it again through another.
+func TestKillDoublesNothing(t *testing.T) {
+	f := newFleet(t)
+	under := f.operations()
+	f.someRan()
+	f.routers[0].signal(t, syscall.SIGKILL)
+	<-f.routers[0].done
+	all(under)
+	f.sendAgain(1)
+	f.ranAtMostOnce()
+	f.serves(1, 2)
+}
+
+// TestPauseDoublesNothing stops a router past all timeouts, sends its work again
+// through another, and lets it go on.
+func TestPauseDoublesNothing(t *testing.T) {
+	f := newFleet(t)
+	under := f.operations()
+	f.someRan()
+	f.routers[0].signal(t, syscall.SIGSTOP)
+	await(t, "the others take the stopped router for dead", func() bool { return f.alive(1) == routerCount-1 })
+	f.sendAgain(1)
+	f.routers[0].signal(t, syscall.SIGCONT)
+	all(under)
+	await(t, "the routers find each other again", func() bool { return f.alive(1) == routerCount })
+	f.ranAtMostOnce()
+	f.serves(0, 1, 2)
+}
+
+// TestKilledEngineLeavesNoShortAnswer ends engines by SIGKILL while they stream.
+// With one left an answer may be whole; with none it ends in an explicit error.
+func TestKilledEngineLeavesNoShortAnswer(t *testing.T) {
+	f := newFleet(t)
+	streams := f.longStreams()
+	f.engines[0].signal(t, syscall.SIGKILL)
+	<-f.engines[0].done
+	second := f.longStreams()
+	f.engines[1].signal(t, syscall.SIGKILL)
+	ends := make(map[client.End]int)
+	for _, r := range append(all(streams), all(second)...) {
+		ends[r.End]++
+		if r.End == client.Cut || r.End == client.Foreign || r.End == client.Unanswered {
+			t.Errorf("%s ended %s: %s", r.Name, r.End, r.Error)
+		}
+		if r.End == client.Failed && (r.Outcome != "may-have-run" || r.Reason == "") {
+			t.Errorf("%s failed with outcome %q and reason %q: %s", r.Name, r.Outcome, r.Reason, r.Error)
+		}
+	}
+	t.Logf("ends: %v", ends)
+	if ends[client.Failed] == 0 {
+		t.Error("no stream ended in an explicit error, although no engine was left")
+	}
+}
+
+// TestPlatformOutage stops the platform: model work goes on, and work that must
+// run at most once is refused as not run.
+func TestPlatformOutage(t *testing.T) {
+	for _, outage := range []struct {
+		name   string
+		signal syscall.Signal
+	}{
+		{"it is gone", syscall.SIGKILL},
+		{"it hangs", syscall.SIGSTOP},
+	} {
+		t.Run(outage.name, func(t *testing.T) {
+			f := newFleet(t)
+			f.platform.signal(t, outage.signal)
+			f.serves(0, 1, 2)
+			var under []<-chan client.Result
+			for i := range routerCount {
+				under = append(under, f.once(i, operation(i)))
+			}
+			for i, r := range all(under) {
+				if r.End != client.Refused || r.Outcome != "not-run" || !r.RetryAfter {
+					t.Errorf("r%d ended %s with %q, retry-after %t: %s", i, r.End, r.Outcome, r.RetryAfter, r.Error)
+				}
+			}
+			if runs := f.runs(); len(runs) > 0 {
+				t.Errorf("work that was refused as not run ran: %v", runs)
+			}
+		})
+	}
+}
+
+// longStreams starts streams through all routers and waits until each router
+// has some under way.
+func (f *fleet) longStreams() []<-chan client.Result {
+	f.t.Helper()
+	var out []<-chan client.Result
+	for i := range 2 * routerCount {
+		out = append(out, f.model(i%routerCount, fmt.Sprintf("long-%d-%p", i, &out), longAnswer))
+	}
+	for i := range routerCount {
+		await(f.t, "streams are under way", func() bool { s, ok := f.status(i); return ok && s.Requests > 0 })
+	}
+	return out
+}
+
+func (f *fleet) shortStreams(routers ...int) []<-chan client.Result {
+	var out []<-chan client.Result
+	for _, i := range routers {
+		for n := range 4 {
+			out = append(out, f.model(i, fmt.Sprintf("short-%d-%d", i, n), shortAnswer))
+		}
+	}
+	return out
+}
+
+// serves checks that routers serve model work.
+func (f *fleet) serves(routers ...int) {
+	f.t.Helper()
+	for _, r := range all(f.shortStreams(routers...)) {
+		if r.End != client.Whole {
+			f.t.Errorf("%s through r%d ended %s: %s", r.Name, r.Router, r.End, r.Error)
+		}
+	}
+}
+
+// operations starts work that must run at most once through the first router.
+func (f *fleet) operations() []<-chan client.Result {
+	var out []<-chan client.Result
+	for k := range keys {
+		out = append(out, f.once(0, operation(k)))
+	}
+	return out
+}
+
+func operation(k int) string { return fmt.Sprintf("op-%d", k) }
+
+// someRan waits until work has started to run.
+func (f *fleet) someRan() {
+	f.t.Helper()
+	await(f.t, "work runs", func() bool { return len(f.runs()) > 0 })
+}
+
+// sendAgain sends all operations through a router; each is answered or refused
+// with its reason, and none is broken off.
+func (f *fleet) sendAgain(i int) {
+	f.t.Helper()
+	var again []<-chan client.Result
+	for k := range keys {
+		again = append(again, f.once(i, operation(k)))
+	}
+	ends := make(map[string]int)
+	for _, r := range all(again) {
+		ends[fmt.Sprintf("%s %s %s", r.End, r.Outcome, r.Reason)]++
+		if r.End != client.Whole && (r.End != client.Refused || r.Outcome == "" || r.Reason == "") {
+			f.t.Errorf("%s ended %s with %q (%s): %s", r.Name, r.End, r.Outcome, r.Reason, r.Error)
+		}
+	}
+	f.t.Logf("sent again: %v", ends)
+}
