--- a/router/router.go
+++ b/router/router.go
@@ -46,10 +46,12 @@
 	inspect  chan func(*reducer.State)
 	peers    *peer.Transport
 	client   *upstream.Client
+	orders   *upstream.OrderClient
 	metrics  *metrics
 	records  *records
 	queries  *queries
 	platform platformViews
+	asker    *http.Client
 	burn     *ledger
 
 	index   atomic.Pointer[config.Index]
@@ -82,8 +84,10 @@
 		events:  make(chan core.Event, eventQueue),
 		inspect: make(chan func(*reducer.State)),
 		client:  upstream.New(upstream.DefaultOptions()),
+		orders:  upstream.NewOrderClient(),
 		records: newRecords(),
 		queries: newQueries(),
+		asker:   newAsker(),
 		burn:    &ledger{Ledger: burn.New(time.Now())},
 		fetch:   make(chan struct{}, 1),
 		store:   make(chan struct{}, storeCalls),
