Make the fencing counter at index 0 when it does not exist

Cause: found by running four routers, four engines and the platform stand-in as processes: no router ever took a number. The adapter gives an index to watch from along with 'not found', and the reducer wrote the counter at that index, so the compare failed for ever. The fake gave 0 there; it now gives an index as the adapter does, and the whole matrix fails without this change. Ruled out: the adapter, whose contract promises that index. After the change both domains' holders gave their orders; a holder stopped for 87 s past its lease, with a new configuration accepted meanwhile, was replaced, and gave no order after it woke. Conclusion: fakes must answer what the contract lets the adapter answer.

--- a/internal/orders/lease.go
+++ b/internal/orders/lease.go
@@ -160,7 +160,11 @@
 func (s *State) number(now time.Time, a answer) {
 	l := &s.lease
 	var stored uint64
+	// A counter that does not exist is made by a write at index 0, whatever index
+	// came with the answer.
+	l.index = 0
 	if a.status == core.KVOK {
+		l.index = a.index
 		var err error
 		stored, err = strconv.ParseUint(string(a.value), 10, 64)
 		if err != nil || stored >= maxNumber {
@@ -170,7 +174,7 @@
 		}
 	}
 	clock := uint64(max(now.UnixMilli(), 0))
-	l.number, l.index, l.next = max(stored, l.highest, clock)+1, a.index, callWrite
+	l.number, l.next = max(stored, l.highest, clock)+1, callWrite
 	if s.faults.keepNumber {
 		l.number = max(stored, 1)
 	}
--- a/internal/orders/store_test.go
+++ b/internal/orders/store_test.go
@@ -59,7 +59,8 @@
 	case core.KVGet:
 		v, ok := s.values[e.Key]
 		if !ok {
-			return core.KVResult{Op: e.Op, Status: core.KVNotFound}
+			// The adapter gives an index to watch from.
+			return core.KVResult{Op: e.Op, Status: core.KVNotFound, Index: s.index + 1}
 		}
 		return core.KVResult{Op: e.Op, Status: core.KVOK, Value: bytes.Clone(v.value), Index: v.index}
 	case core.KVCAS:
