--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -29,6 +29,10 @@
 	tokenTime = 5 * time.Millisecond
 	// reportTime is the time between two progress reports.
 	reportTime = 100 * time.Millisecond
+	// longCost is that of a request which outlasts exitGrace by far.
+	longCost = 2000
+	// exitGrace is how long a process that ends lets answers be written.
+	exitGrace = 2 * time.Second
 	// detectTime is how long a cut connection takes to be noticed.
 	detectTime = 200 * time.Millisecond
 )
@@ -53,9 +57,10 @@
 	seen func(n *node, what any)
 	// duplicate, late and lossy act on messages between routers.
 	duplicate, late, lossy bool
-	// divided tells that a router missed messages at some time.
-	divided bool
-	policy                 reducer.Policy
+	// divided tells that a router missed messages at some time, lost that some
+	// got lost on the way.
+	divided, lost bool
+	policy        reducer.Policy
 	// light makes the load's model requests small.
 	light bool
 	// served is the service delivered to each organisation.
@@ -78,7 +83,9 @@
 	id          core.RouterID
 	up          bool
 	ready       bool
-	paused      time.Time
+	// closing tells that it takes no new connections.
+	closing bool
+	paused  time.Time
 	// force is the generation in force in this incarnation, highest in any.
 	force, highest uint64
 	linked         map[core.RouterID]bool
@@ -86,18 +93,6 @@
 	sends          map[string]*run
 }
 
-// caller is what one caller was told.
-type caller struct {
-	arrive core.Arrive
-	node   *node
-	// gone tells that the caller closed its connection.
-	gone    bool
-	tokens  uint64
-	finals  []string
-	outcome core.Outcome
-	reason  core.Reason
-}
-
 type event struct {
 	at     time.Time
 	serial int
@@ -182,7 +177,7 @@
 func (f *fleet) start(n *node) {
 	n.incarnation++
 	n.id = core.RouterID(fmt.Sprintf("%s.%d", n.name, n.incarnation))
-	n.up, n.ready, n.force, n.paused = true, false, 0, time.Time{}
+	n.up, n.ready, n.closing, n.force, n.paused = true, false, false, 0, time.Time{}
 	n.linked = make(map[core.RouterID]bool)
 	n.sends = make(map[string]*run)
 	n.wakeAt = time.Time{}
@@ -326,10 +321,7 @@
 	case core.Ready:
 		n.ready = e.Ready
 	case core.Exit:
-		for _, id := range f.pending(n) {
-			f.breaks("%s was cut by the end of a drain", id)
-		}
-		f.kill(n)
+		f.exit(n)
 		f.mend(faultTime, func() { f.restart(n) })
 	}
 }
@@ -344,48 +336,6 @@
 	})
 }
 
-func (f *fleet) final(id core.RequestID, kind string, outcome core.Outcome, reason core.Reason) {
-	c := f.callers[id]
-	if c.gone {
-		return
-	}
-	c.finals = append(c.finals, kind)
-	c.outcome, c.reason = outcome, reason
-}
-
-// arrive gives a request to a node.
-func (f *fleet) arrive(n *node, ev core.Arrive) {
-	f.serial++
-	ev.Request = core.RequestID(fmt.Sprintf("%s-%d", n.id, f.serial))
-	f.callers[ev.Request] = &caller{arrive: ev, node: n}
-	switch {
-	case !n.up:
-		f.callers[ev.Request].finals = []string{"no connection"}
-	case !n.ready && n.state.Status().Generation == 0:
-		f.final(ev.Request, "refused", core.NotRun, core.ReasonNotReady)
-	default:
-		f.deliver(n, ev)
-	}
-}
-
-// leave closes a caller's connection.
-func (f *fleet) leave(id core.RequestID) {
-	c := f.callers[id]
-	c.finals, c.gone = []string{"gone"}, true
-	f.deliver(c.node, core.CallerGone{Request: id})
-}
-
-// pending lists the requests that wait for their end at a node.
-func (f *fleet) pending(n *node) []core.RequestID {
-	var out []core.RequestID
-	for _, id := range slices.Sorted(maps.Keys(f.callers)) {
-		if c := f.callers[id]; c.node == n && len(c.finals) == 0 {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 // kill ends a node at once: its callers lose their connections.
 func (f *fleet) kill(n *node) {
 	f.divided = true
@@ -406,6 +356,22 @@
 	}
 }
 
+// exit ends a process as the router's Run does: it takes no new connections, lets
+// the requests that came before get their answers, and is gone after that.
+func (f *fleet) exit(n *node) {
+	n.closing = true
+	inc := n.incarnation
+	f.after(exitGrace, func() {
+		if n.incarnation != inc {
+			return
+		}
+		for _, id := range f.pending(n) {
+			f.breaks("%s was cut by the end of a drain", id)
+		}
+		f.kill(n)
+	})
+}
+
 func (f *fleet) restart(n *node) {
 	if !n.up {
 		f.start(n)
