Tell of claims and replays in explanations

Cause: between the grant and the send of a booking stood an unexplained millisecond, and a second sending of a key ended with the bare word replayed; a request refused before it was read was said to have got no slot. The entry now records that a claim is under way. Ruled out: recording each step of the claim, since its own decision already names the reason of a refusal.

--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -78,6 +78,7 @@
 	r.state = claiming
 	r.claimSlot = slot
 	effects, decisions := s.gates.Begin(now, r.Arrive)
+	effects = append(effects, core.Record{Request: r.Request, What: "claiming", Upstream: slot.upstream})
 	for _, d := range decisions {
 		effects = append(effects, s.Decide(now, d)...)
 	}
--- a/router/explain_summary.go
+++ b/router/explain_summary.go
@@ -20,8 +20,11 @@
 // summarise puts the explanation into sentences: the wait first, then the steps
 // in their order.
 func (e *Explanation) summarise() []string {
-	out := []string{e.intake(), e.wait()}
-	out = append(out, e.ahead()...)
+	out := []string{e.intake()}
+	if e.Service != "" {
+		out = append(out, e.wait())
+		out = append(out, e.ahead()...)
+	}
 	for _, o := range e.Owners {
 		if o.Error != "" {
 			out = append(out, fmt.Sprintf("What %s decided is not known: %s.", o.Router, o.Error))
@@ -143,6 +146,7 @@
 
 // steps are the sentences for steps that concern an upstream.
 var steps = map[string]string{
+	"claiming":  "As it must run at most once, it had to win its claim before %s was asked.",
 	"sent":      "It was sent to %s.",
 	"answering": "The answer of %s began.",
 	"hedged":    "No token came in time, so it was sent a second time, to %s.",
@@ -160,7 +164,7 @@
 	case lineGranted:
 		return e.grantedSentence(l)
 	case lineEnded:
-		return fmt.Sprintf("It ended: %s.", l.Detail)
+		return endSentence(l.Detail)
 	case lineRefused, lineAborted:
 		return l.Detail
 	case "failed":
@@ -171,3 +175,10 @@
 	}
 	return strings.TrimSpace(fmt.Sprintf("%s %s: %s", l.What, l.Upstream, l.Detail))
 }
+
+func endSentence(how string) string {
+	if how == "replayed" {
+		return "Nothing ran: it got the answer that is recorded for its idempotency key."
+	}
+	return fmt.Sprintf("It ended: %s.", how)
+}
--- a/router/explain_test.go
+++ b/router/explain_test.go
@@ -46,6 +46,14 @@
 			"r2.1 lent a slot of e1; upstreams weighed: e1 with 1 free, e2 with 0 free, slow; organisations that waited: 2 (by service for their share: fiddlers at 70, drummers at 90).",
 			"It was sent to e1.", "No token came in time, so it was sent a second time, to e2.", "It ended: complete.",
 		}},
+		{"a second sending of a key", []Line{
+			{At: after(1), What: lineGranted, Upstream: "p1", Owner: "r2.1", Grant: 8},
+			{At: after(1), What: "claiming", Upstream: "p1"}, {At: after(3), What: lineEnded, Detail: "replayed"},
+		}, OwnerExplanation{Router: "r2.1"}, []string{
+			"A slot was free: it waited 1.0 ms.", "r2.1 lent a slot of p1; why is not kept there any more.",
+			"As it must run at most once, it had to win its claim before p1 was asked.",
+			"Nothing ran: it got the answer that is recorded for its idempotency key.",
+		}},
 		{"refused after waiting", []Line{
 			{At: after(0), What: "queued"}, {At: after(900), What: lineRefused, Detail: "Answered 503: wait-too-long (not-run)."},
 		}, OwnerExplanation{Router: "r2.1", Error: "router r2.1 did not answer"}, []string{
