Drop the oldest minutes at the bound, not whole organisations

Cause: a trial with 3,400 organisations that each ask every minute hit the bound of minutes after 77 of them, and dropping the account used least recently then threw out whole histories 12,486 times in six hours, of nearly every organisation in turn. At the bound the oldest minutes of all accounts now go, a quarter at a time, so short windows stay whole, and the report says since when the figures of organisations count. Ruled out: a higher bound, which only moves the hour.

--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -5,13 +5,15 @@
 // one Report of the documents of many routers. The package is pure: times come
 // in with the calls, and nothing here is safe for concurrent use.
 //
-// Memory is bounded. Minutes without a request take none. A ledger keeps the
-// latest MinutesKept minutes of at most accountsMost organisations and services
-// and at most minutesMost minutes in all, which is under 40 MB; histograms add
-// half a megabyte for each service. Beyond the bounds the account used least
-// recently is dropped whole, so that its organisation's earlier minutes are
-// missing from the report, though not from its service's totals. Ledger.Dropped
-// counts such losses, and the report shows them.
+// Memory is bounded. Minutes without a request take none. A ledger keeps at most
+// MinutesKept minutes of each pair of organisation and service, at most
+// accountsMost pairs, and at most minutesMost minutes in all, which is under
+// 40 MB; histograms add half a megabyte for each service. Beyond the number of
+// minutes the oldest of all pairs are dropped, so that long windows of
+// organisations count less than they say; the report tells since when they are
+// whole. Beyond the number of pairs the one used least recently is dropped with
+// its history; the report tells how many were. The totals of services are never
+// shortened.
 package burn
 
 import (
--- a/internal/burn/document.go
+++ b/internal/burn/document.go
@@ -38,7 +38,9 @@
 // Document is one router's answer.
 type Document struct {
 	// Started is when the router's figures begin.
-	Started  time.Time         `json:"started"`
+	Started time.Time `json:"started"`
+	// Since is when the figures of organisations begin.
+	Since    time.Time         `json:"since"`
 	Taken    time.Time         `json:"taken"`
 	Dropped  uint64            `json:"dropped"`
 	Services []ServiceDocument `json:"services"`
@@ -68,7 +70,7 @@
 
 // Document answers a question that was checked.
 func (l *Ledger) Document(now time.Time, q Question) (Document, error) {
-	doc := Document{Started: l.started, Taken: now, Dropped: l.dropped}
+	doc := Document{Started: l.started, Since: l.since(), Taken: now, Dropped: l.dropped}
 	for _, name := range slices.Sorted(maps.Keys(l.services)) {
 		part, err := l.services[name].document(now, name, q)
 		if err != nil {
--- a/internal/burn/ledger.go
+++ b/internal/burn/ledger.go
@@ -9,14 +9,23 @@
 	"github.com/jujubeford/jujubeford/internal/core"
 )
 
+// keptNumerator over keptDenominator is the part of the minutes, and of their
+// ages, that is kept at the bound.
+const (
+	keptNumerator   = 3
+	keptDenominator = 4
+)
+
 // Ledger holds one router's figures.
 type Ledger struct {
 	started  time.Time
 	accounts *simplelru.LRU[Key, *series]
 	services map[string]*service
-	// minutes is the number of minutes of all accounts.
-	minutes int
-	dropped uint64
+	// minutes is the number of minutes of all accounts, at most most.
+	minutes, most int
+	dropped       uint64
+	// cut is the last minute that was dropped from all accounts to make room.
+	cut int64
 }
 
 // service holds the totals of a service over all organisations.
@@ -26,13 +35,15 @@
 }
 
 // New returns an empty ledger.
-func New(now time.Time) *Ledger {
-	l := &Ledger{started: now, services: make(map[string]*service)}
-	accounts, err := simplelru.NewLRU(accountsMost, l.evicted)
+func New(now time.Time) *Ledger { return newLedger(now, accountsMost, minutesMost) }
+
+func newLedger(now time.Time, accounts, minutes int) *Ledger {
+	l := &Ledger{started: now, services: make(map[string]*service), most: minutes}
+	kept, err := simplelru.NewLRU(accounts, l.evicted)
 	if err != nil {
 		panic(err) // only for a size under 1
 	}
-	l.accounts = accounts
+	l.accounts = kept
 	return l
 }
 
@@ -100,9 +111,30 @@
 	m, grown := account.at(now)
 	note(m)
 	l.minutes += grown
-	for l.minutes > minutesMost && l.accounts.Len() > 1 {
-		l.accounts.RemoveOldest()
+	if l.minutes > l.most {
+		l.shorten(now)
+	}
+}
+
+// shorten drops the oldest minutes of all accounts until there is room again for
+// a while.
+func (l *Ledger) shorten(now time.Time) {
+	room := l.most * keptNumerator / keptDenominator
+	for keep := MinutesKept; l.minutes > room && keep > 1; {
+		keep = keep * keptNumerator / keptDenominator
+		l.cut = now.Unix()/60 - int64(keep)
+		for _, account := range l.accounts.Values() {
+			l.minutes -= account.forget(l.cut)
+		}
+	}
+}
+
+// since is when the accounts' minutes begin.
+func (l *Ledger) since() time.Time {
+	if cut := time.Unix((l.cut+1)*60, 0).UTC(); cut.After(l.started) {
+		return cut
 	}
+	return l.started
 }
 
 func (l *Ledger) service(name string) *service {
--- a/internal/burn/merge.go
+++ b/internal/burn/merge.go
@@ -61,7 +61,7 @@
 		m.Missing(router, err)
 		return
 	}
-	m.routers = append(m.routers, RouterPart{Router: router, Started: &doc.Started, Dropped: doc.Dropped})
+	m.routers = append(m.routers, RouterPart{Router: router, Started: &doc.Started, Since: &doc.Since, Dropped: doc.Dropped})
 	for i := range doc.Services {
 		m.service(doc.Services[i].Name).add(&doc.Services[i], decoded[i])
 	}
--- a/internal/burn/minute.go
+++ b/internal/burn/minute.go
@@ -115,19 +115,19 @@
 		// A clock that was set back adds to the latest minute.
 		return &s.minutes[n-1], 0
 	}
-	before := len(s.minutes)
-	s.forget(at)
+	forgotten := s.forget(oldest(now))
 	s.minutes = append(s.minutes, Minute{At: at})
-	return &s.minutes[len(s.minutes)-1], len(s.minutes) - before
+	return &s.minutes[len(s.minutes)-1], 1 - forgotten
 }
 
-// forget drops the minutes that are too old to be asked for.
-func (s *series) forget(at int64) {
+// forget drops the minutes up to one, and returns how many there were.
+func (s *series) forget(upTo int64) int {
 	old := 0
-	for old < len(s.minutes) && s.minutes[old].At <= at-MinutesKept {
+	for old < len(s.minutes) && s.minutes[old].At <= upTo {
 		old++
 	}
 	if old > 0 {
 		s.minutes = append(s.minutes[:0], s.minutes[old:]...)
 	}
+	return old
 }
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -38,6 +38,8 @@
 	Error string `json:"error,omitempty"`
 	// Started is when its figures begin.
 	Started *time.Time `json:"started,omitempty"`
+	// Since is when its figures of organisations begin.
+	Since *time.Time `json:"organisations_since,omitempty"`
 	// Dropped is the number of accounts that it dropped at its bounds.
 	Dropped uint64 `json:"dropped_accounts,omitempty"`
 }
--- a/internal/cli/report_html.go
+++ b/internal/cli/report_html.go
@@ -14,12 +14,13 @@
 	*burn.Report
 	Merged  int
 	Missing []burn.RouterPart
+	Losses  []string
 }
 
 // printReportPage prints the report as one page that needs nothing else.
 func printReportPage(out io.Writer, r *burn.Report) error {
 	merged, missing := coverage(r)
-	return pageTemplate.Execute(out, page{Report: r, Merged: merged, Missing: missing})
+	return pageTemplate.Execute(out, page{Report: r, Merged: merged, Missing: missing, Losses: losses(r)})
 }
 
 var pageTemplate = template.Must(template.New("report").Funcs(template.FuncMap{
@@ -76,6 +77,7 @@
 <h1>Service-level burn</h1>
 <p>{{utc .Taken}}. Figures of {{.Merged}} routers, {{len .Missing}} missing. A burn of 1 spends the error budget in just the window.</p>
 {{if .Missing}}<div class="missing">Not in this report:<ul>{{range .Missing}}<li>{{.Router}}: {{.Error}}</li>{{end}}</ul></div>{{end}}
+{{range .Losses}}<p>{{.}}.</p>{{end}}
 {{$windows := .Windows}}
 {{range .Services}}
 <h2>Service {{.Name}}</h2>
--- a/internal/cli/report_text.go
+++ b/internal/cli/report_text.go
@@ -29,11 +29,25 @@
 	for _, part := range missing {
 		fmt.Fprintf(out, "  missing: %s: %s\n", part.Router, part.Error)
 	}
+	for _, text := range losses(r) {
+		fmt.Fprintf(out, "  %s\n", text)
+	}
+}
+
+// losses tells what routers dropped at the bounds of their memory.
+func losses(r *burn.Report) []string {
+	var out []string
 	for _, part := range r.Routers {
+		if part.Started != nil && part.Since != nil && part.Since.After(*part.Started) {
+			out = append(out, fmt.Sprintf("%s has dropped minutes of organisations before %s to make room",
+				part.Router, part.Since.UTC().Format(time.RFC3339)))
+		}
 		if part.Dropped > 0 {
-			fmt.Fprintf(out, "  %s dropped %d accounts at its bounds: their organisations show too little\n", part.Router, part.Dropped)
+			out = append(out, fmt.Sprintf("%s dropped %d accounts at its bounds: their organisations show too little",
+				part.Router, part.Dropped))
 		}
 	}
+	return out
 }
 
 // coverage is how many routers were merged, and those that were not.
