Kill engines one after the other, once their streams have begun

The test killed both engines at once, so that no stream was seen to move to the engine that was left, and its last check hung on a race: a request that had not begun to stream is refused, not broken off. It now waits for tokens of the new streams from the engine's own counts, kills one engine and expects whole answers through the other, then kills that and expects explicit errors.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -13,6 +13,8 @@
 	// strikes, shortAnswer those of one that is served quickly.
 	longAnswer  = 150
 	shortAnswer = 5
+	// begun is how many tokens of an engine show that its streams have begun.
+	begun = 20
 	// keys is how many operations are under way when a fault strikes.
 	keys = 24
 )
@@ -66,28 +68,41 @@
 }
 
 // TestKilledEngineLeavesNoShortAnswer ends engines by SIGKILL while they stream.
-// With one left an answer may be whole; with none it ends in an explicit error.
+// While one is left an answer may be whole; with none it ends in an explicit
+// error.
 func TestKilledEngineLeavesNoShortAnswer(t *testing.T) {
 	f := newFleet(t)
-	streams := f.longStreams()
-	f.engines[0].signal(t, syscall.SIGKILL)
-	<-f.engines[0].done
-	second := f.longStreams()
-	f.engines[1].signal(t, syscall.SIGKILL)
+	for i, p := range f.engines {
+		before := f.tokens(i)
+		streams := f.longStreams()
+		await(t, "the engine streams", func() bool { return f.tokens(i) > before+begun })
+		p.signal(t, syscall.SIGKILL)
+		<-p.done
+		ends := f.endsExplicitly(streams)
+		t.Logf("after %s was killed: %v", p.name, ends)
+		if last := i == len(f.engines)-1; last && ends[client.Failed] == 0 {
+			t.Error("no stream ended in an explicit error, although no engine was left")
+		} else if !last && ends[client.Whole] == 0 {
+			t.Error("no stream was whole, although an engine was left")
+		}
+	}
+}
+
+// endsExplicitly checks that no answer looks whole that is not, and counts how
+// they ended.
+func (f *fleet) endsExplicitly(streams []<-chan client.Result) map[client.End]int {
+	f.t.Helper()
 	ends := make(map[client.End]int)
-	for _, r := range append(all(streams), all(second)...) {
+	for _, r := range all(streams) {
 		ends[r.End]++
 		if r.End == client.Cut || r.End == client.Foreign || r.End == client.Unanswered {
-			t.Errorf("%s ended %s: %s", r.Name, r.End, r.Error)
+			f.t.Errorf("%s ended %s: %s", r.Name, r.End, r.Error)
 		}
 		if r.End == client.Failed && (r.Outcome != "may-have-run" || r.Reason == "") {
-			t.Errorf("%s failed with outcome %q and reason %q: %s", r.Name, r.Outcome, r.Reason, r.Error)
+			f.t.Errorf("%s failed with outcome %q and reason %q: %s", r.Name, r.Outcome, r.Reason, r.Error)
 		}
 	}
-	t.Logf("ends: %v", ends)
-	if ends[client.Failed] == 0 {
-		t.Error("no stream ended in an explicit error, although no engine was left")
-	}
+	return ends
 }
 
 // TestPlatformOutage stops the platform: model work goes on, and work that must
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -38,12 +38,12 @@
 	platform *process
 	engines  []*process
 	routers  []*process
-	// entries, admins and plain are where routers take requests and questions,
-	// and where the plain service tells what it ran.
-	entries, admins []string
-	plain           string
-	client          *client.Client
-	trace           *trace.Trace
+	// entries and admins are where routers take requests and questions, controls
+	// and plain where engines and the plain service tell what they run.
+	entries, admins, controls []string
+	plain                     string
+	client                    *client.Client
+	trace                     *trace.Trace
 }
 
 // newFleet starts a platform, engines, a plain service and routers, and waits
@@ -66,9 +66,11 @@
 	})
 	f.submit(store)
 	for i := range engineCount {
+		a := addresses(t, 2)
+		f.controls = append(f.controls, a[1])
 		f.engines = append(f.engines, start(t, fmt.Sprintf("engine%d", i), "standin", "engine",
 			"-name", fmt.Sprintf("e%d", i), "-service", scenario.ModelService, "-domain", domain(i),
-			"-listen", addresses(t, 1)[0], "-platform", store, "-token-time", tokenTime, "-slots", fmt.Sprint(slots)))
+			"-listen", a[0], "-control", a[1], "-platform", store, "-token-time", tokenTime, "-slots", fmt.Sprint(slots)))
 	}
 	a := addresses(t, 2)
 	f.plain = a[1]
@@ -149,6 +151,15 @@
 	return n
 }
 
+// tokens is how many tokens an engine has given; 0 if it does not answer.
+func (f *fleet) tokens(i int) uint64 {
+	var s engine.Stats
+	get("http://"+f.controls[i]+"/stats", func(r *http.Response) error {
+		return json.NewDecoder(r.Body).Decode(&s)
+	})
+	return s.Tokens
+}
+
 // model sends a streamed request of so many tokens through router i.
 func (f *fleet) model(i int, name string, tokens int) <-chan client.Result {
 	return f.do(i, trace.Request{Name: name, Prompt: "tell " + name, Tokens: tokens})
