Let a drain wait until outcomes of finished work are recorded

Cause: a draining router ended as soon as its requests had ended, also when the key-value service had not yet taken the outcome of work that must run at most once. The caller had its answer, but the same operation sent again was refused as claim-unknown for good in place of its recorded answer. Ruled out: a router that is killed, for which that is the honest word.

The drain now waits for such outcomes too, until its own timeout ends it. The matrix repeats every finished operation after healing and has a fault for a drain during an outage.

--- a/internal/faults/callers_test.go
+++ b/internal/faults/callers_test.go
@@ -29,8 +29,8 @@
 	c.outcome, c.reason = outcome, reason
 }
 
-// arrive gives a request to a node.
-func (f *fleet) arrive(n *node, ev core.Arrive) {
+// arrive gives a request to a node and returns its id.
+func (f *fleet) arrive(n *node, ev core.Arrive) core.RequestID {
 	f.serial++
 	ev.Request = core.RequestID(fmt.Sprintf("%s-%d", n.id, f.serial))
 	f.callers[ev.Request] = &caller{arrive: ev, node: n}
@@ -42,6 +42,7 @@
 	default:
 		f.deliver(n, ev)
 	}
+	return ev.Request
 }
 
 // leave closes a caller's connection.
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -60,7 +60,9 @@
 	// divided tells that a router missed messages at some time, lost that some
 	// got lost on the way.
 	divided, lost bool
-	policy        reducer.Policy
+	// killed tells that a router ended without a drain.
+	killed bool
+	policy reducer.Policy
 	// light makes the load's model requests small.
 	light bool
 	// served is the service delivered to each organisation.
@@ -338,6 +340,12 @@
 
 // kill ends a node at once: its callers lose their connections.
 func (f *fleet) kill(n *node) {
+	f.killed = true
+	f.end(n)
+}
+
+// end ends a node.
+func (f *fleet) end(n *node) {
 	f.divided = true
 	n.up = false
 	n.incarnation++
@@ -368,7 +376,7 @@
 		for _, id := range f.pending(n) {
 			f.breaks("%s was cut by the end of a drain", id)
 		}
-		f.kill(n)
+		f.end(n)
 	})
 }
 
--- a/internal/faults/promises_test.go
+++ b/internal/faults/promises_test.go
@@ -16,6 +16,8 @@
 	spreadTime = 12 * time.Second
 	// settleTime is how long after that everything has ended.
 	settleTime = 25 * time.Second
+	// replayTime is how long repeated operations may take to be answered.
+	replayTime = 12 * time.Second
 	// freshTime is how long the load lasts that shows that all is mended.
 	freshTime = time.Second
 )
@@ -29,6 +31,7 @@
 	f.inForce()
 	f.run(settleTime)
 	f.nothingLeft()
+	f.replay()
 	f.serveFresh()
 	f.nothingLeft()
 	f.checkCallers()
@@ -64,6 +67,28 @@
 	return slices.ContainsFunc(f.nodes, func(n *node) bool { return n.up && n.id == id })
 }
 
+// replay checks that finished operations that are sent again get their recorded
+// answer. A router that is killed may take an outcome with it that the store has
+// not taken yet; then the word is may-have-run.
+func (f *fleet) replay() {
+	f.seen = nil
+	again := make(map[core.RequestID]bool)
+	for _, id := range slices.Sorted(maps.Keys(f.callers)) {
+		c := f.callers[id]
+		if c.arrive.Once && c.finals[0] == "answered" {
+			again[f.arrive(f.nodes[len(again)%routers], c.arrive)] = true
+		}
+	}
+	f.run(replayTime)
+	for _, id := range slices.Sorted(maps.Keys(again)) {
+		c := f.callers[id]
+		honest := f.killed && c.outcome == core.MayHaveRun
+		if len(c.finals) != 1 || c.finals[0] != "replayed" && !honest {
+			f.breaks("%s repeats a finished operation and was %v (%s)", id, c.finals, c.reason)
+		}
+	}
+}
+
 // serveFresh checks that a new load is served completely.
 func (f *fleet) serveFresh() {
 	// Nothing strikes a fleet that has healed.
--- a/internal/faults/strike_test.go
+++ b/internal/faults/strike_test.go
@@ -95,6 +95,10 @@
 		f.arrive(n, request(f, 0, longCost))
 		f.deliver(n, core.Drain{})
 	}},
+	{name: "its router drains while the platform is down", strike: func(f *fleet, n *node) {
+		f.outage(4 * faultTime)
+		f.deliver(n, core.Drain{})
+	}},
 	{name: "two operators race", strike: func(f *fleet, _ *node) { f.race() }},
 	{name: "the platform fails right after a configuration is accepted", strike: func(f *fleet, n *node) {
 		f.accept()
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -105,15 +105,21 @@
 	if s.exited || s.drainSince.IsZero() {
 		return
 	}
-	if (s.entry.Requests() > 0 || now.Sub(s.drainSince) < handoverFor) && !s.off(DrainWait) {
+	if (s.unfinished() || now.Sub(s.drainSince) < handoverFor) && !s.off(DrainWait) {
 		return
 	}
 	s.exited = true
 	s.emit([]core.Effect{core.Exit{}})
 }
 
+// unfinished tells whether a drain has to wait: for requests, and for outcomes of
+// finished work that the key-value service has not taken yet.
+func (s *State) unfinished() bool {
+	return s.entry.Requests() > 0 || s.claims.Pending() > 0 && !s.expired
+}
+
 func (s *State) drainWake() time.Time {
-	if s.drainSince.IsZero() || s.exited || s.entry.Requests() > 0 {
+	if s.drainSince.IsZero() || s.exited || s.unfinished() {
 		return time.Time{}
 	}
 	return s.drainSince.Add(handoverFor)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -77,8 +77,10 @@
 	alive       map[core.RouterID]bool
 	ready       bool
 	drainSince  time.Time
-	exited      bool
-	steps       steps
+	// expired tells that the time for a drain is over.
+	expired bool
+	exited  bool
+	steps   steps
 
 	// now is the time of the step under way.
 	now      time.Time
@@ -175,7 +177,7 @@
 		s.drain(now)
 	case core.Expire:
 		s.emit(s.entry.Abandon(now))
-		s.drainSince = now.Add(-handoverFor)
+		s.drainSince, s.expired = now.Add(-handoverFor), true
 	case core.Release:
 		s.emit(s.quarantine.Step(now, ev))
 	case core.PeerUp, core.PeerDown, core.DialFailed:
