Connect routers that have something to say; tell less often what changes little

And an owner weighed every demand up to four times for each message.

Change: a message to a known router without a connection waits up to 2 s while one is made. Counters of organisations that do not wait are told every tenth report; an owner of a single held slot is told every fourth list (a grant that is not listed counts for 15 s, before 5); rounds of asking double from 25 ms; an owner weighs demand only when there is room.

Ruled out: withdrawing demand once it is served elsewhere (a message as large as what it saves).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,8 @@
 	unasked  map[queueKey]bool
 	timers   timers.Queue[timer]
 	progress time.Time
+	// lists counts the times at which held grants were listed.
+	lists    int
 	draining bool
 }
 
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -10,8 +10,13 @@
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
-// progressEvery is the time between two lists of held grants.
-const progressEvery = time.Second
+const (
+	// progressEvery is the time between two lists of held grants to an owner of
+	// several; seldom is in how many of those times an owner of a single one is
+	// told.
+	progressEvery = time.Second
+	seldom        = 4
+)
 
 // Granted binds a lent slot to the request that has waited longest, or gives it
 // back if nothing waits for it any more.
@@ -176,12 +181,15 @@
 		return
 	}
 	s.progress = now.Add(progressEvery)
-	owners := make(map[core.RouterID]bool)
+	s.lists++
+	held := make(map[core.RouterID]int)
 	for _, h := range s.held {
-		owners[h.owner] = true
+		held[h.owner]++
 	}
-	for owner := range owners {
-		s.pending.progress(owner, s.heldOf(owner, false), false)
+	for owner, n := range held {
+		if n > 1 || s.lists%seldom == 0 {
+			s.pending.progress(owner, s.heldOf(owner, false), false)
+		}
 	}
 }
 
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -16,8 +16,9 @@
 	// spillAfter is how long a request waits for its own failure domain before
 	// owners elsewhere are asked too.
 	spillAfter = 10 * time.Millisecond
-	// fanout is how many more owners of either kind are asked each round, and
-	// roundEvery the time between two rounds.
+	// fanout is how many more owners of either kind are asked each round.
+	// roundEvery is the time between the first two rounds; it doubles with each,
+	// since an owner that lends a slot in vain costs two messages.
 	fanout     = 4
 	roundEvery = 25 * time.Millisecond
 	// repeatAfter is how often demand is repeated once all owners were asked, for
@@ -232,7 +233,7 @@
 	case q.round == 0:
 		wait = spillAfter
 	case q.round*fanout < max(len(q.near), len(q.far)):
-		wait = roundEvery
+		wait = min(roundEvery<<(q.round-1), repeatAfter)
 	}
 	q.repeat = now.Add(wait)
 	s.timers.Add(q.repeat, timer{queue: k})
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -142,12 +142,12 @@
 	a.remote += cost
 }
 
-// Report returns the organisations that wait here, or were charged here since
-// the last report.
-func (q *Queue) Report() []Account {
+// Report returns the organisations that wait here and, if all is set, those that
+// were charged here since they were last reported.
+func (q *Queue) Report(all bool) []Account {
 	var out []Account
 	for org, a := range q.accounts {
-		if a.backlogged || a.own != a.reported {
+		if a.backlogged || (all && a.own != a.reported) {
 			a.reported = a.own
 			out = append(out, a.account(org))
 		}
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -103,8 +103,9 @@
 	q.SetShare("idle", 3)
 	q.Charge("served", 5, 0)
 	wait(q, "waits")
-	g.Expect(q.Report()).To(gomega.HaveLen(2))
-	again := q.Report()
+	g.Expect(q.Report(false)).To(gomega.HaveLen(1), "only what waits")
+	g.Expect(q.Report(true)).To(gomega.HaveLen(2))
+	again := q.Report(true)
 	g.Expect(again).To(gomega.HaveLen(1))
 	g.Expect(again[0].Organisation).To(gomega.Equal("waits"))
 }
--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -66,6 +66,55 @@
 	now   time.Time
 	owned []*upstream
 	over  bool
+	// best is the upstream to lend to work of a class that has waited long enough
+	// for a slow one, or not; nil if none fits.
+	best map[fit]*upstream
+}
+
+// fit is what decides whether an upstream fits a demand.
+type fit struct {
+	class   core.Class
+	patient bool
+}
+
+func newRoom(now time.Time, owned []*upstream, over bool) room {
+	r := room{now: now, owned: owned, over: over, best: make(map[fit]*upstream)}
+	for _, class := range []core.Class{core.ClassUnknown, core.ClassShort, core.ClassLong} {
+		for _, patient := range []bool{false, true} {
+			f := fit{class, patient}
+			for _, u := range owned {
+				if r.fits(u, f) && (r.best[f] == nil || better(u, r.best[f], now)) {
+					r.best[f] = u
+				}
+			}
+		}
+	}
+	return r
+}
+
+// fits tells whether a slot of an upstream may be lent. A slow upstream is lent
+// only to what has waited a while for a faster one.
+func (r room) fits(u *upstream, f fit) bool {
+	if u.speed.slow(r.now) && !f.patient {
+		return false
+	}
+	if r.over {
+		return u.over(r.now, f.class) > 0
+	}
+	return u.free(r.now) > 0
+}
+
+// pick returns the upstream to lend for a demand, nil if none fits.
+func (r room) pick(class core.Class, d *demand) *upstream {
+	f := fit{class, r.now.Sub(d.oldest) >= slowPatience}
+	if d.prefer != "" && r.best[f] != nil {
+		for _, u := range r.owned {
+			if u.ID == d.prefer && r.fits(u, f) {
+				return u
+			}
+		}
+	}
+	return r.best[f]
 }
 
 // choose finds the next slot to lend: the organisation first, then its entry,
@@ -73,7 +122,10 @@
 // that may not go there: short work takes no more than it would within them.
 func (s *State) choose(now time.Time, sv *service, owned []*upstream) (*upstream, string, entryClass, *demand) {
 	for _, over := range []bool{false, true} {
-		r := room{now, owned, over}
+		r := newRoom(now, owned, over)
+		if len(r.best) == 0 {
+			continue
+		}
 		org := sv.queue.Pick(r.candidates(sv))
 		if org == "" {
 			continue
@@ -159,28 +211,6 @@
 	}
 }
 
-// pick returns the upstream to lend for a demand, nil if none fits. A slow
-// upstream is lent only to what has waited a while for a faster one.
-func (r room) pick(class core.Class, d *demand) *upstream {
-	var best *upstream
-	for _, u := range r.owned {
-		free := u.free(r.now)
-		if r.over {
-			free = u.over(r.now, class)
-		}
-		if free == 0 || (u.speed.slow(r.now) && r.now.Sub(d.oldest) < slowPatience) {
-			continue
-		}
-		if u.ID == d.prefer {
-			return u
-		}
-		if best == nil || better(u, best, r.now) {
-			best = u
-		}
-	}
-	return best
-}
-
 func better(a, b *upstream, now time.Time) bool {
 	if a.speed.slow(now) != b.speed.slow(now) {
 		return b.speed.slow(now)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -22,6 +22,9 @@
 	carefulFor = 500 * time.Millisecond
 	// demandAge is how long an entry's demand counts without being repeated.
 	demandAge = 15 * time.Second
+	// reportAllEvery is every how many reports the counters of organisations that
+	// do not wait are told too: nobody competes with them.
+	reportAllEvery = 10
 	// reservedFraction of the slots may be lent to short work over the slots,
 	// where long work holds them.
 	reservedFraction = 4
@@ -29,8 +32,9 @@
 	// more counts as given back.
 	lostAfter = 2 * time.Second
 	// unheardAfter is how long a grant counts that its entry does not list.
-	// Entries list what they hold each second, and nothing once they hold nothing.
-	unheardAfter = 5 * time.Second
+	// Entries list what they hold each few seconds, and nothing once they hold
+	// nothing.
+	unheardAfter = 15 * time.Second
 )
 
 // State holds the slots of the owned upstreams and the demand for them.
@@ -41,6 +45,8 @@
 	services  map[string]*service
 	upstreams map[string]*upstream
 	next      time.Time
+	// reports counts the reports of counters.
+	reports int
 	// turn is the entry that was last asked for work.
 	turn int
 	// slices divides the slots of each upstream, at least 1.
@@ -288,12 +294,14 @@
 // Wake is when Tick is next due; zero if never.
 func (s *State) Wake() time.Time { return s.next }
 
-// Report returns the counters of the organisations that wait here or were served
-// here since the last report.
+// Report returns the counters of the organisations that wait here, and now and
+// then those of all that were served here.
 func (s *State) Report() []*wire.Counter {
+	s.reports++
+	all := s.reports%reportAllEvery == 0
 	var out []*wire.Counter
 	for _, name := range sorted(s.services) {
-		for _, a := range s.services[name].queue.Report() {
+		for _, a := range s.services[name].queue.Report(all) {
 			out = append(out, &wire.Counter{
 				Service: name, Organisation: a.Organisation, Served: a.Own, Backlogged: a.Backlogged,
 			})
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -82,6 +82,8 @@
 	exited  bool
 	steps   steps
 
+	// parked are messages that wait for a connection.
+	parked map[core.RouterID]*parked
 	// now is the time of the step under way.
 	now      time.Time
 	out      []core.Effect
@@ -102,6 +104,7 @@
 		counters:   counters.New(o.Self.ID),
 		orders:     orders.New(o.Self.ID, o.Self.Domain),
 		alive:      make(map[core.RouterID]bool),
+		parked:     make(map[core.RouterID]*parked),
 	}
 	if o.Policy == PolicyBaseline {
 		s.view.Alone()
@@ -181,10 +184,11 @@
 	case core.Release:
 		s.emit(s.quarantine.Step(now, ev))
 	case core.PeerUp, core.PeerDown, core.DialFailed:
+		s.emit(s.members.Step(now, ev))
 		if up, ok := ev.(core.PeerUp); ok {
+			s.unpark(core.RouterID(up.Member.Id))
 			s.fetchListing(core.RouterID(up.Member.Id))
 		}
-		s.emit(s.members.Step(now, ev))
 		s.emit(s.rollout.Step(now, ev))
 		s.emit(s.quarantine.Step(now, ev))
 		s.decide(now, ev)
@@ -256,6 +260,7 @@
 	if s.options.Policy == PolicyBaseline || !s.counters.Due(now) {
 		return
 	}
+	s.expireParked()
 	s.fetchListingAgain()
 	effects, remotes := s.counters.Report(now, s.owner.Report(), s.view.RouterIDs(), s.owner.Own)
 	s.emit(effects)
@@ -276,6 +281,9 @@
 			s.loopback = append(s.loopback, m.Message)
 			continue
 		}
+		if m, ok := e.(core.SendPeer); ok && s.park(m) {
+			continue
+		}
 		if a, ok := e.(core.Apply); ok {
 			s.apply(a.Config)
 		}
