Split the owner by job: demand, grants, counters

Cause: owner.go had grown to 408 lines with four jobs in it. Ruled out: packages of their own (they share the state of one reducer). Conclusion: one file a job, behaviour and tests untouched.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -11,7 +11,6 @@
 
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
-	"github.com/jujubeford/jujubeford/internal/fair"
 	"github.com/jujubeford/jujubeford/internal/timers"
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
@@ -57,30 +56,6 @@
 	decisions decisions
 }
 
-// service is what waits for one service and how it is shared.
-type service struct {
-	name    string
-	slots   int
-	batches bool
-	queue   *fair.Queue
-	// longCost is the mean expected cost of long work.
-	longCost float64
-	demand   map[string]map[entryClass]*demand // by organisation
-}
-
-type entryClass struct {
-	entry core.RouterID
-	class core.Class
-}
-
-type demand struct {
-	waiting uint32
-	oldest  time.Time
-	prefer  string
-	cost    uint64
-	at      time.Time
-}
-
 // New returns a state that owns nothing. The prefix tells this incarnation's
 // grants from those of others.
 func New(self core.RouterID, prefix uint16) *State {
@@ -157,87 +132,6 @@
 	return effects
 }
 
-// Release takes slots back and settles their cost.
-func (s *State) Release(now time.Time, from core.RouterID, m *wire.Release) []core.Effect {
-	touched := make(map[string]bool)
-	for _, r := range m.Settled {
-		u, g := s.find(from, core.GrantID(r.Id))
-		if g == nil {
-			continue
-		}
-		touched[u.Service] = true
-		s.settle(now, u, g, r)
-	}
-	var effects []core.Effect
-	for _, name := range sorted(touched) {
-		effects = append(effects, s.lend(now, s.services[name])...)
-	}
-	return effects
-}
-
-func (s *State) settle(now time.Time, u *upstream, g *grant, r *wire.Settled) {
-	sv := s.service(u.Service)
-	delete(u.grants, g.key)
-	if r.Unused {
-		sv.queue.Settle(g.org, g.rest)
-		sv.clear(g.org, entryClass{g.key.entry, g.class})
-		return
-	}
-	s.charge(g, sv, r.Cost)
-	sv.queue.Settle(g.org, g.rest)
-	u.speed.finished(now, g, r.Cost)
-	u.succeeded()
-}
-
-// charge raises a grant's cost to an absolute figure; it never falls.
-func (s *State) charge(g *grant, sv *service, cost uint64) {
-	if cost <= g.cost {
-		return
-	}
-	g.rest = sv.queue.Charge(g.org, cost-g.cost, g.rest)
-	g.cost = cost
-}
-
-// Progress takes an entry's list of the grants it holds. A grant that the list
-// lacks was given back in a message that got lost; one that is not known here
-// was lent by an earlier owner and is taken over.
-func (s *State) Progress(now time.Time, from core.RouterID, m *wire.Progress) []core.Effect {
-	listed := make(map[grantKey]bool, len(m.Held))
-	for _, h := range m.Held {
-		key := grantKey{from, core.GrantID(h.Id)}
-		listed[key] = true
-		u, g := s.find(from, key.id)
-		if g == nil {
-			u, g = s.adopt(now, key, h)
-		}
-		if g == nil {
-			continue
-		}
-		g.heard = now
-		u.speed.progressed(now, g, h.Cost)
-		s.charge(g, s.service(u.Service), h.Cost)
-	}
-	for _, u := range s.upstreams {
-		s.dropGrants(u, func(g *grant) bool {
-			return g.key.entry == from && !listed[g.key] && now.Sub(g.at) > lostAfter
-		})
-	}
-	return s.lendAll(now)
-}
-
-func (s *State) adopt(now time.Time, key grantKey, h *wire.Held) (*upstream, *grant) {
-	u := s.upstreams[h.Upstream]
-	if u == nil {
-		return nil, nil
-	}
-	g := &grant{
-		key: key, org: h.Organisation, class: h.Class, at: now, heard: now,
-		cost: h.Cost, marked: h.Cost, markedAt: now,
-	}
-	u.grants[key] = g
-	return u, g
-}
-
 // PeerGone forgets an entry that is dead or has left, with its grants.
 func (s *State) PeerGone(now time.Time, id core.RouterID) []core.Effect {
 	for _, u := range s.upstreams {
@@ -294,110 +188,6 @@
 // Wake is when Tick is next due; zero if never.
 func (s *State) Wake() time.Time { return s.next }
 
-// Report returns the counters of the organisations that wait here, and now and
-// then those of all that were served here.
-func (s *State) Report() []*wire.Counter {
-	s.reports++
-	all := s.reports%reportAllEvery == 0
-	var out []*wire.Counter
-	for _, name := range sorted(s.services) {
-		for _, a := range s.services[name].queue.Report(all) {
-			out = append(out, &wire.Counter{
-				Service: name, Organisation: a.Organisation, Served: a.Own, Backlogged: a.Backlogged,
-			})
-		}
-	}
-	return out
-}
-
-// Own is the service charged here, which never falls.
-func (s *State) Own(service, org string) uint64 { return s.service(service).queue.Own(org) }
-
-// SetPart sets the fraction of a service's slots in the fleet that is lent here.
-func (s *State) SetPart(service string, part float64) { s.service(service).queue.SetPart(part) }
-
-// AddRemote takes service that other owners gave.
-func (s *State) AddRemote(service, org string, cost uint64, backlogged bool) {
-	q := s.service(service).queue
-	q.AddRemote(org, cost)
-	q.SetElsewhere(org, backlogged)
-}
-
-func (s *State) service(name string) *service {
-	sv := s.services[name]
-	if sv == nil {
-		sv = &service{name: name, slots: 1, queue: fair.New(), demand: make(map[string]map[entryClass]*demand)}
-		s.services[name] = sv
-	}
-	return sv
-}
-
-func (s *State) find(entry core.RouterID, id core.GrantID) (*upstream, *grant) {
-	for _, u := range s.upstreams {
-		if g := u.grants[grantKey{entry, id}]; g != nil {
-			return u, g
-		}
-	}
-	return nil, nil
-}
-
-func (s *State) dropGrants(u *upstream, gone func(*grant) bool) {
-	q := s.service(u.Service).queue
-	for key, g := range u.grants {
-		if gone(g) {
-			q.Settle(g.org, g.rest)
-			delete(u.grants, key)
-		}
-	}
-}
-
-// wait replaces an entry's word on one of its queues.
-func (sv *service) wait(now time.Time, from core.RouterID, q *wire.Queue) {
-	byEntry := sv.demand[q.Organisation]
-	if byEntry == nil {
-		byEntry = make(map[entryClass]*demand)
-		sv.demand[q.Organisation] = byEntry
-	}
-	byEntry[entryClass{from, q.Class}] = &demand{
-		waiting: q.Waiting,
-		oldest:  now.Add(-time.Duration(q.OldestMs) * time.Millisecond),
-		prefer:  q.Prefer,
-		cost:    uint64(max(q.Cost, 1)),
-		at:      now,
-	}
-	sv.refresh(q.Organisation)
-}
-
-// refresh tells the fair queue whether the organisation waits.
-func (sv *service) refresh(org string) {
-	waiting := false
-	for _, d := range sv.demand[org] {
-		waiting = waiting || d.waiting > 0
-	}
-	if !waiting {
-		delete(sv.demand, org)
-	}
-	sv.queue.SetBacklogged(org, waiting)
-}
-
-func (sv *service) clear(org string, k entryClass) {
-	if d := sv.demand[org][k]; d != nil {
-		d.waiting = 0
-		sv.refresh(org)
-	}
-}
-
-func (sv *service) expire(now time.Time) {
-	for org, byEntry := range sv.demand {
-		for k, d := range byEntry {
-			if now.Sub(d.at) > demandAge {
-				delete(byEntry, k)
-			}
-		}
-		sv.refresh(org)
-	}
-}
-
 func sorted[V any](m map[string]V) []string {
 	out := make([]string, 0, len(m))
 	for k := range m {
