Let a router that was paused hear what has changed before it lends

Ruled out: the lag of the list, which the others had heard of in time, and grants of others alone, since the owner was the paused one.

A step at least 3 s after the last one now ends a pause: for 250 ms nothing is lent and granted slots are given back. Engines' own refusals and claims held in any case.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,8 @@
 	timers   timers.Queue[timer]
 	progress time.Time
 	draining bool
+	// hold is until when granted slots are given back.
+	hold time.Time
 }
 
 // timer is due for one of: a request's deadline, a request's hedge, a queue's
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -23,6 +23,10 @@
 	}
 	q := s.queue(queueKey{u.Service, g.Organisation, g.Class})
 	q.granted(now, from)
+	if now.Before(s.hold) {
+		s.giveBack(now, q, from, core.GrantID(g.Id))
+		return nil
+	}
 	r, refused := s.takeUnblocked(now, q, g.Upstream)
 	if r == nil {
 		s.giveBack(now, q, from, core.GrantID(g.Id))
@@ -40,6 +44,9 @@
 	return append(append(refused, granted), s.send(now, r, slot)...)
 }
 
+// Hold gives granted slots back until a time.
+func (s *State) Hold(until time.Time) { s.hold = until }
+
 // takeUnblocked takes the oldest request that may go to an upstream, and refuses
 // those that were quarantined while they waited.
 func (s *State) takeUnblocked(now time.Time, q *queue, upstream string) (*request, []core.Effect) {
--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -26,6 +26,9 @@
 	costWeight = 0.1
 )
 
+// Hold lends nothing until a time.
+func (s *State) Hold(until time.Time) { s.hold = until }
+
 func (s *State) lendAll(now time.Time) []core.Effect {
 	var effects []core.Effect
 	for _, name := range sorted(s.services) {
@@ -36,6 +39,10 @@
 
 // lend grants free slots of a service while demand fits one.
 func (s *State) lend(now time.Time, sv *service) []core.Effect {
+	if now.Before(s.hold) {
+		s.next = timers.Earliest(s.next, s.hold)
+		return nil
+	}
 	var effects []core.Effect
 	owned := s.owned(sv.name)
 	for {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -45,6 +45,8 @@
 	turn int
 	// slices divides the slots of each upstream, at least 1.
 	slices int
+	// hold is until when nothing is lent.
+	hold time.Time
 	// trusting keeps grants that no entry lists; it is for tests only.
 	trusting bool
 	// decisions are the latest grants, for operators.
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -9,6 +9,10 @@
 	"github.com/jujubeford/jujubeford/internal/placement"
 )
 
+// wakeHold is how long a router that was paused neither lends nor sends, so that
+// it first hears what has changed.
+const wakeHold = 250 * time.Millisecond
+
 // follow carries changes of membership and configuration to the other parts.
 func (s *State) follow(now time.Time) {
 	if c := s.members.Changes(); c != s.changes || s.alone(now) {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -117,7 +117,11 @@
 // Step takes one event and returns what is to be done.
 func (s *State) Step(now time.Time, ev core.Event) []core.Effect {
 	s.now, s.out = now, nil
-	s.steps.note(now)
+	if s.steps.note(now) {
+		// What came in meanwhile is still to be read; until then the view is old.
+		s.owner.Hold(now.Add(wakeHold))
+		s.entry.Hold(now.Add(wakeHold))
+	}
 	if s.options.Disable != 0 {
 		ev = s.weaken(ev)
 	}
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -153,11 +153,14 @@
 	pause         *Pause
 }
 
-func (s *steps) note(now time.Time) {
+// note takes the time of a step and tells whether it ends a pause.
+func (s *steps) note(now time.Time) (woken bool) {
 	if s.started.IsZero() {
 		s.started = now
 	} else if gap := now.Sub(s.last); gap >= pauseMin {
 		s.pause = &Pause{Until: now, ForMS: gap.Milliseconds()}
+		woken = true
 	}
 	s.last = now
+	return woken
 }
