--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,8 @@
 	// lists counts the times at which held grants were listed.
 	lists    int
 	draining bool
+	// hold is until when granted slots are given back.
+	hold time.Time
 }
 
 // timer is due for one of: a request's deadline, a request's hedge, a queue's
