--- a/router/orders.go
+++ b/router/orders.go
@@ -26,6 +26,9 @@
 		r.post(core.LeaseResult{Op: e.Op, Status: leaseStatus(true, err), Lease: core.LeaseID(lease)})
 	case core.LeaseAcquire:
 		ok, err := r.options.Store.Acquire(ctx, e.Key, e.Value, platform.LeaseID(e.Lease))
+		if ok && err == nil {
+			klog.InfoS("Orders: lease acquired.", "key", e.Key)
+		}
 		r.post(core.LeaseResult{Op: e.Op, Status: leaseStatus(ok, err)})
 	case core.LeaseRenew:
 		err := r.options.Store.Renew(ctx, platform.LeaseID(e.Lease))
