--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -10,8 +10,13 @@
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
-// progressEvery is the time between two lists of held grants.
-const progressEvery = time.Second
+const (
+	// progressEvery is the time between two lists of held grants to an owner of
+	// several; seldom is in how many of those times an owner of a single one is
+	// told.
+	progressEvery = time.Second
+	seldom        = 4
+)
 
 // Granted binds a lent slot to the request that has waited longest, or gives it
 // back if nothing waits for it any more.
@@ -23,6 +28,10 @@
 	}
 	q := s.queue(queueKey{u.Service, g.Organisation, g.Class})
 	q.granted(now, from)
+	if now.Before(s.hold) {
+		s.giveBack(now, q, from, core.GrantID(g.Id))
+		return nil
+	}
 	r, refused := s.takeUnblocked(now, q, g.Upstream)
 	if r == nil {
 		s.giveBack(now, q, from, core.GrantID(g.Id))
@@ -40,6 +49,9 @@
 	return append(append(refused, granted), s.send(now, r, slot)...)
 }
 
+// Hold gives granted slots back until a time.
+func (s *State) Hold(until time.Time) { s.hold = until }
+
 // takeUnblocked takes the oldest request that may go to an upstream, and refuses
 // those that were quarantined while they waited.
 func (s *State) takeUnblocked(now time.Time, q *queue, upstream string) (*request, []core.Effect) {
@@ -78,6 +90,7 @@
 	r.state = claiming
 	r.claimSlot = slot
 	effects, decisions := s.gates.Begin(now, r.Arrive)
+	effects = append(effects, core.Record{Request: r.Request, What: "claiming", Upstream: slot.upstream})
 	for _, d := range decisions {
 		effects = append(effects, s.Decide(now, d)...)
 	}
@@ -175,12 +188,15 @@
 		return
 	}
 	s.progress = now.Add(progressEvery)
-	owners := make(map[core.RouterID]bool)
+	s.lists++
+	held := make(map[core.RouterID]int)
 	for _, h := range s.held {
-		owners[h.owner] = true
+		held[h.owner]++
 	}
-	for owner := range owners {
-		s.pending.progress(owner, s.heldOf(owner, false), false)
+	for owner, n := range held {
+		if n > 1 || s.lists%seldom == 0 {
+			s.pending.progress(owner, s.heldOf(owner, false), false)
+		}
 	}
 }
 
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -9,6 +9,10 @@
 	"github.com/jujubeford/jujubeford/internal/placement"
 )
 
+// wakeHold is how long a router that was paused neither lends nor sends, so that
+// it first hears what has changed.
+const wakeHold = 250 * time.Millisecond
+
 // follow carries changes of membership and configuration to the other parts.
 func (s *State) follow(now time.Time) {
 	if c := s.members.Changes(); c != s.changes || s.alone(now) {
@@ -105,15 +109,21 @@
 	if s.exited || s.drainSince.IsZero() {
 		return
 	}
-	if (s.entry.Requests() > 0 || now.Sub(s.drainSince) < handoverFor) && !s.off(DrainWait) {
+	if (s.unfinished() || now.Sub(s.drainSince) < handoverFor) && !s.off(DrainWait) {
 		return
 	}
 	s.exited = true
 	s.emit([]core.Effect{core.Exit{}})
 }
 
+// unfinished tells whether a drain has to wait: for requests, and for outcomes of
+// finished work that the key-value service has not taken yet.
+func (s *State) unfinished() bool {
+	return s.entry.Requests() > 0 || s.claims.Pending() > 0 && !s.expired
+}
+
 func (s *State) drainWake() time.Time {
-	if s.drainSince.IsZero() || s.exited || s.entry.Requests() > 0 {
+	if s.drainSince.IsZero() || s.exited || s.unfinished() {
 		return time.Time{}
 	}
 	return s.drainSince.Add(handoverFor)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -77,9 +77,13 @@
 	alive       map[core.RouterID]bool
 	ready       bool
 	drainSince  time.Time
-	exited      bool
-	steps       steps
+	// expired tells that the time for a drain is over.
+	expired bool
+	exited  bool
+	steps   steps
 
+	// parked are messages that wait for a connection.
+	parked map[core.RouterID]*parked
 	// now is the time of the step under way.
 	now      time.Time
 	out      []core.Effect
@@ -100,6 +104,7 @@
 		counters:   counters.New(o.Self.ID),
 		orders:     orders.New(o.Self.ID, o.Self.Domain),
 		alive:      make(map[core.RouterID]bool),
+		parked:     make(map[core.RouterID]*parked),
 	}
 	if o.Policy == PolicyBaseline {
 		s.view.Alone()
@@ -115,7 +120,11 @@
 // Step takes one event and returns what is to be done.
 func (s *State) Step(now time.Time, ev core.Event) []core.Effect {
 	s.now, s.out = now, nil
-	s.steps.note(now)
+	if s.steps.note(now) {
+		// What came in meanwhile is still to be read; until then the view is old.
+		s.owner.Hold(now.Add(wakeHold))
+		s.entry.Hold(now.Add(wakeHold))
+	}
 	if s.options.Disable != 0 {
 		ev = s.weaken(ev)
 	}
@@ -175,14 +184,15 @@
 		s.drain(now)
 	case core.Expire:
 		s.emit(s.entry.Abandon(now))
-		s.drainSince = now.Add(-handoverFor)
+		s.drainSince, s.expired = now.Add(-handoverFor), true
 	case core.Release:
 		s.emit(s.quarantine.Step(now, ev))
 	case core.PeerUp, core.PeerDown, core.DialFailed:
+		s.emit(s.members.Step(now, ev))
 		if up, ok := ev.(core.PeerUp); ok {
+			s.unpark(core.RouterID(up.Member.Id))
 			s.fetchListing(core.RouterID(up.Member.Id))
 		}
-		s.emit(s.members.Step(now, ev))
 		s.emit(s.rollout.Step(now, ev))
 		s.emit(s.quarantine.Step(now, ev))
 		s.decide(now, ev)
@@ -254,6 +264,7 @@
 	if s.options.Policy == PolicyBaseline || !s.counters.Due(now) {
 		return
 	}
+	s.expireParked()
 	s.fetchListingAgain()
 	effects, remotes := s.counters.Report(now, s.owner.Report(), s.view.RouterIDs(), s.owner.Own)
 	s.emit(effects)
@@ -274,6 +285,9 @@
 			s.loopback = append(s.loopback, m.Message)
 			continue
 		}
+		if m, ok := e.(core.SendPeer); ok && s.park(m) {
+			continue
+		}
 		if a, ok := e.(core.Apply); ok {
 			s.apply(a.Config)
 		}
