Find a router's socket by both of its ports, and read the list again

Cause: the relay looked for a connection in the kernel's list by its local port alone, which another connection may share, and the list is not read in one piece: under load a socket can be missing from it.

Ruled out: easing the test.

Conclusion: both causes are mended; the test is as it was.

--- a/internal/loadgen/relay/source.go
+++ b/internal/loadgen/relay/source.go
@@ -15,34 +15,49 @@
 // socket in /proc and returns its failure domain.
 func DomainOfRouter(f *fleet.Fleet) Domain {
 	return func(conn net.Conn) string {
-		addr, ok := conn.RemoteAddr().(*net.TCPAddr)
-		if !ok {
+		router, ok := conn.RemoteAddr().(*net.TCPAddr)
+		relay, also := conn.LocalAddr().(*net.TCPAddr)
+		if !ok || !also {
 			return ""
 		}
-		inode := socketInode(addr.Port)
-		for _, router := range f.Routers {
-			if inode != "" && holds(router.PIDFile, inode) {
-				return router.Domain
+		inode := socketInode(router.Port, relay.Port)
+		for _, r := range f.Routers {
+			if inode != "" && holds(r.PIDFile, inode) {
+				return r.Domain
 			}
 		}
 		return ""
 	}
 }
 
-// socketInode is the inode of the established TCP socket with a local port.
-func socketInode(port int) string {
-	const addressField, stateField, inodeField = 1, 3, 9
+// listTries is how often the kernel's list is read: it is not read in one piece,
+// so a socket may be missing from it while others come and go.
+const listTries = 10
+
+// socketInode is the inode of the established TCP socket from a local port to a
+// remote one; a port alone may belong to more than one connection.
+func socketInode(local, remote int) string {
+	for range listTries {
+		if inode := findSocket(local, remote); inode != "" {
+			return inode
+		}
+	}
+	return ""
+}
+
+func findSocket(local, remote int) string {
+	const localField, remoteField, stateField, inodeField = 1, 2, 3, 9
 	const established = "01"
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
 	defer file.Close()
-	suffix := fmt.Sprintf(":%04X", port)
+	from, to := fmt.Sprintf(":%04X", local), fmt.Sprintf(":%04X", remote)
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
 		if len(fields) > inodeField && fields[stateField] == established &&
-			strings.HasSuffix(fields[addressField], suffix) {
+			strings.HasSuffix(fields[localField], from) && strings.HasSuffix(fields[remoteField], to) {
 			return fields[inodeField]
 		}
 	}
