Ask eight owners of either kind at a time, and tell all queues again at once

Cause: a request that waited was told to every owner of its model, 100 at the target's size, and each queue told each owner again every 5 s at a time of its own. With 34 requests waiting that made 11 KB of demand a second at an entry.

All queues are told again at the same time, in one message an owner.

Ruled out: fewer owners for good (an owner that nobody asks would have to find the work by itself).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/placement"
@@ -33,6 +35,8 @@
 	unasked  map[queueKey]bool
 	timers   timers.Queue[timer]
 	progress time.Time
+	// phase spreads the times at which routers tell demand again.
+	phase time.Duration
 	// lists counts the times at which held grants were listed.
 	lists    int
 	draining bool
@@ -74,6 +78,7 @@
 		costs:    make(map[string]*costs),
 		held:     make(map[heldKey]*held),
 		pending:  newOutbox(),
+		phase:    time.Duration(xxhash.Sum64String(string(self)) % uint64(repeatAfter)),
 		unasked:  make(map[queueKey]bool),
 	}
 }
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -21,6 +21,9 @@
 	// since an owner that lends a slot in vain costs two messages.
 	fanout     = 4
 	roundEvery = 25 * time.Millisecond
+	// askedMost bounds the owners of either kind that are asked at a time; where
+	// there are more, they take turns each repeatAfter.
+	askedMost = 8
 	// repeatAfter is how often demand is repeated once all owners were asked, for
 	// the sake of messages that got lost.
 	repeatAfter = 5 * time.Second
@@ -160,10 +163,10 @@
 			continue
 		}
 		s.findOwners(k, q)
-		for _, owner := range first(q.near, (q.round+1)*fanout) {
+		for _, owner := range window(q.near, (q.round+1)*fanout, q.turn()) {
 			s.tell(now, k, q, owner, false)
 		}
-		for _, owner := range first(q.far, q.farAsked(now)) {
+		for _, owner := range window(q.far, q.farAsked(now), q.turn()) {
 			s.tell(now, k, q, owner, true)
 		}
 		s.again(now, k, q)
@@ -209,10 +212,22 @@
 	q.near, q.far = placement.Order(key, near), placement.Order(key, far)
 }
 
-func first(owners []core.RouterID, n int) []core.RouterID {
-	return owners[:min(n, len(owners))]
+// window is the n owners that are asked in a turn, askedMost at most.
+func window(owners []core.RouterID, n, turn int) []core.RouterID {
+	n = min(n, askedMost, len(owners))
+	if len(owners) <= askedMost {
+		return owners[:n]
+	}
+	out := make([]core.RouterID, n)
+	for i := range out {
+		out[i] = owners[(turn*askedMost+i)%len(owners)]
+	}
+	return out
 }
 
+// turn counts how often the owners that are asked have changed.
+func (q *queue) turn() int { return max(0, q.round-askedMost/fanout) }
+
 func sortedKeys(m map[queueKey]bool) []queueKey {
 	return slices.SortedFunc(maps.Keys(m), func(a, b queueKey) int {
 		return cmp.Or(
@@ -228,14 +243,15 @@
 	if q.repeat.After(now) {
 		return
 	}
-	wait := repeatAfter
 	switch {
 	case q.round == 0:
-		wait = spillAfter
-	case q.round*fanout < max(len(q.near), len(q.far)):
-		wait = min(roundEvery<<(q.round-1), repeatAfter)
+		q.repeat = now.Add(spillAfter)
+	case q.round*fanout < min(askedMost, max(len(q.near), len(q.far))):
+		q.repeat = now.Add(roundEvery << (q.round - 1))
+	default:
+		// All queues are told again at the same time, in one message an owner.
+		q.repeat = now.Add(-s.phase).Truncate(repeatAfter).Add(s.phase + repeatAfter)
 	}
-	q.repeat = now.Add(wait)
 	s.timers.Add(q.repeat, timer{queue: k})
 }
 
