Read all that ldd prints in the check of linkage

Cause: with pipefail, "ldd | grep -q" fails when grep leaves before ldd has written its last line and ldd gets a broken pipe. The check of linkage failed falsely in three of eight runs of make test, and in 41 of 300 in a loop.

Ruled out: a program that is linked statically (ldd showed the C library).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,7 +16,8 @@
 
 go build -o bin/ ./cmd/...
 for program in bin/jujubeford bin/standin bin/loadgen; do
-	ldd "$program" | grep -q 'libc\.so' || {
+	# grep reads to the end: with -q it may leave ldd a broken pipe.
+	ldd "$program" | grep 'libc\.so' >/dev/null || {
 		echo "$program is not linked to the C library"
 		exit 1
 	}
