Let what waits at an entry grow younger with each grant

Change: with each grant the age moves on as if the requests had come evenly.

Ruled out: demand told more often (bytes); the preference for the owner's own entry (bounded by 250 ms).

--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -233,6 +233,9 @@
 	s.next = timers.Earliest(s.next, now.Add(unheardAfter))
 	sv.queue.Expect(org, d.cost)
 	sv.learn(k.class, d.cost)
+	// The next in its queue is younger; what waits there is taken to have come
+	// evenly since the oldest.
+	d.oldest = d.oldest.Add(d.at.Sub(d.oldest) / time.Duration(d.waiting))
 	d.waiting--
 	if d.waiting == 0 {
 		sv.refresh(org)
