Release poison requests by command; name deadlines and spent retry budgets

A full queue could be refused without saying when to come back.

Change: a refusal as poison carries the request's fingerprint, and "jujubeford release" lifts it; the two reasons are given; a full queue names a time. A request whose predicted wait outlasts its caller's deadline is refused at once.

Ruled out: a list of quarantined requests in status (the refusal names them).

--- a/cmd/jujubeford/main.go
+++ b/cmd/jujubeford/main.go
@@ -22,6 +22,7 @@
 	subcommands.Register(cli.ConfigCommand(openStore), "")
 	subcommands.Register(cli.StatusCommand(), "")
 	subcommands.Register(cli.ExplainCommand(), "")
+	subcommands.Register(cli.ReleaseCommand(), "")
 	subcommands.Register(cli.ReportCommand(), "")
 	flag.Parse()
 	code := subcommands.Execute(context.Background())
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -38,10 +38,14 @@
 	}
 	waits := s.waitingOf(ev.Service, ev.Organisation)
 	if limit := s.orgs[ev.Organisation].MaxQueued; limit > 0 && waits >= limit {
-		return refuse(statusTooMany, core.ReasonQueueFull, s.predict(now, ev, waits))
+		return refuse(statusTooMany, core.ReasonQueueFull, clamp(s.predict(now, ev, waits)))
 	}
-	if wait := s.predict(now, ev, waits); wait > sv.MaxWait {
-		return refuse(statusTooMany, core.ReasonWaitTooLong, clamp(wait-sv.MaxWait))
+	limit, reason := sv.MaxWait, core.ReasonWaitTooLong
+	if own := ev.Deadline.Sub(now); !ev.Deadline.IsZero() && own < limit {
+		limit, reason = own, core.ReasonDeadline
+	}
+	if wait := s.predict(now, ev, waits); wait > limit {
+		return refuse(statusTooMany, reason, clamp(wait-limit))
 	}
 	return nil
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -71,10 +71,16 @@
 	return s.services[r.Service].Kind == config.Model && s.retriable(now, r)
 }
 
-// retriable tells whether work that may have run may be sent again.
+// retriable tells whether work that may have run may be sent again, and takes it
+// from the retry budget.
 func (s *State) retriable(now time.Time, r *request) bool {
+	return s.repeatable(now, r) && s.gates.Retry(r.Service)
+}
+
+// repeatable tells whether a second send could do no harm.
+func (s *State) repeatable(now time.Time, r *request) bool {
 	return r.Idempotent && !r.Once && r.commit == nil && !r.callerGone &&
-		len(r.attempts) < attemptsMost && now.Before(r.deadline) && s.gates.Retry(r.Service)
+		len(r.attempts) < attemptsMost && now.Before(r.deadline)
 }
 
 // Progress takes how far a committed stream has come.
@@ -160,7 +166,10 @@
 		return append(effects, s.retry(now, r, a.slot.upstream)...)
 	}
 	reason := core.ReasonUpstreamFailed
-	if ev.Failure == core.FailSilent {
+	switch {
+	case ev.Sent && s.repeatable(now, r):
+		reason = core.ReasonRetryBudget
+	case ev.Failure == core.FailSilent:
 		reason = core.ReasonUpstreamSilent
 	}
 	return append(effects, s.refuse(r, statusBadGateway, reason, retryMin)...)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -225,7 +225,11 @@
 	}
 	retry := s.retryAfter(now, r)
 	s.dequeue(r)
-	return s.refuse(r, statusUnavailable, core.ReasonWaitTooLong, retry)
+	reason := core.ReasonWaitTooLong
+	if r.deadline.Equal(r.Deadline) {
+		reason = core.ReasonDeadline
+	}
+	return s.refuse(r, statusUnavailable, reason, retry)
 }
 
 // refuse ends a request; one whose answer has begun ends with an explicit error
--- a/router/admin.go
+++ b/router/admin.go
@@ -13,6 +13,7 @@
 	mux.HandleFunc("GET /v1/status", r.serveStatus)
 	mux.HandleFunc("GET /v1/explain/{id}", r.serveExplain)
 	mux.HandleFunc("GET /v1/report", r.serveReport)
+	mux.HandleFunc("POST "+ReleasePath, r.serveRelease)
 	mux.HandleFunc("GET "+queryPath+"{kind}", r.serveQuery)
 	return mux
 }
--- a/router/call.go
+++ b/router/call.go
@@ -37,6 +37,8 @@
 	header       http.Header
 	body         []byte
 	once         bool
+	// fingerprint names the request by its method, path and body.
+	fingerprint [32]byte
 	// reserved is what the call holds of the memory for bodies.
 	reserved int64
 	// commands are the effects that concern this call, in order.
--- a/router/callers.go
+++ b/router/callers.go
@@ -22,6 +22,9 @@
 	HeaderOutcome   = "Jujubeford-Outcome"
 	HeaderRequestID = "Jujubeford-Request-Id"
 	HeaderReason    = "Jujubeford-Reason"
+	// HeaderFingerprint names a request that is refused as poison, for an operator
+	// who releases it.
+	HeaderFingerprint = "Jujubeford-Fingerprint"
 	// HeaderTimeout is how long the caller will wait, such as "2s".
 	HeaderTimeout        = "Jujubeford-Timeout"
 	headerIdempotencyKey = "Idempotency-Key"
@@ -151,7 +154,7 @@
 	arrive.Body = fingerprint(req, body)
 	return &call{
 		id: id, organisation: org.Name, service: sv, method: req.Method, path: req.URL.RequestURI(),
-		header: req.Header, body: body, once: arrive.Once,
+		header: req.Header, body: body, once: arrive.Once, fingerprint: arrive.Body,
 		commands: make(chan core.Effect, commandQueue), attempts: make(map[core.Attempt]*attempt),
 	}, arrive, nil
 }
--- /dev/null
+++ b/router/release.go
@@ -0,0 +1,42 @@
+package router
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jujubeford/jujubeford/internal/core"
+)
+
+const (
+	// ReleasePath takes a Release from an operator.
+	ReleasePath = "/v1/quarantine/release"
+	// releaseBytes bounds a Release in JSON.
+	releaseBytes = 4 << 10
+)
+
+// Release names a request that is refused as poison and may be sent again.
+type Release struct {
+	Organisation string `json:"organisation"`
+	// Fingerprint is the one that stood in the refusal, in hex.
+	Fingerprint string `json:"fingerprint"`
+}
+
+// serveRelease lifts a quarantine on an operator's word; routers tell each other.
+func (r *Router) serveRelease(w http.ResponseWriter, req *http.Request) {
+	var release Release
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, releaseBytes)).Decode(&release); err != nil {
+		http.Error(w, "not a release: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	fingerprint, err := hex.DecodeString(release.Fingerprint)
+	if err != nil || len(fingerprint) != 32 || release.Organisation == "" {
+		http.Error(w, "a release needs an organisation and a fingerprint of 64 hex digits", http.StatusBadRequest)
+		return
+	}
+	klog.InfoS("Router: quarantine lifted by an operator.", "organisation", release.Organisation, "fingerprint", release.Fingerprint)
+	r.post(core.Release{Organisation: release.Organisation, Fingerprint: [32]byte(fingerprint)})
+	w.WriteHeader(http.StatusAccepted)
+}
--- a/router/reply.go
+++ b/router/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -158,9 +159,13 @@
 }
 
 func (o *reply) refuse(e core.Refuse) {
-	if !o.mute {
-		refuse(o.w, e)
+	if o.mute {
+		return
+	}
+	if e.Reason == core.ReasonPoison {
+		o.w.Header().Set(HeaderFingerprint, hex.EncodeToString(o.c.fingerprint[:]))
 	}
+	refuse(o.w, e)
 }
 
 // abort ends an answer that cannot be completed: as an error event in a stream,
