Name what an entry does by the usual words; never call an unread answer whole

Cause: reading the entry package as a newcomer, unuse, unhedge, again and firstAgain needed explaining. And a recorded answer that cannot be read was refused with the outcome complete, which says that an answer was delivered.

Ruled out: replaying an empty answer in its place.

Conclusion: such a refusal is may-have-run now, with the reason claim-unknown.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -37,7 +37,7 @@
 	}
 	a.begun = true
 	if r.commit == a {
-		return s.firstAgain(r, a, ev.Status)
+		return s.firstOfRest(r, a, ev.Status)
 	}
 	effects := []core.Effect{
 		core.Commit{Request: r.Request, Attempt: a.number},
@@ -45,7 +45,7 @@
 		core.Observe{Metric: core.MetricFirst, Service: r.Service, Organisation: r.Organisation, Value: now.Sub(r.arrived).Seconds()},
 	}
 	r.commit, r.state = a, committed
-	s.unhedge(r)
+	s.cancelHedge(r)
 	s.gates.First(now, r.Service, a.slot.upstream, now.Sub(a.sentAt))
 	for _, other := range r.live() {
 		if other != a {
@@ -55,8 +55,8 @@
 	return effects
 }
 
-// firstAgain takes the start of a resumed or moved stream.
-func (s *State) firstAgain(r *request, a *attempt, status int) []core.Effect {
+// firstOfRest takes the start of a resumed or moved stream.
+func (s *State) firstOfRest(r *request, a *attempt, status int) []core.Effect {
 	if status != http.StatusOK {
 		// Another answer than the rest of the stream must not be mixed into it.
 		return append(s.cancel(r, a), s.refuse(r, statusBadGateway, core.ReasonUpstreamFailed, retryMin)...)
@@ -142,7 +142,7 @@
 	if len(r.live()) > 0 || r.commit != nil {
 		return effects
 	}
-	s.unhedge(r)
+	s.cancelHedge(r)
 	return append(effects, s.afterFailure(now, r, a, ev)...)
 }
 
@@ -188,7 +188,7 @@
 // the same upstream, at another upstream, or by ending it with an explicit
 // error.
 func (s *State) resume(now time.Time, r *request, a *attempt, ev core.AttemptFailed) []core.Effect {
-	s.unhedge(r)
+	s.cancelHedge(r)
 	model := s.services[r.Service].Kind == config.Model
 	u, known := s.view.Upstream(a.slot.upstream)
 	resumable := model && known && a.begun && ev.Failure != core.FailDial && ev.Failure != core.FailStatus
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -246,7 +246,7 @@
 }
 
 func (s *State) end(r *request, why core.Reason) []core.Effect {
-	s.unhedge(r)
+	s.cancelHedge(r)
 	delete(s.requests, r.Request)
 	return []core.Effect{core.Record{Request: r.Request, What: "ended", Detail: string(why)}}
 }
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -106,7 +106,7 @@
 	if d.Kind == claims.Proceed {
 		return s.send(now, r, r.claimSlot)
 	}
-	s.unuse(now, r, r.claimSlot)
+	s.returnUnused(now, r, r.claimSlot)
 	if d.Kind == claims.Replay {
 		return append([]core.Effect{core.Replay{Request: r.Request, Answer: d.Answer}}, s.end(r, "replayed")...)
 	}
@@ -115,8 +115,8 @@
 	}}, s.end(r, d.Reason)...)
 }
 
-// unuse gives back a held slot on which nothing ran.
-func (s *State) unuse(now time.Time, r *request, slot heldKey) {
+// returnUnused gives back a held slot on which nothing ran.
+func (s *State) returnUnused(now time.Time, r *request, slot heldKey) {
 	h := s.held[slot]
 	if h == nil {
 		return
@@ -131,7 +131,7 @@
 func (s *State) send(now time.Time, r *request, slot heldKey) []core.Effect {
 	u, ok := s.view.Upstream(slot.upstream)
 	if !ok {
-		s.unuse(now, r, slot)
+		s.returnUnused(now, r, slot)
 		s.enqueue(now, r, true)
 		return nil
 	}
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -42,8 +42,8 @@
 	s.ask(now, k)
 }
 
-// unhedge takes back the wish for a second slot.
-func (s *State) unhedge(r *request) {
+// cancelHedge takes back the wish for a second slot.
+func (s *State) cancelHedge(r *request) {
 	if r.hedging {
 		r.hedging = false
 		s.dequeue(r)
--- a/internal/entry/move.go
+++ b/internal/entry/move.go
@@ -42,7 +42,7 @@
 	}
 	a.marked, a.markedAt = tokens, now
 	if a.slowReports >= slowReports {
-		s.wantMove(now, r, a)
+		s.requestMove(now, r, a)
 	}
 }
 
@@ -61,9 +61,9 @@
 	return g > slowGap*c.gap
 }
 
-// wantMove puts a slow stream into its queue for a slot elsewhere while nothing
+// requestMove puts a slow stream into its queue for a slot elsewhere while nothing
 // else of the queue waits; it goes on meanwhile.
-func (s *State) wantMove(now time.Time, r *request, a *attempt) {
+func (s *State) requestMove(now time.Time, r *request, a *attempt) {
 	q := s.queue(r.key())
 	if r.hedging || !s.movable(r) || q.len() > 0 || s.left(r) < movedTokensMin {
 		return
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -169,7 +169,7 @@
 		for _, owner := range window(q.far, q.farAsked(now), q.turn()) {
 			s.tell(now, k, q, owner, true)
 		}
-		s.again(now, k, q)
+		s.scheduleRound(now, k, q)
 	}
 }
 
@@ -238,8 +238,8 @@
 	})
 }
 
-// again sets the timer for the next round.
-func (s *State) again(now time.Time, k queueKey, q *queue) {
+// scheduleRound sets the timer for the next round.
+func (s *State) scheduleRound(now time.Time, k queueKey, q *queue) {
 	if q.repeat.After(now) {
 		return
 	}
--- a/router/reply.go
+++ b/router/reply.go
@@ -141,7 +141,8 @@
 func (o *reply) replay(e core.Replay) {
 	var kept record
 	if err := json.Unmarshal(e.Answer, &kept); err != nil || kept.Status == 0 {
-		o.refuse(core.Refuse{Status: http.StatusConflict, Outcome: core.Complete, Reason: core.ReasonInProgress})
+		// The operation ran, but its answer cannot be read any more.
+		o.refuse(core.Refuse{Status: http.StatusConflict, Outcome: core.MayHaveRun, Reason: core.ReasonClaimUnknown})
 		return
 	}
 	if o.mute {
