Tell engines to drop streams that are not wanted; close answers given up

Cause: an engine keeps the stream of a broken connection for some seconds in case of a resume, while its slot was lent again at once: losers of hedges, moved streams and streams of callers who left made engines run more than their slots. Answers of attempts that were never committed were not closed.

Change: an attempt that is given up is closed, and its stream is dropped by a DELETE to the engine, away from the loop.

Ruled out: a shorter grace at the engines (it is what makes a resume possible).

--- a/router/call.go
+++ b/router/call.go
@@ -5,12 +5,18 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
 
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/upstream"
 )
 
+// cancelTimeout bounds the word to an upstream to drop a stream.
+const cancelTimeout = 2 * time.Second
+
 // commandQueue is how many effects may wait for a call's handler.
 const commandQueue = 8
 
@@ -60,6 +66,11 @@
 // attempt is one send under way.
 type attempt struct {
 	cancel context.CancelFunc
+	addr   string
+	// stream names the upstream's stream once its first chunk is there, ended
+	// tells that it needs no cancelling any more; both are guarded by the call.
+	stream string
+	ended  bool
 	// answer and first are set before the reducer hears of the attempt.
 	answer *upstream.Answer
 	first  upstream.Chunk
@@ -101,18 +112,60 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, a := range c.attempts {
-		a.cancel()
+		r.drop(a)
 	}
 }
 
-func (c *call) cancel(n core.Attempt) {
+func (r *Router) cancel(c *call, n core.Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a := c.attempts[n]; a != nil {
-		a.cancel()
+		r.drop(a)
+	}
+}
+
+// drop ends an attempt, with the call's lock held. Nothing here waits: it is
+// called by the loop too.
+func (r *Router) drop(a *attempt) {
+	a.cancel()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.answer != nil {
+		go r.abandon(a.answer, a.addr, a.stream)
+	}
+}
+
+// abandon closes an answer that is not wanted any more and tells the upstream to
+// drop its stream: it would keep it for a while in case of a resume, although its
+// slot is lent again.
+func (r *Router) abandon(answer *upstream.Answer, addr, stream string) {
+	answer.Close()
+	if stream == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if err := r.client.CancelStream(ctx, addr, stream); err != nil {
+		klog.V(1).InfoS("Router: stream not cancelled.", "addr", addr, "stream", stream, "err", err)
 	}
 }
 
+// started notes an attempt's answer, whose first chunk was read.
+func (c *call) started(a *attempt, answer *upstream.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.answer, a.stream = answer, answer.StreamID()
+}
+
+// ended notes that an attempt's answer is whole.
+func (c *call) ended(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.ended = true
+}
+
 func (c *call) attempt(n core.Attempt) *attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,7 +198,7 @@
 // The handler forwards the rest once the reducer has committed the attempt.
 func (r *Router) attempt(c *call, e core.Send) {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &attempt{cancel: cancel, continues: e.Continue}
+	a := &attempt{cancel: cancel, addr: e.Addr, continues: e.Continue}
 	c.add(e.Attempt, a)
 	body, ok := c.bodyOf(e)
 	if !ok {
@@ -164,14 +217,17 @@
 	}
 	answer, failure := r.client.Do(ctx, req)
 	if failure == nil {
-		a.answer = answer
 		a.first, failure = answer.Next(ctx)
 		// The chunk's data is only valid until the next one; it waits for the
 		// commit, so it is kept.
 		a.first.Data = append([]byte(nil), a.first.Data...)
+		c.started(a, answer)
 	}
 	if failure != nil {
 		cancel()
+		if answer != nil {
+			answer.Close()
+		}
 		r.failed(c, e.Attempt, failure, 0)
 		return
 	}
--- a/router/converse.go
+++ b/router/converse.go
@@ -98,6 +98,7 @@
 			return false
 		}
 	}
+	c.ended(a)
 	out.end()
 	a.answer.Close()
 	r.post(core.AttemptDone{
--- a/router/effects.go
+++ b/router/effects.go
@@ -33,7 +33,7 @@
 		}
 	case core.Cancel:
 		if c := r.call(e.Request); c != nil {
-			c.cancel(e.Attempt)
+			r.cancel(c, e.Attempt)
 		}
 	case core.SendPeer:
 		r.peers.Send(e.To, e.Message)
