Drop fields that nothing reads, and a second way to compare times

Ruled out: the rest of what repeats (stand-in servers, the two example programs, pauses of a few lines): each would need a package of its own for a few lines.

Conclusion: behaviour is as before.

--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -37,8 +37,6 @@
 	Hint uint64
 	// Deadline is when the caller stops waiting; zero if unknown.
 	Deadline time.Time
-	// Seed is fresh randomness for choices about this request.
-	Seed uint64
 }
 
 // CallerGone tells that the caller closed its connection.
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -145,7 +145,7 @@
 	}
 	s.findOwners(k, q)
 	if slices.Contains(q.near, s.self) {
-		s.tell(now, k, q, s.self, false)
+		s.tell(now, k, q, s.self)
 	}
 	s.unasked[k] = true
 }
@@ -164,10 +164,10 @@
 		}
 		s.findOwners(k, q)
 		for _, owner := range window(q.near, (q.round+1)*fanout, q.turn()) {
-			s.tell(now, k, q, owner, false)
+			s.tell(now, k, q, owner)
 		}
 		for _, owner := range window(q.far, q.farAsked(now), q.turn()) {
-			s.tell(now, k, q, owner, true)
+			s.tell(now, k, q, owner)
 		}
 		s.scheduleRound(now, k, q)
 	}
@@ -185,7 +185,7 @@
 	}
 	for _, k := range sortedKeys(waiting) {
 		if waiting[k] {
-			s.tell(now, k, s.queue(k), owner, true)
+			s.tell(now, k, s.queue(k), owner)
 		}
 	}
 }
@@ -267,7 +267,7 @@
 }
 
 // tell sends demand to an owner if what it knows is far from the truth.
-func (s *State) tell(now time.Time, k queueKey, q *queue, owner core.RouterID, spill bool) {
+func (s *State) tell(now time.Time, k queueKey, q *queue, owner core.RouterID) {
 	a := q.asked[owner]
 	if a == nil {
 		a = &asked{}
@@ -285,7 +285,6 @@
 		OldestMs: uint32(now.Sub(head.arrived).Milliseconds()),
 		Cost:     uint32(min(head.expected, 1<<31)),
 		Prefer:   s.preferred(head),
-		Spill:    spill,
 	})
 }
 
--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/timers"
 )
 
 // poll is the turn of asking the platform.
@@ -71,7 +72,7 @@
 		return s.foundAt.Add(gatherFor)
 	}
 	if s.force.Config == nil {
-		return earlier(s.started.Add(gatherFor), s.foundAt.Add(gatherFor))
+		return timers.Earliest(s.started.Add(gatherFor), s.foundAt.Add(gatherFor))
 	}
 	return s.foundAt
 }
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/jujubeford/jujubeford/config"
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/timers"
 )
 
 const (
@@ -168,28 +169,20 @@
 func (s *State) nextWake() time.Time {
 	wake := s.poll.next
 	for _, due := range []time.Time{s.settleAt(), s.fetch.deadline, s.tellAt()} {
-		wake = earlier(wake, due)
+		wake = timers.Earliest(wake, due)
 	}
 	for _, d := range s.decodings {
-		wake = earlier(wake, d.deadline)
+		wake = timers.Earliest(wake, d.deadline)
 	}
 	for _, p := range s.peers {
-		wake = earlier(wake, p.askDeadline)
+		wake = timers.Earliest(wake, p.askDeadline)
 		if p.known > s.highest() && p.blocked(s.now) {
-			wake = earlier(wake, p.blockedUntil)
+			wake = timers.Earliest(wake, p.blockedUntil)
 		}
 	}
 	return wake
 }
 
-// earlier returns the earlier of two times, of which zero means never.
-func earlier(a, b time.Time) time.Time {
-	if b.IsZero() || !a.IsZero() && a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // highest is the highest generation that is here, in force or not yet.
 func (s *State) highest() uint64 {
 	return max(s.force.Generation, s.candidate.Generation)
--- a/internal/rollout/tell.go
+++ b/internal/rollout/tell.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jujubeford/jujubeford/internal/timers"
 	"github.com/jujubeford/jujubeford/internal/wire"
 )
 
@@ -79,7 +80,7 @@
 	}
 	for _, p := range s.peers {
 		if next := s.tellPeerAt(p); !next.IsZero() {
-			at = earlier(at, later(next, s.nextTell))
+			at = timers.Earliest(at, later(next, s.nextTell))
 		}
 	}
 	return at
--- a/router/callers.go
+++ b/router/callers.go
@@ -137,7 +137,7 @@
 ) (*call, *core.Arrive, *core.Refuse) {
 	arrive := &core.Arrive{
 		Request: id, Organisation: org.Name, Method: req.Method, Path: req.URL.Path,
-		Key: req.Header.Get(headerIdempotencyKey), Seed: xxhash.Sum64String(string(id)),
+		Key: req.Header.Get(headerIdempotencyKey),
 	}
 	sv, refused := findService(index, req, body, arrive)
 	if refused != nil {
