--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// bufferLines is how many lines may wait for the output.
+	// bufferLines is how many lines may wait for the output, those of the write under
+	// way included, and batchLines how many are written at once: each write costs a
+	// system call, and a busy router has several lines by the time its writer runs.
 	bufferLines = 2048
+	batchLines  = 64
 	// Rate and Burst bound the lines of one kind, a second and at once.
 	Rate  = 200
 	Burst = 400
@@ -30,17 +33,23 @@
 
 // NewWriter starts a writer to out.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{lines: make(chan []byte, bufferLines), done: make(chan struct{})}
+	w := &Writer{lines: make(chan []byte, bufferLines-batchLines), done: make(chan struct{})}
 	go w.run(out)
 	return w
 }
 
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
+	var batch []byte
 	for line := range w.lines {
-		if _, err := out.Write(line); err != nil {
+		n := 1
+		batch = append(batch[:0], line...)
+		for ; n < batchLines && len(w.lines) > 0; n++ {
+			batch = append(batch, <-w.lines...)
+		}
+		if _, err := out.Write(batch); err != nil {
 			// There is nowhere left to say so; the count is in the metrics.
-			w.dropped.Add(1)
+			w.dropped.Add(uint64(n))
 		}
 	}
 }
@@ -121,3 +130,17 @@
 	}
 	klog.InfoSDepth(1, message, pairs...)
 }
+
+// InfoFunc is Info for pairs that cost something: they are asked for only if the line
+// is written.
+func InfoFunc(kind, message string, pairs func() []any) {
+	ok, skipped := limiter.Allow(kind)
+	if !ok {
+		return
+	}
+	list := pairs()
+	if skipped > 0 {
+		list = append(list, "leftOut", skipped)
+	}
+	klog.InfoSDepth(1, message, list...)
+}
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -1,6 +1,9 @@
 package logs
 
 import (
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +33,45 @@
 	w.Close(time.Minute)
 }
 
+// slow is an output whose writes are counted, the first of them held up.
+type slow struct {
+	release chan struct{}
+	mu      sync.Mutex
+	writes  int
+	text    strings.Builder
+}
+
+func (s *slow) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	return s.text.Write(p)
+}
+
+// TestWaitingLinesAreWrittenTogether, all of them and in order.
+func TestWaitingLinesAreWrittenTogether(t *testing.T) {
+	g := NewWithT(t)
+	out := &slow{release: make(chan struct{})}
+	w := NewWriter(out)
+	var want strings.Builder
+	const lines = 4 * batchLines
+	for i := range lines {
+		line := fmt.Sprintln("line", i)
+		want.WriteString(line)
+		_, err := w.Write([]byte(line))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	close(out.release)
+	w.Close(time.Minute)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	g.Expect(out.text.String()).To(Equal(want.String()))
+	// The first write may have begun with any number of them.
+	g.Expect(out.writes).To(BeNumerically("<=", lines/batchLines+1))
+	g.Expect(w.Dropped()).To(BeZero())
+}
+
 // TestRepeatedFaultStaysInBounds: a fault that repeats 10,000 times a second
 // writes the rate, says what it left out, and does not silence other kinds.
 func TestRepeatedFaultStaysInBounds(t *testing.T) {
