--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -35,6 +35,9 @@
 	retryAfter time.Duration
 }
 
+// reasonOverloaded is the reason of refusals for lack of processor time.
+const reasonOverloaded = "router-overloaded"
+
 // serveCaller takes one request from its caller to its end.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if g.draining.Load() || g.pressure.isHigh() || g.conns.crowded() || len(r.TransferEncoding) > 0 {
@@ -97,8 +100,9 @@
 	if n := table.Limits.HeaderBytes; n > 0 && headerSize(r) > n {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header-too-large"}
 	}
-	if g.pressure.sheds() {
-		return nil, &refusal{http.StatusServiceUnavailable, "router-overloaded", g.pressure.comeBack(started)}
+	if g.pressure.sheds(started) {
+		w.Header().Set("Connection", "close")
+		return nil, &refusal{http.StatusServiceUnavailable, reasonOverloaded, retryElsewhere}
 	}
 	route := table.Match(r.Host, r.URL.EscapedPath())
 	if route == nil {
@@ -186,10 +190,12 @@
 
 // refuse answers a request that was not dispatched.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, no *refusal) {
-	// The id is there also if another header cannot be used, which take has logged.
-	caller, _ := g.options.Protocol.Caller(r.Header)
-	logs.Info("refused", "Gateway: request refused.", "id", caller.ID, "host", r.Host, "path", r.URL.Path,
-		"status", no.status, "reason", no.reason, "config", g.version())
+	logs.InfoFunc("refused", "Gateway: request refused.", func() []any {
+		// The id is there also if another header cannot be used, which take has logged.
+		caller, _ := g.options.Protocol.Caller(r.Header)
+		return []any{"id", caller.ID, "host", r.Host, "path", r.URL.Path,
+			"status", no.status, "reason", no.reason, "config", g.version()}
+	})
 	g.metrics.ended("", "refused", no.reason, 0)
 	if no.retryAfter > 0 {
 		g.metrics.told(no.reason, no.retryAfter)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,7 @@
 		options:    o,
 		client:     exchange.New(),
 		conns:      newConns(maxConns(o.Descriptors, o.Memory)),
-		pressure:   pressure{cores: o.Cores},
+		pressure:   pressure{cores: o.Cores, intake: newIntake(o.Cores)},
 		dispatcher: dispatch.New(o.Dispatch),
 		calls:      make(map[string]*call),
 		copy:       mirror.New(o.Directory.InstancePrefix()),
@@ -93,7 +93,7 @@
 	}
 	defer callers.Close()
 	failed := make(chan error, 4)
-	go func() { failed <- callers.Serve(entry) }()
+	go func() { failed <- callers.Serve(&shedListener{TCPListener: entry.(*net.TCPListener), g: g}) }()
 	for _, s := range []struct {
 		server *http.Server
 		addr   string
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -139,6 +139,19 @@
 	m.took.Record(context.Background(), took.Seconds(), labels)
 }
 
+// shed notes a request that was refused for lack of processor time before it was read
+// by the server, or whose caller left meanwhile.
+func (m *metrics) shed(outcome string) {
+	labels := shedLabels[outcome]
+	m.requests.Add(context.Background(), 1, labels)
+}
+
+// shedLabels are made once: making them takes as long as the refusal.
+var shedLabels = map[string]metric.MeasurementOption{
+	"refused": metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", ""), attribute.String("outcome", "refused"), attribute.String("reason", reasonOverloaded))),
+	"left":    metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", ""), attribute.String("outcome", "left"), attribute.String("reason", ""))),
+}
+
 func (m *metrics) firstByte(kind string, took time.Duration) {
 	m.first.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
 }
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -10,10 +10,17 @@
 	// pressureHigh is the part of its processor time from which a router takes
 	// itself out of rotation: the platform spreads callers by a hash, so one router
 	// may get many times the load of its neighbours. Below pressureLow, once that
-	// has lasted for pressureCalm, it comes back.
+	// has lasted for pressureCalm, it comes back. The same callers come back with it,
+	// until the platform gives them to a router with more cores: each time that they
+	// are too many again within calmMemory, it stays out for calmGrowth times as long,
+	// up to calmMost. calmMemory is more than the users' crests are apart (13 s); the
+	// growth and its bound are choices.
 	pressureHigh = 0.85
 	pressureLow  = 0.5
 	pressureCalm = time.Second
+	calmGrowth   = 4
+	calmMost     = 32 * time.Second
+	calmMemory   = 20 * time.Second
 	// lagHigh and lagLow bound in the same way how long goroutines wait for the
 	// processor: a slow instance may not account for what its router lacks. With
 	// enough time that was under 17 ms on a day of 62 routers, with a third of it
@@ -33,9 +40,10 @@
 	shedStep     = 0.15
 	shedSteps    = 4
 	shedMax      = 0.9
-	// retryElsewhere is the least time to come back after from a router without
-	// processor time that is out of rotation.
-	retryElsewhere = 50 * time.Millisecond
+	// retryElsewhere is when to come back from a router without processor time. The
+	// platform sends a repeat to another router, the same one for all repeats of a
+	// caller: it needs the time to leave the rotation as well.
+	retryElsewhere = time.Second
 )
 
 // pressure reports whether the process gets the processor time that it needs: from
@@ -44,15 +52,18 @@
 // for concurrent use.
 type pressure struct {
 	// cores is the processor time that the process may use.
-	cores float64
+	cores  float64
+	intake *intake
 
 	mu   sync.Mutex
 	at   time.Time
 	used time.Duration
 	high bool
-	// highFrom is since when the router takes no new callers.
-	highFrom time.Time
+	// calmFrom is since when a router out of rotation is calm, calm how long that has
+	// to last, and backAt when it last came back.
 	calmFrom time.Time
+	calm     time.Duration
+	backAt   time.Time
 	// shed is the part of the requests that is refused, and owed what has
 	// accumulated of it.
 	shed, owed float64
@@ -69,7 +80,12 @@
 	if first || wall <= 0 || p.cores <= 0 {
 		return false
 	}
-	return p.note(now, spent.Seconds()/(wall.Seconds()*p.cores), lag)
+	part := spent.Seconds() / (wall.Seconds() * p.cores)
+	if p.intake.learn(spent, part) {
+		// What is refused for lack of time shows the same as time that is spent.
+		part = max(part, pressureHigh)
+	}
+	return p.note(now, part, lag)
 }
 
 // note takes the part of the processor time that was used, and the lag.
@@ -84,19 +100,28 @@
 	switch {
 	case part >= pressureHigh || lag >= lagHigh:
 		if !p.high {
-			p.highFrom = now
+			p.calm = p.nextCalm(now)
 		}
 		p.high, p.calmFrom = true, time.Time{}
 	case !p.high || part >= pressureLow || lag >= lagLow:
 		p.calmFrom = time.Time{}
 	case p.calmFrom.IsZero():
 		p.calmFrom = now
-	case now.Sub(p.calmFrom) >= pressureCalm:
-		p.high = false
+	case now.Sub(p.calmFrom) >= p.calm:
+		p.high, p.backAt = false, now
 	}
 	return p.high != before
 }
 
+// nextCalm is how long calm has to last before a router that leaves the rotation
+// comes back.
+func (p *pressure) nextCalm(now time.Time) time.Duration {
+	if p.backAt.IsZero() || now.Sub(p.backAt) > calmMemory {
+		return pressureCalm
+	}
+	return min(calmMost, calmGrowth*p.calm)
+}
+
 // isHigh reports whether no new callers should come.
 func (p *pressure) isHigh() bool {
 	p.mu.Lock()
@@ -105,7 +130,12 @@
 }
 
 // sheds reports whether this request should go elsewhere.
-func (p *pressure) sheds() bool {
+func (p *pressure) sheds(now time.Time) bool {
+	return p.shedsPart() || !p.intake.admit(now)
+}
+
+// shedsPart refuses the part of the requests that the samples ask for.
+func (p *pressure) shedsPart() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.owed += p.shed
@@ -116,14 +146,6 @@
 	return true
 }
 
-// comeBack is when a caller that was refused should come again: until the platform
-// has taken this router out of rotation, it would come here once more.
-func (p *pressure) comeBack(now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return max(retryElsewhere, p.highFrom.Add(outOfRotation).Sub(now))
-}
-
 // processorTime is what the process has used so far.
 func processorTime() (time.Duration, error) {
 	var usage syscall.Rusage
--- a/internal/gateway/reasons_test.go
+++ b/internal/gateway/reasons_test.go
@@ -70,6 +70,11 @@
 
 func text(t *testing.T, e ast.Expr) string {
 	t.Helper()
+	if name, ok := e.(*ast.Ident); ok {
+		if values := constants(t, "callers.go", name.Name); len(values) == 1 {
+			return values[0]
+		}
+	}
 	lit, ok := e.(*ast.BasicLit)
 	if !ok {
 		t.Fatalf("%v is no literal", e)
--- /dev/null
+++ b/internal/gateway/shed_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/dispatch"
+)
+
+// anonymous finds nothing in a caller's header.
+type anonymous struct{ Protocol }
+
+func (anonymous) Caller(http.Header) (Caller, error) { return Caller{}, nil }
+
+// shedding listens for a router with a number of cores, and hands out the connections
+// that it accepts.
+func shedding(t *testing.T, cores float64) (addr string, accepted chan net.Conn) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { ln.Close() })
+	gw := &Gateway{
+		options: Options{Protocol: anonymous{}}, pressure: pressure{intake: newIntake(cores)},
+		dispatcher: dispatch.New(dispatch.DefaultOptions()),
+	}
+	gw.metrics, err = newMetrics(gw)
+	g.Expect(err).NotTo(HaveOccurred())
+	l := &shedListener{TCPListener: ln.(*net.TCPListener), g: gw}
+	accepted = make(chan net.Conn, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	return ln.Addr().String(), accepted
+}
+
+// TestNoProcessorTimeRefusesAtOnce whole requests, long ones, chunked ones and those
+// whose header is longer than the buffer: as not run, with a time to come back, and
+// without a reset that would take the answer away.
+func TestNoProcessorTimeRefusesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	addr, accepted := shedding(t, 1e-9)
+	for _, request := range []string{
+		"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 100000\r\n\r\n" + strings.Repeat("x", 100_000),
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: none\r\n\r\nbody",
+		"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2*shedBuffer) + "\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp4", addr)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, request)
+		g.Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		g.Expect(err).NotTo(HaveOccurred(), "%.60q", request)
+		g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(resp.Close).To(BeTrue())
+		g.Expect(resp.Header.Get("Retry-After")).To(Equal("1.000"))
+		g.Expect(c.Close()).To(Succeed())
+	}
+	g.Expect(accepted).To(BeEmpty())
+}
+
+func TestProcessorTimeLetsConnectionsIn(t *testing.T) {
+	g := NewWithT(t)
+	addr, accepted := shedding(t, 0)
+	c, err := net.Dial("tcp4", addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	g.Eventually(accepted, 30*time.Second).Should(Receive())
+}
