--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -10,14 +11,13 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 
 	"github.com/jujubeford/jujubeford/internal/logs"
 )
 
 const (
 	// shedTimeout bounds how long a caller that is refused unserved may take to send
-	// its request and to take the answer.
+	// its request, and after that to take the answer.
 	shedTimeout = 2 * time.Second
 	// shedBuffer is the size in which such a request is read, in bytes. A longer
 	// header is answered before it has been read whole.
@@ -52,7 +52,8 @@
 // refuse answers the first request on a connection as not run, and closes it.
 func (l *shedListener) refuse(c net.Conn) {
 	defer c.Close()
-	if err := c.SetDeadline(time.Now().Add(shedTimeout)); err != nil {
+	now := time.Now()
+	if err := errors.Join(c.SetReadDeadline(now.Add(shedTimeout)), c.SetWriteDeadline(now.Add(2*shedTimeout))); err != nil {
 		logs.Info("shed", "Gateway: no deadline for a refusal.", "err", err)
 		return
 	}
@@ -119,7 +120,7 @@
 			return bytes.Clone(have), false, nil
 		}
 		if err != nil {
-			return nil, false, errors.Wrap(err, "read a header")
+			return nil, false, err
 		}
 	}
 }
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -47,7 +47,7 @@
 }
 
 // TestNoProcessorTimeRefusesAtOnce whole requests, long ones, chunked ones and those
-// whose header is longer than the buffer: as not run, with a time to come back, and
+// whose header is longer than the buffer, or whose body never comes: as not run, with a time to come back, and
 // without a reset that would take the answer away.
 func TestNoProcessorTimeRefusesAtOnce(t *testing.T) {
 	g := NewWithT(t)
@@ -57,6 +57,7 @@
 		"POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 100000\r\n\r\n" + strings.Repeat("x", 100_000),
 		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: none\r\n\r\nbody",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n",
 		"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2*shedBuffer) + "\r\n\r\n",
 	} {
 		c, err := net.Dial("tcp4", addr)
