--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-
 	"github.com/jujubeford/jujubeford/internal/logs"
 )
 
