--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -46,7 +46,7 @@
 
 	mu sync.Mutex
 	at time.Time
-	// balance is the processor time left for new requests.
+	// balance is the processor time left for new requests, below zero after refusals.
 	balance time.Duration
 	// cost is the processor time that a request is expected to need.
 	cost time.Duration
@@ -72,9 +72,9 @@
 	return true
 }
 
-// spent reports whether there is no processor time for one more request; what its
+// exhausted reports whether there is no processor time for one more request; what its
 // refusal costs is then taken.
-func (i *intake) spent(now time.Time) bool {
+func (i *intake) exhausted(now time.Time) bool {
 	if i.cores <= 0 {
 		return false
 	}
@@ -84,7 +84,9 @@
 }
 
 // short brings the balance to now and charges a refusal if there is no time for a
-// request. Refusals come first: their time is spent whether there is any or not.
+// request. Refusals come first: their time is spent whether there is any or not. The
+// debt is bounded, so that a crest keeps requests out no longer than it lasts and a
+// burst more.
 func (i *intake) short(now time.Time) bool {
 	rate := intakeShare * i.cores
 	room := time.Duration(rate * float64(intakeBurst))
@@ -103,8 +105,7 @@
 }
 
 // learn takes the processor time spent since the last call, and the part that this is
-// of what there was. It reports whether many requests were refused
-// meanwhile.
+// of what there was. It reports whether many requests were refused meanwhile.
 func (i *intake) learn(spent time.Duration, part float64) (crowded bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -41,7 +41,7 @@
 func (l *shedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.TCPListener.Accept()
-		if err != nil || !l.g.pressure.intake.spent(time.Now()) {
+		if err != nil || !l.g.pressure.intake.exhausted(time.Now()) {
 			return c, err
 		}
 		go l.refuse(c)
