--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -82,12 +82,9 @@
 	// plainOverbook is how many requests beyond its slots a plain upstream may
 	// queue.
 	plainOverbook = 1
-	// retryAfterMin and retryAfterMax bound the Retry-After of refusals while all
-	// demand fits, in retrySpread steps so that callers do not return together, and
-	// retryAfterPart bounds it as a part of the time the caller has left: what callers
-	// honour on the users' platform.
+	// retryAfterMin and retryAfterMax bound the Retry-After of refusals, and
+	// retryAfterPart bounds it as a part of the time the caller has left.
 	retryAfterMin  = 200 * time.Millisecond
 	retryAfterMax  = 2 * time.Second
 	retryAfterPart = 1.0 / 3
-	retrySpread    = 8
 )
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -365,16 +365,10 @@
 	s.emit(e)
 }
 
-// retryAfter is when a refused caller should come back. Most callers do so once, so it
-// has to be when there is room: where an organisation asks for more than its part, what
-// it asks beyond has to be worked off first, and a caller that returns into the same
-// crest is refused for good. It answers days on which crests of several times the
-// engines' throughput last for seconds, with idle engines between them.
+// retryAfter tells a refused caller when to come back: as soon as what waits
+// now should be served, spread so that refused callers do not return together.
 func (s *State) retryAfter(now time.Time, r *request) time.Duration {
 	s.serial++
-	part := float64(s.serial%retrySpread) / retrySpread
-	wait := retryAfterMin + time.Duration(part*float64(retryAfterMax-retryAfterMin))
-	unmet := time.Duration(r.share.Unmet() * float64(s.options.ShareWindow))
-	wait = max(wait, time.Duration((1+part)/2*float64(unmet)))
-	return min(wait, time.Duration(retryAfterPart*float64(r.Deadline.Sub(now))))
+	spread := time.Duration(s.serial%8) * (retryAfterMax - retryAfterMin) / 8
+	return min(retryAfterMin+spread, time.Duration(retryAfterPart*float64(r.Deadline.Sub(now))))
 }
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -21,8 +21,6 @@
 	// Level is its max-min fair part; infinite while all demand fits, 0 if the
 	// capacity is not known.
 	Level float64
-	// Asked is what the organisation asks for.
-	Asked float64
 }
 
 // Excess is what the organisation has had as a multiple of its part.
@@ -33,19 +31,8 @@
 	return s.Had / s.Level
 }
 
-// Unmet is what the organisation asks for beyond its part, as a multiple of it; 0 while
-// all demand fits.
-func (s Share) Unmet() float64 {
-	if s.Level <= 0 {
-		return 0
-	}
-	return max(0, s.Asked/s.Level-1)
-}
-
 // String is for logs: rates in thousands of tokens a second.
-func (s Share) String() string {
-	return fmt.Sprintf("%.1f/%.1f of %.1f", s.Had/1000, s.Level/1000, s.Asked/1000)
-}
+func (s Share) String() string { return fmt.Sprintf("%.1f/%.1f", s.Had/1000, s.Level/1000) }
 
 // meter is a pair of exponentially decaying rates.
 type meter struct {
@@ -146,11 +133,6 @@
 	return s.meter(org, now).usage.Started + s.total[Key(org)].Started
 }
 
-// askedBy is the rate at which an organisation asks all routers.
-func (s *shares) askedBy(now time.Time, org string) float64 {
-	return s.meter(org, now).usage.Asked + s.total[Key(org)].Asked
-}
-
 // startedByAll is the rate at which all routers serve all organisations.
 func (s *shares) startedByAll(now time.Time) (sum float64) {
 	for _, m := range s.own {
@@ -172,7 +154,7 @@
 			l.rate = maxMinLevel(s.asked(now), c)
 		}
 	}
-	return Share{Had: s.started(now, org), Level: l.rate, Asked: s.askedBy(now, org)}
+	return Share{Had: s.started(now, org), Level: l.rate}
 }
 
 // asked lists the demand of all organisations over all routers.
