--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -151,6 +151,16 @@
 	return org, nil
 }
 
+// organisationOf is the holder of a caller's key for logs, empty if there is none.
+func (g *Gateway) organisationOf(caller Caller) string {
+	table := g.table.Load()
+	if table == nil {
+		return ""
+	}
+	org, _ := table.Organisation(caller.Key)
+	return org
+}
+
 func headerSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
@@ -193,7 +203,7 @@
 	logs.InfoFunc("refused", "Gateway: request refused.", func() []any {
 		// The id is there also if another header cannot be used, which take has logged.
 		caller, _ := g.options.Protocol.Caller(r.Header)
-		return []any{"id", caller.ID, "host", r.Host, "path", r.URL.Path,
+		return []any{"id", caller.ID, "org", g.organisationOf(caller), "host", r.Host, "path", r.URL.Path,
 			"status", no.status, "reason", no.reason, "config", g.version()}
 	})
 	g.metrics.ended("", "refused", no.reason, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,8 @@
 	go g.follow(ctx)
 	go g.register(ctx)
 	go g.tick(ctx)
-	klog.InfoS("Gateway: started.", "name", g.options.Name, "domain", g.options.Domain, "listen", g.options.Listen)
+	klog.InfoS("Gateway: started.", "name", g.options.Name, "domain", g.options.Domain, "listen", g.options.Listen,
+		"cores", g.options.Cores, "memory", g.options.Memory, "descriptors", g.options.Descriptors)
 	select {
 	case err := <-failed:
 		return err
@@ -213,6 +214,11 @@
 		return
 	}
 	lag := g.lag.read()
+	view := g.pressure.intake.view()
+	if view.refused > 0 {
+		logs.Info("intake", "Gateway: requests refused for lack of processor time.", "taken", view.taken, "refused", view.refused,
+			"cost", view.cost, "balance", view.balance, "used", used, "lag", lag, "cores", g.options.Cores)
+	}
 	if g.pressure.sample(now, used, lag) {
 		klog.InfoS("Gateway: processor time.", "short", g.pressure.isHigh(), "running", g.running(), "used", used, "lag", lag)
 	}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -104,6 +104,19 @@
 	return true
 }
 
+// intakeView is what the intake did since the last sample, for logs.
+type intakeView struct {
+	taken, refused int
+	cost, balance  time.Duration
+}
+
+// view is what the intake did since the last sample.
+func (i *intake) view() intakeView {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return intakeView{taken: i.taken, refused: i.refused, cost: i.cost, balance: i.balance}
+}
+
 // learn takes the processor time spent since the last call, and the part that this is
 // of what there was. It reports whether many requests were refused meanwhile.
 func (i *intake) learn(spent time.Duration, part float64) (crowded bool) {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -94,8 +94,8 @@
 		}
 		// The id is there also if another header cannot be used.
 		caller, _ := l.g.options.Protocol.Caller(r.Header)
-		return []any{"id", caller.ID, "host", r.Host, "path", r.URL.Path, "status", http.StatusServiceUnavailable,
-			"reason", reasonOverloaded, "config", l.g.version()}
+		return []any{"id", caller.ID, "org", l.g.organisationOf(caller), "host", r.Host, "path", r.URL.Path,
+			"status", http.StatusServiceUnavailable, "reason", reasonOverloaded, "config", l.g.version()}
 	})
 }
 
