--- /dev/null
+++ b/internal/gateway/flood_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// processor is one processor that serves first come, first served. It stands for a
+// router on an instance of a given speed.
+type processor struct {
+	p    *pressure
+	cost struct{ request, refusal time.Duration }
+	now  time.Time
+	// free is when what has been taken in is done.
+	free, sampled time.Time
+	used          time.Duration
+	lags          []time.Duration
+	waits         []time.Duration
+	refused       int
+}
+
+func newProcessor(cores float64, request, refusal time.Duration) *processor {
+	m := &processor{p: &pressure{cores: cores, intake: newIntake(cores)}, now: time.Unix(1000, 0)}
+	m.free, m.sampled = m.now, m.now
+	m.cost.request, m.cost.refusal = request, refusal
+	m.p.sample(m.now, 0, 0)
+	return m
+}
+
+// run plays requests that come at a rate a second.
+func (m *processor) run(perSecond float64, length time.Duration) {
+	step := time.Duration(float64(time.Second) / perSecond)
+	for end := m.now.Add(length); m.now.Before(end); m.now = m.now.Add(step) {
+		if m.now.Sub(m.sampled) >= sweepEvery {
+			m.sample()
+		}
+		if m.p.intake.exhausted(m.now) || m.p.sheds(m.now) {
+			m.refused++
+			m.spend(m.cost.refusal)
+			continue
+		}
+		m.waits = append(m.waits, m.spend(m.cost.request))
+	}
+}
+
+// spend does a piece of work, and returns how long that takes from now on.
+func (m *processor) spend(work time.Duration) time.Duration {
+	m.free = later(m.free, m.now)
+	m.lags = append(m.lags, m.free.Sub(m.now))
+	m.free = m.free.Add(time.Duration(float64(work) / m.p.cores))
+	m.used += work
+	return m.free.Sub(m.now)
+}
+
+func (m *processor) sample() {
+	var lag time.Duration
+	if len(m.lags) >= lagSamples {
+		slices.Sort(m.lags)
+		lag = m.lags[int(lagQuantile*float64(len(m.lags)))]
+	}
+	done := m.used - time.Duration(m.p.cores*float64(max(0, m.free.Sub(m.now))))
+	m.p.sample(m.now, done, lag)
+	m.sampled, m.lags = m.now, m.lags[:0]
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// TestFloodLeavesTimeForRequests: what refusals do not need of the processor goes to
+// requests.
+func TestFloodLeavesTimeForRequests(t *testing.T) {
+	g := NewWithT(t)
+	const cores, rate, length = 0.192, 2200, 3 * time.Second
+	m := newProcessor(cores, time.Millisecond, 45*time.Microsecond)
+	m.run(rate, length)
+	left := cores*length.Seconds() - rate*length.Seconds()*m.cost.refusal.Seconds()
+	t.Logf("admitted %d, refused %d, time left %.3f s", len(m.waits), m.refused, left)
+	g.Expect(float64(len(m.waits)) * m.cost.request.Seconds()).To(BeNumerically(">", 0.5*left))
+	const target = 400 * time.Millisecond
+	late := 0
+	for _, w := range m.waits {
+		if w > target {
+			late++
+		}
+	}
+	g.Expect(late).To(BeNumerically("<=", len(m.waits)/10))
+}
+
+// TestIdleProcessorRefusesNothing: requests that cost less than is first assumed are
+// taken in while there is time for them.
+func TestIdleProcessorRefusesNothing(t *testing.T) {
+	g := NewWithT(t)
+	m := newProcessor(0.8, 300*time.Microsecond, 45*time.Microsecond)
+	m.run(1200, time.Second)
+	m.waits, m.refused = nil, 0
+	m.run(1200, 3*time.Second)
+	t.Logf("admitted %d, refused %d", len(m.waits), m.refused)
+	g.Expect(m.refused).To(BeNumerically("<", len(m.waits)/50))
+}
