--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -103,6 +103,13 @@
 		// LastEvent is the id of the last event that was delivered.
 		LastEvent string
 	}
+	// Advised is what an instance said of itself beside an answer.
+	Advised struct {
+		// Instance is the one that the request was sent to.
+		Instance Instance
+		// Leaving means that it is about to stop and takes no new work.
+		Leaving bool
+	}
 	// Moved means that the upstream of a stream has stopped it and that its memory
 	// can be taken up.
 	Moved struct {
@@ -149,6 +156,7 @@
 func (Heard) isEvent()            {}
 func (Done) isEvent()             {}
 func (Failed) isEvent()           {}
+func (Advised) isEvent()          {}
 func (Moved) isEvent()            {}
 func (MoveFailed) isEvent()       {}
 func (Left) isEvent()             {}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -114,7 +114,7 @@
 // soon.
 func (s *State) anyUpstream(service string) bool {
 	for _, u := range s.services[service] {
-		if !u.replaced {
+		if !u.replaced && !u.leaving {
 			return true
 		}
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -17,10 +17,12 @@
 	// upstreams by id; byKey finds them by their short name, and services lists
 	// those that take new work in order of id.
 	upstreams map[string]*upstream
-	byKey     map[uint32]*upstream
-	services  map[string][]*upstream
-	requests  map[string]*request
-	queues    map[queueKey]*queue
+	// lapsed are upstreams that left the list, with what they had said of themselves.
+	lapsed   map[string]lapsed
+	byKey    map[uint32]*upstream
+	services map[string][]*upstream
+	requests map[string]*request
+	queues   map[queueKey]*queue
 	// queueOrder are the keys of queues in the order in which they are filled.
 	queueOrder []queueKey
 	divisions  map[string]*division
@@ -89,6 +91,7 @@
 	s := &State{
 		options:   o,
 		upstreams: make(map[string]*upstream),
+		lapsed:    make(map[string]lapsed),
 		byKey:     make(map[uint32]*upstream),
 		services:  make(map[string][]*upstream),
 		requests:  make(map[string]*request),
@@ -117,6 +120,8 @@
 		s.done(now, e)
 	case Failed:
 		s.failed(now, e)
+	case Advised:
+		s.advised(now, e)
 	case Moved:
 		s.moved(now, e)
 	case MoveFailed:
@@ -185,9 +190,10 @@
 	for _, in := range list {
 		seen[in.ID] = true
 		u := s.upstreams[in.ID]
-		if u == nil || u.Started != in.Started || u.Addr != in.Addr || u.Service != in.Service {
-			s.forget(in.ID)
+		if u == nil || !u.same(in) {
+			s.forget(now, in.ID)
 			u = &upstream{key: Key(in.ID)}
+			s.recall(u, in)
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
 		}
@@ -196,9 +202,10 @@
 	}
 	for id := range s.upstreams {
 		if !seen[id] {
-			s.forget(id)
+			s.forget(now, id)
 		}
 	}
+	s.expireLapsed(now)
 	s.listServices()
 	for _, r := range s.peers {
 		s.applyLoads(Report{}, r)
@@ -208,11 +215,12 @@
 }
 
 // forget drops an upstream. Requests that run there keep their own pointer.
-func (s *State) forget(id string) {
+func (s *State) forget(now time.Time, id string) {
 	u := s.upstreams[id]
 	if u == nil {
 		return
 	}
+	s.keepAdvice(now, u)
 	delete(s.upstreams, id)
 	delete(s.byKey, u.key)
 	s.health.Forget(id)
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -47,12 +47,16 @@
 	moves int
 	// replaced means that another instance answers at its address.
 	replaced bool
+	// leaving means that the instance said that it is about to stop.
+	leaving bool
 	// outUntil is until when a refused connection keeps work away.
 	outUntil time.Time
 }
 
 // takesWork reports whether the upstream may get work at all.
-func (u *upstream) takesWork(now time.Time) bool { return !u.replaced && !now.Before(u.outUntil) }
+func (u *upstream) takesWork(now time.Time) bool {
+	return !u.replaced && !u.leaving && !now.Before(u.outUntil)
+}
 
 // Key is the short name of an upstream in reports between routers.
 func Key(instanceID string) uint32 {
--- a/internal/gateway/converse.go
+++ b/internal/gateway/converse.go
@@ -134,6 +134,7 @@
 func (g *Gateway) receive(w http.ResponseWriter, c *call, e dispatch.Send, a *exchange.Answer, sentAt time.Time) *exchange.Failure {
 	defer a.Close()
 	info := g.options.Protocol.Answer(a.Status, a.Header, e.Upstream.ID)
+	g.advised(c, e.Upstream, info)
 	switch {
 	case info.NotRun:
 		return notRun(a, info)
@@ -146,6 +147,16 @@
 	}
 }
 
+// advised passes on what an upstream says of itself in the header of an answer.
+func (g *Gateway) advised(c *call, upstream dispatch.Instance, info AnswerInfo) {
+	if info.Replaced || !info.Leaving {
+		return
+	}
+	logs.Info("leaving", "Gateway: upstream is leaving.", "id", c.caller.ID, "upstream", upstream.ID, "addr", upstream.Addr,
+		"started", upstream.Started)
+	g.step(dispatch.Advised{Instance: upstream, Leaving: true})
+}
+
 // notRun is the failure of an upstream that did not run the request.
 func notRun(a *exchange.Answer, info AnswerInfo) *exchange.Failure {
 	if _, failure := a.All(answerBytes); failure != nil {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -42,6 +42,8 @@
 	Replaced bool
 	// Sealed means that the upstream vouches for the answer.
 	Sealed bool
+	// Leaving means that the upstream is about to stop.
+	Leaving bool
 }
 
 // Protocol translates the headers of the platform. It is safe for concurrent
