--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -109,6 +109,9 @@
 		Instance Instance
 		// Leaving means that it is about to stop and takes no new work.
 		Leaving bool
+		// HoldOff is for how long it wants no requests from this router, 0 if it does
+		// not say.
+		HoldOff time.Duration
 	}
 	// Moved means that the upstream of a stream has stopped it and that its memory
 	// can be taken up.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -48,7 +48,7 @@
 
 // admit sends a request, lets it wait, or refuses it if waiting cannot help.
 func (s *State) admit(now time.Time, r *request) {
-	if !s.anyUpstream(r.Service) {
+	if back, ok := s.backAt(now, r.Service); !ok || back.After(now) && back.After(r.giveUp) {
 		s.giveBack(now, r, ReasonNoUpstream)
 		return
 	}
@@ -110,17 +110,6 @@
 	}
 }
 
-// anyUpstream reports whether a service has an upstream that may get work, now or
-// soon.
-func (s *State) anyUpstream(service string) bool {
-	for _, u := range s.services[service] {
-		if !u.replaced && !u.leaving {
-			return true
-		}
-	}
-	return false
-}
-
 // hopeless reports whether the work that waits already takes longer than this
 // request can wait.
 func (s *State) hopeless(now time.Time, q *queue, r *request) bool {
@@ -278,7 +267,7 @@
 	case e.Replaced:
 		u.replaced = true
 	case e.Unreachable:
-		u.outUntil = now.Add(unreachableFor)
+		u.outUntil = later(u.outUntil, now.Add(unreachableFor))
 	}
 }
 
@@ -366,9 +355,14 @@
 }
 
 // retryAfter tells a refused caller when to come back: as soon as what waits
-// now should be served, spread so that refused callers do not return together.
+// now should be served, and no sooner than an upstream takes work, spread so that
+// refused callers do not return together.
 func (s *State) retryAfter(now time.Time, r *request) time.Duration {
 	s.serial++
 	spread := time.Duration(s.serial%8) * (retryAfterMax - retryAfterMin) / 8
-	return min(retryAfterMin+spread, time.Duration(retryAfterPart*float64(r.Deadline.Sub(now))))
+	after := retryAfterMin + spread
+	if back, ok := s.backAt(now, r.Service); ok {
+		after = max(after, back.Sub(now)+spread/4)
+	}
+	return min(after, time.Duration(retryAfterPart*float64(r.Deadline.Sub(now))))
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -49,7 +49,8 @@
 	replaced bool
 	// leaving means that the instance said that it is about to stop.
 	leaving bool
-	// outUntil is until when a refused connection keeps work away.
+	// outUntil is until when a refused connection, or the instance's own wish, keeps
+	// work away.
 	outUntil time.Time
 }
 
--- a/internal/gateway/converse.go
+++ b/internal/gateway/converse.go
@@ -149,12 +149,12 @@
 
 // advised passes on what an upstream says of itself in the header of an answer.
 func (g *Gateway) advised(c *call, upstream dispatch.Instance, info AnswerInfo) {
-	if info.Replaced || !info.Leaving {
+	if info.Replaced || !info.Leaving && info.HoldOff <= 0 {
 		return
 	}
-	logs.Info("leaving", "Gateway: upstream is leaving.", "id", c.caller.ID, "upstream", upstream.ID, "addr", upstream.Addr,
-		"started", upstream.Started)
-	g.step(dispatch.Advised{Instance: upstream, Leaving: true})
+	logs.Info("advised", "Gateway: upstream wants no requests.", "id", c.caller.ID, "upstream", upstream.ID, "addr", upstream.Addr,
+		"started", upstream.Started, "leaving", info.Leaving, "holdOff", info.HoldOff)
+	g.step(dispatch.Advised{Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff})
 }
 
 // notRun is the failure of an upstream that did not run the request.
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -44,6 +44,8 @@
 	Sealed bool
 	// Leaving means that the upstream is about to stop.
 	Leaving bool
+	// HoldOff is for how long the upstream wants no requests from this router.
+	HoldOff time.Duration
 }
 
 // Protocol translates the headers of the platform. It is safe for concurrent
