--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -23,8 +23,12 @@
 	inlineBody = 2 << 10
 	// foreignAnswers is how many answers to other requests are skipped.
 	foreignAnswers = 2
-	// skippedBody bounds the body of an answer that is skipped, in bytes.
+	// skippedBody bounds the body of an answer that is skipped, in bytes, and skipTime
+	// how long its end is waited for: a new connection takes less.
 	skippedBody = 1 << 20
+	skipTime    = 200 * time.Millisecond
+	// headBytes bounds the header of an answer, with those that only announce it.
+	headBytes = 64 << 10
 )
 
 // Request is a request as it goes to the upstream.
@@ -203,17 +207,20 @@
 // header reads up to the header of this request's own answer.
 func (e *Exchange) header(c *conn) (*Answer, error) {
 	for range foreignAnswers + 1 {
+		c.head.bind(headBytes)
 		resp, err := e.response(c)
 		if err != nil {
 			return nil, err
 		}
 		if e.req.Mine(resp.StatusCode, resp.Header) {
+			c.head.unbind()
 			return &Answer{
 				Status: resp.StatusCode, Header: resp.Header, Closing: resp.Close,
 				exchange: e, body: resp.Body,
 			}, nil
 		}
 		e.clean = false
+		c.head.unbind()
 		if _, err := io.CopyN(io.Discard, resp.Body, skippedBody); err != io.EOF {
 			return nil, errForeign
 		}
@@ -278,6 +285,27 @@
 	return body, nil
 }
 
+// Discard skips the body of an answer that is not needed. An error means that its end
+// has not come; the connection is then closed with the answer.
+func (a *Answer) Discard() error {
+	e := a.exchange
+	e.mu.Lock()
+	c := e.conn
+	e.mu.Unlock()
+	if c == nil {
+		return errAborted
+	}
+	if until := time.Now().Add(skipTime); until.Before(e.req.Deadline) {
+		if err := c.SetReadDeadline(until); err != nil {
+			return errors.Wrap(err, "discard")
+		}
+	}
+	if _, err := io.CopyN(io.Discard, a, skippedBody); err != io.EOF {
+		return errors.Wrap(errBodyShort, "discard")
+	}
+	return nil
+}
+
 // Fail ends the exchange after an error of Read.
 func (a *Answer) Fail(err error) *Failure { return a.exchange.broken(err, true) }
 
--- /dev/null
+++ b/internal/exchange/endless_test.go
@@ -0,0 +1,136 @@
+package exchange
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// endless sends a beginning and then the same bytes again and again, until the other
+// side closes the connection. It counts the bytes that the other side took.
+type endless struct {
+	addr  string
+	taken atomic.Int64
+	ended chan struct{}
+}
+
+func newEndless(t *testing.T, beginning, again string) *endless {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { ln.Close() })
+	e := &endless{addr: ln.Addr().String(), ended: make(chan struct{})}
+	go func() {
+		defer close(e.ended)
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := c.Read(make([]byte, 4096)); err != nil {
+			return
+		}
+		text := []byte(strings.Repeat(again, 1+1000/len(again)))
+		for _, err = io.WriteString(c, beginning); err == nil; {
+			var n int
+			n, err = c.Write(text)
+			e.taken.Add(int64(n))
+		}
+	}()
+	return e
+}
+
+func (e *endless) ask() (*Answer, *Failure) {
+	return New().Begin(&Request{
+		Addr: e.addr, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
+		Mine:     func(_ int, h http.Header) bool { return h.Get("X-Other") == "" },
+		Deadline: time.Now().Add(time.Minute),
+	}).Run()
+}
+
+// socketBytes is more than the buffers of both sockets hold.
+const socketBytes = 16 << 20
+
+// expectClosed waits until the other side sees its connection closed.
+func (e *endless) expectClosed(g Gomega) {
+	g.Eventually(e.ended, 30*time.Second).Should(BeClosed())
+	g.Expect(e.taken.Load()).To(BeNumerically("<", socketBytes))
+}
+
+// TestEndlessHead: a header that does not end is given up after a bounded number of
+// bytes, whatever it consists of.
+func TestEndlessHead(t *testing.T) {
+	for name, c := range map[string]struct{ beginning, again string }{
+		"header lines":  {"HTTP/1.1 200 OK\r\n", "X-Line: value\r\n"},
+		"one line":      {"HTTP/1.1 200 OK\r\nX-Line: ", "x"},
+		"no line":       {"", "x"},
+		"announcements": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"foreign":       {"", "HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 0\r\n\r\n"},
+		"foreign body":  {"HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			e := newEndless(t, c.beginning, c.again)
+			_, failure := e.ask()
+			g.Expect(failure).NotTo(BeNil())
+			g.Expect(failure.Sent).To(BeTrue(), "it may have run")
+			e.expectClosed(g)
+		})
+	}
+}
+
+// TestEndlessBody: a body that is read whole is given up at its bound, and what need not
+// be read is not waited for.
+func TestEndlessBody(t *testing.T) {
+	for name, beginning := range map[string]string{
+		"to the end": "HTTP/1.1 200 OK\r\n\r\n",
+		"a length":   "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n",
+		"a chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffff\r\n",
+		"no chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+		"a trailer":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Line: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			e := newEndless(t, beginning, "x")
+			a, failure := e.ask()
+			g.Expect(failure).To(BeNil())
+			_, failure = a.All(1 << 20)
+			g.Expect(failure).NotTo(BeNil())
+			a.Close()
+			e.expectClosed(g)
+		})
+	}
+}
+
+// TestBodyThatNeverComes keeps nobody waiting if it is not needed.
+func TestBodyThatNeverComes(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	e := &endless{addr: ln.Addr().String(), ended: make(chan struct{})}
+	go func() {
+		defer close(e.ended)
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 10\r\n\r\nx"); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	a, failure := e.ask()
+	g.Expect(failure).To(BeNil())
+	g.Expect(a.Discard()).NotTo(Succeed())
+	a.Close()
+	e.expectClosed(g)
+}
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -16,6 +16,7 @@
 var (
 	errForeign   = errors.New("the answer belongs to another request")
 	errAborted   = errors.New("the exchange was aborted")
+	errHeadSize  = errors.New("the header is larger than its bound")
 	errTooLarge  = errors.New("the answer is larger than its bound")
 	errBodyShort = errors.New("the answer ended early")
 )
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -38,7 +38,9 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
-	in *bufio.Reader
+	// in reads through head, which bounds headers.
+	in   *bufio.Reader
+	head *headReader
 	// idleSince and idleFor bound the time that it waits to be used again.
 	idleSince time.Time
 	idleFor   time.Duration
@@ -80,7 +82,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	return &conn{Conn: raw, in: bufio.NewReaderSize(raw, readBuffer)}, nil
+	head := &headReader{from: raw}
+	return &conn{Conn: raw, head: head, in: bufio.NewReaderSize(head, readBuffer)}, nil
 }
 
 func (p *pool) take(addr string) *conn {
