--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,10 +56,17 @@
 const idleAtMostOnce = 300 * time.Millisecond
 
 // Client sends requests to upstreams. It is safe for concurrent use.
-type Client struct{ pool *pool }
+type Client struct {
+	pool *pool
+	// memory bounds the bodies that are held whole, in bytes, 0 if they are not
+	// bounded, and held is their size.
+	memory int64
+	held   atomic.Int64
+}
 
-// New returns a client without connections.
-func New() *Client { return &Client{pool: newPool()} }
+// New returns a client without connections. The bodies that All returns may have a
+// number of bytes together until their answers are closed; 0 for any.
+func New(memory int64) *Client { return &Client{pool: newPool(), memory: memory} }
 
 // Sweep closes connections that have been idle for too long.
 func (c *Client) Sweep(now time.Time) { c.pool.sweep(now) }
@@ -78,6 +86,8 @@
 	exchange *Exchange
 	body     io.ReadCloser
 	ended    bool
+	// held is what All has read, in bytes.
+	held int64
 }
 
 // Exchange is one request under way.
@@ -270,9 +280,23 @@
 	return n, err
 }
 
+// holder counts what it reads as held in memory.
+type holder struct{ *Answer }
+
+// Read implements io.Reader.
+func (h holder) Read(p []byte) (int, error) {
+	n, err := h.Answer.Read(p)
+	c := h.exchange.client
+	h.held += int64(n)
+	if all := c.held.Add(int64(n)); err == nil && c.memory > 0 && all > c.memory {
+		err = errMemory
+	}
+	return n, err
+}
+
 // All reads the whole body, of at most limit bytes.
 func (a *Answer) All(limit int64) ([]byte, *Failure) {
-	body, err := io.ReadAll(io.LimitReader(a, limit+1))
+	body, err := io.ReadAll(io.LimitReader(holder{a}, limit+1))
 	if err == nil && int64(len(body)) > limit {
 		err = errTooLarge
 	}
@@ -312,6 +336,8 @@
 // Close ends the exchange; the connection is kept if it may be used again.
 func (a *Answer) Close() {
 	e := a.exchange
+	e.client.held.Add(-a.held)
+	a.held = 0
 	if !a.ended || a.Closing || !e.clean || !e.finishedWriting() {
 		e.Abort()
 		return
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -46,7 +46,7 @@
 }
 
 func (e *endless) ask() (*Answer, *Failure) {
-	return New().Begin(&Request{
+	return New(0).Begin(&Request{
 		Addr: e.addr, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
 		Mine:     func(_ int, h http.Header) bool { return h.Get("X-Other") == "" },
 		Deadline: time.Now().Add(time.Minute),
@@ -109,6 +109,44 @@
 	}
 }
 
+// TestHeldBodiesAreBounded together, and give their memory back.
+func TestHeldBodiesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	const size, memory = 1000, 2500
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	web := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	})}
+	t.Cleanup(func() { web.Close() })
+	go func() { _ = web.Serve(ln) }()
+	client := New(memory)
+	ask := func() (*Answer, *Failure) {
+		a, failure := client.Begin(&Request{
+			Addr: ln.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
+			Mine: func(int, http.Header) bool { return true }, Deadline: time.Now().Add(time.Minute),
+		}).Run()
+		g.Expect(failure).To(BeNil())
+		_, failure = a.All(1 << 20)
+		return a, failure
+	}
+	for range 3 {
+		var open []*Answer
+		for range 2 {
+			a, failure := ask()
+			g.Expect(failure).To(BeNil())
+			open = append(open, a)
+		}
+		over, failure := ask()
+		g.Expect(failure).NotTo(BeNil())
+		g.Expect(failure.Local()).To(BeTrue())
+		for _, a := range append(open, over) {
+			a.Close()
+		}
+	}
+	g.Expect(client.held.Load()).To(BeZero())
+}
+
 // TestBodyThatNeverComes keeps nobody waiting if it is not needed.
 func TestBodyThatNeverComes(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -18,6 +18,7 @@
 	errAborted   = errors.New("the exchange was aborted")
 	errHeadSize  = errors.New("the header is larger than its bound")
 	errTooLarge  = errors.New("the answer is larger than its bound")
+	errMemory    = errors.Wrap(syscall.ENOMEM, "the answers under way fill their part of the memory")
 	errBodyShort = errors.New("the answer ended early")
 )
 
--- a/internal/exchange/silent_test.go
+++ b/internal/exchange/silent_test.go
@@ -15,7 +15,7 @@
 func TestWaitingBytesAreNoSilence(t *testing.T) {
 	g := NewWithT(t)
 	near, far := porttest.Pair(t)
-	x := New().Begin(&Request{Deadline: time.Now().Add(time.Minute)})
+	x := New(0).Begin(&Request{Deadline: time.Now().Add(time.Minute)})
 	x.attach(&conn{Conn: near})
 	_, err := far.Write([]byte("H"))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/converse.go
+++ b/internal/gateway/converse.go
@@ -159,8 +159,8 @@
 
 // notRun is the failure of an upstream that did not run the request.
 func notRun(a *exchange.Answer, info AnswerInfo) *exchange.Failure {
-	if _, failure := a.All(answerBytes); failure != nil {
-		logs.Info("refusal-body", "Gateway: refusal without its body.", "err", failure)
+	if err := a.Discard(); err != nil {
+		logs.Info("refusal-body", "Gateway: refusal without its body.", "err", err)
 	}
 	return &exchange.Failure{Kind: core.FailRefused, Replaced: info.Replaced, Err: errNotRun}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,7 +56,7 @@
 	}
 	g := &Gateway{
 		options:    o,
-		client:     exchange.New(),
+		client:     exchange.New(int64(bodyShare * float64(o.Memory))),
 		conns:      newConns(maxConns(o.Descriptors, o.Memory)),
 		pressure:   pressure{cores: o.Cores, intake: newIntake(o.Cores)},
 		dispatcher: dispatch.New(o.Dispatch),
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -84,14 +84,15 @@
 	// what operators allow, since callers reuse connections up to that.
 	idleTimeout = 5 * time.Minute
 	// bodyShare is the part of the memory that the bodies of all requests under
-	// way may fill.
+	// way may fill, and those of their answers that are no streams as well.
 	bodyShare = 0.25
 	// headerBytes bounds a caller's header before the configuration is known.
 	headerBytes = 64 << 10
 	// answerBytes bounds an answer that is no stream.
 	answerBytes = 8 << 20
-	// eventBytes bounds one event of a stream.
-	eventBytes = 1 << 20
+	// eventBytes bounds one event of a stream, and what comes of a stream without the
+	// id of an event. Events of the users' streams have some 80 bytes.
+	eventBytes = 128 << 10
 	// defaultTimeout is how long a request may last if neither its caller nor
 	// its route says.
 	defaultTimeout = 30 * time.Second
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,7 +72,9 @@
 	p := &peers{
 		g: g, known: make(map[string]*peer), domains: make(map[string]time.Time),
 		life: rand.Uint64()>>1 + 1, started: time.Now(), news: make(chan struct{}, 1),
-		client: &http.Client{Timeout: copyTimeout},
+		client: &http.Client{Timeout: copyTimeout, Transport: &http.Transport{
+			MaxResponseHeaderBytes: headerBytes, IdleConnTimeout: peerForget,
+		}},
 	}
 	p.setSeeds(g.options.Seeds)
 	return p
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,7 +18,7 @@
 var (
 	errNotRun     = errors.New("the upstream did not run the request")
 	errEventOrder = errors.New("the events of the stream are out of order")
-	errEventSize  = errors.New("an event is larger than its bound")
+	errEventSize  = errors.New("an event, or what has no id, is larger than its bound")
 	errCaller     = errors.New("the caller takes no more")
 )
 
@@ -36,12 +36,21 @@
 	var pending []byte
 	buf := make([]byte, streamBuffer)
 	first := true
+	// unnumbered is how many bytes of events have come since the last id.
+	unnumbered := 0
 	for {
 		n, err := a.Read(buf)
 		pending = append(pending, buf[:n]...)
 		whole := wholeEvents(pending)
 		if whole > 0 {
-			if bad := c.checkOrder(pending[:whole]); bad != nil {
+			numbered, bad := c.checkOrder(pending[:whole])
+			if unnumbered += whole; numbered {
+				unnumbered = 0
+			}
+			if bad == nil && unnumbered > eventBytes {
+				bad = errEventSize
+			}
+			if bad != nil {
 				return a.Fail(bad)
 			}
 			if first {
@@ -105,8 +114,9 @@
 	return end
 }
 
-// checkOrder follows the ids of events, which have to grow.
-func (c *call) checkOrder(events []byte) error {
+// checkOrder follows the ids of events, which have to grow. It reports whether there
+// was one.
+func (c *call) checkOrder(events []byte) (numbered bool, err error) {
 	for len(events) > 0 {
 		line := events
 		if i := bytes.IndexByte(events, '\n'); i >= 0 {
@@ -119,10 +129,11 @@
 			continue
 		}
 		if err := c.advance(string(bytes.TrimSpace(id))); err != nil {
-			return err
+			return true, err
 		}
+		numbered = true
 	}
-	return nil
+	return numbered, nil
 }
 
 // advance moves to the id of the next event.
--- a/store/consul/call.go
+++ b/store/consul/call.go
@@ -24,6 +24,8 @@
 	maxError = 512
 	// maxAnswer bounds an answer that is read, in bytes: a list of values.
 	maxAnswer = 64 << 20
+	// maxHeader is the same for its header.
+	maxHeader = 64 << 10
 )
 
 // request is one call.
--- a/store/consul/client.go
+++ b/store/consul/client.go
@@ -81,6 +81,8 @@
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: maxHeader,
 		},
 	}
 }
