--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -100,7 +100,7 @@
 	if n := table.Limits.HeaderBytes; n > 0 && headerSize(r) > n {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header-too-large"}
 	}
-	if g.pressure.sheds(started) {
+	if g.pressure.sheds(started, g.conns.takePaid(connOf(r))) {
 		w.Header().Set("Connection", "close")
 		return nil, &refusal{http.StatusServiceUnavailable, reasonOverloaded, retryElsewhere}
 	}
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -40,9 +40,29 @@
 	open int
 	// idle are the connections without a request, with the time of the last one.
 	idle map[net.Conn]time.Time
+	// paid are the connections whose first request the intake has charged.
+	paid map[net.Conn]bool
 }
 
-func newConns(max int) *conns { return &conns{max: max, idle: make(map[net.Conn]time.Time)} }
+func newConns(max int) *conns {
+	return &conns{max: max, idle: make(map[net.Conn]time.Time), paid: make(map[net.Conn]bool)}
+}
+
+// pay notes that the intake has charged the next request of a connection.
+func (c *conns) pay(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paid[conn] = true
+}
+
+// takePaid reports whether the intake has charged a request of a connection, once.
+func (c *conns) takePaid(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	paid := c.paid[conn]
+	delete(c.paid, conn)
+	return paid
+}
 
 // maxConns is for how many connections there are descriptors and memory, in bytes;
 // 0 for either means that it is not bounded.
@@ -67,6 +87,7 @@
 		c.idle[conn] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
+		delete(c.paid, conn)
 	}
 }
 
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -38,7 +38,7 @@
 		if m.now.Sub(m.sampled) >= sweepEvery {
 			m.sample()
 		}
-		if m.p.intake.exhausted(m.now) || m.p.sheds(m.now) {
+		if m.p.sheds(m.now, false) {
 			m.refused++
 			m.spend(m.cost.refusal)
 			continue
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -71,17 +71,6 @@
 	return true
 }
 
-// exhausted reports whether there is no processor time for one more request, which is
-// then counted as refused.
-func (i *intake) exhausted(now time.Time) bool {
-	if i.cores <= 0 {
-		return false
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.short(now)
-}
-
 // short brings the balance to now, and takes what a refusal costs if there is no time
 // for a request.
 func (i *intake) short(now time.Time) bool {
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -129,9 +129,10 @@
 	return p.high
 }
 
-// sheds reports whether this request should go elsewhere.
-func (p *pressure) sheds(now time.Time) bool {
-	return p.shedsPart() || !p.intake.admit(now)
+// sheds reports whether this request should go elsewhere. The intake has charged it
+// already if it is paid.
+func (p *pressure) sheds(now time.Time, paid bool) bool {
+	return p.shedsPart() || !paid && !p.intake.admit(now)
 }
 
 // shedsPart refuses the part of the requests that the samples ask for.
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -42,8 +42,13 @@
 func (l *shedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.TCPListener.Accept()
-		if err != nil || !l.g.pressure.intake.exhausted(time.Now()) {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		// Charged now: many connections may be taken before the first is served.
+		if l.g.pressure.intake.admit(time.Now()) {
+			l.g.conns.pay(c)
+			return c, nil
 		}
 		go l.refuse(c)
 	}
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -32,6 +32,7 @@
 	}
 	gw.metrics, err = newMetrics(gw)
 	g.Expect(err).NotTo(HaveOccurred())
+	gw.conns = newConns(0)
 	l := &shedListener{TCPListener: ln.(*net.TCPListener), g: gw}
 	accepted = make(chan net.Conn, 1)
 	go func() {
@@ -74,6 +75,50 @@
 	g.Expect(accepted).To(BeEmpty())
 }
 
+// TestConnectionsAreChargedAsTheyAreTaken: those that come at once are bounded by the
+// processor time saved up, also before the first of them is served.
+func TestConnectionsAreChargedAsTheyAreTaken(t *testing.T) {
+	g := NewWithT(t)
+	const cores, dials = 0.01, 100
+	started := time.Now()
+	addr, accepted := shedding(t, cores)
+	taken := 0
+	for range dials {
+		c, err := net.Dial("tcp4", addr)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	for settled := false; !settled; {
+		select {
+		case <-accepted:
+			taken++
+		case <-time.After(100 * time.Millisecond):
+			settled = true
+		}
+	}
+	time := intakeBurst + time.Since(started)
+	g.Expect(taken).To(BeNumerically(">", 0))
+	g.Expect(float64(taken)).To(BeNumerically("<=", 1+intakeShare*cores*time.Seconds()/costFirst.Seconds()))
+}
+
+// TestPaidConnectionServesItsFirstRequest without being charged again.
+func TestPaidConnectionServesItsFirstRequest(t *testing.T) {
+	g := NewWithT(t)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	c := newConns(0)
+	c.pay(near)
+	g.Expect(c.takePaid(near)).To(BeTrue())
+	g.Expect(c.takePaid(near)).To(BeFalse())
+	c.pay(near)
+	c.changed(near, http.StateNew)
+	c.changed(near, http.StateClosed)
+	g.Expect(c.takePaid(near)).To(BeFalse())
+}
+
 func TestProcessorTimeLetsConnectionsIn(t *testing.T) {
 	g := NewWithT(t)
 	addr, accepted := shedding(t, 0)
