--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -100,9 +100,12 @@
 	if n := table.Limits.HeaderBytes; n > 0 && headerSize(r) > n {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header-too-large"}
 	}
-	if g.pressure.sheds(started, g.conns.takePaid(connOf(r))) {
-		w.Header().Set("Connection", "close")
-		return nil, &refusal{http.StatusServiceUnavailable, reasonOverloaded, retryElsewhere}
+	payment := g.conns.takePaid(connOf(r))
+	if g.pressure.shedsPart() {
+		return nil, overloaded(w)
+	}
+	if !payment.paid {
+		payment.paid = g.pressure.intake.admit(started)
 	}
 	route := table.Match(r.Host, r.URL.EscapedPath())
 	if route == nil {
@@ -117,6 +120,13 @@
 	if no != nil {
 		return nil, no
 	}
+	switch {
+	case payment.counted:
+	case payment.paid:
+		g.pressure.intake.note(started, org)
+	case !g.pressure.intake.admitOwed(started, org):
+		return nil, overloaded(w)
+	}
 	if g.options.Memory > 0 && float64(g.bodies.Load()) > bodyShare*float64(g.options.Memory) {
 		return nil, &refusal{http.StatusServiceUnavailable, "memory", retryNotReady}
 	}
@@ -142,6 +152,12 @@
 	return c, nil
 }
 
+// overloaded refuses a request for lack of processor time.
+func overloaded(w http.ResponseWriter) *refusal {
+	w.Header().Set("Connection", "close")
+	return &refusal{http.StatusServiceUnavailable, reasonOverloaded, retryElsewhere}
+}
+
 // organisation finds the holder of the caller's key.
 func organisation(table *routing.Table, route *routing.Route, caller Caller) (string, *refusal) {
 	org, ok := table.Organisation(caller.Key)
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -41,22 +41,29 @@
 	// idle are the connections without a request, with the time of the last one.
 	idle map[net.Conn]time.Time
 	// paid are the connections whose first request the intake has charged.
-	paid map[net.Conn]bool
+	paid map[net.Conn]payment
+}
+
+// payment is what the intake has charged of a connection's first request.
+type payment struct {
+	// paid means that its processor time has been taken, counted that it has been
+	// counted for its organisation as well.
+	paid, counted bool
 }
 
 func newConns(max int) *conns {
-	return &conns{max: max, idle: make(map[net.Conn]time.Time), paid: make(map[net.Conn]bool)}
+	return &conns{max: max, idle: make(map[net.Conn]time.Time), paid: make(map[net.Conn]payment)}
 }
 
 // pay notes that the intake has charged the next request of a connection.
-func (c *conns) pay(conn net.Conn) {
+func (c *conns) pay(conn net.Conn, p payment) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.paid[conn] = true
+	c.paid[conn] = p
 }
 
-// takePaid reports whether the intake has charged a request of a connection, once.
-func (c *conns) takePaid(conn net.Conn) bool {
+// takePaid returns, once, what the intake has charged of a connection's request.
+func (c *conns) takePaid(conn net.Conn) payment {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	paid := c.paid[conn]
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -38,15 +38,25 @@
 		if m.now.Sub(m.sampled) >= sweepEvery {
 			m.sample()
 		}
-		if m.p.sheds(m.now, false) {
-			m.refused++
-			m.spend(m.cost.refusal)
-			continue
-		}
-		m.waits = append(m.waits, m.spend(m.cost.request))
+		m.request("")
 	}
 }
 
+// request plays one request of an organisation, and reports whether it was taken in.
+func (m *processor) request(org string) bool {
+	admitted := m.p.intake.admit(m.now)
+	if admitted {
+		m.p.intake.note(m.now, org)
+	}
+	if m.p.shedsPart() || !admitted && !m.p.intake.admitOwed(m.now, org) {
+		m.refused++
+		m.spend(m.cost.refusal)
+		return false
+	}
+	m.waits = append(m.waits, m.spend(m.cost.request))
+	return true
+}
+
 // spend does a piece of work, and returns how long that takes from now on.
 func (m *processor) spend(work time.Duration) time.Duration {
 	m.free = later(m.free, m.now)
@@ -94,6 +104,33 @@
 	g.Expect(late).To(BeNumerically("<=", len(m.waits)/10))
 }
 
+// TestFloodOfOneOrganisationLeavesTimeForOthers: what an organisation gets of a router
+// depends on what it asks for, not on how much others do.
+func TestFloodOfOneOrganisationLeavesTimeForOthers(t *testing.T) {
+	g := NewWithT(t)
+	const rate, each, length = 2200, 110, 4 * time.Second
+	m := newProcessor(0.192, time.Millisecond, 45*time.Microsecond)
+	asked, taken := make(map[string]int), make(map[string]int)
+	for i, end := 0, m.now.Add(length); m.now.Before(end); i++ {
+		org := "many"
+		if i%each == 0 {
+			org = "few"
+		}
+		if m.now.Sub(m.sampled) >= sweepEvery {
+			m.sample()
+		}
+		asked[org]++
+		if m.request(org) {
+			taken[org]++
+		}
+		m.now = m.now.Add(time.Second / rate)
+	}
+	t.Logf("asked %v, taken %v", asked, taken)
+	// Less than half of what the best served one got, or of what it asked, is unfair.
+	g.Expect(taken["few"]).To(BeNumerically(">", min(asked["few"], taken["many"])/2))
+	g.Expect(taken["many"]).To(BeNumerically(">", taken["few"]))
+}
+
 // TestIdleProcessorRefusesNothing: requests that cost less than is first assumed are
 // taken in while there is time for them.
 func TestIdleProcessorRefusesNothing(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,7 +93,7 @@
 	}
 	defer callers.Close()
 	failed := make(chan error, 4)
-	go func() { failed <- callers.Serve(&shedListener{TCPListener: entry.(*net.TCPListener), g: g}) }()
+	go func() { failed <- callers.Serve(newShedListener(entry.(*net.TCPListener), g)) }()
 	for _, s := range []struct {
 		server *http.Server
 		addr   string
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -29,6 +30,12 @@
 	// budget that refusals may take: a flood of them must not end the intake.
 	refusalCost  = 60 * time.Microsecond
 	refusalShare = 0.5
+	// partWindow is the time over which the parts of organisations are judged: over
+	// several seconds one that sends in bursts would be owed for its pauses. owedPart is
+	// the part of what another organisation has had up to which one is owed time: the
+	// users compare organisations at a factor of two.
+	partWindow = time.Second
+	owedPart   = 0.5
 	// crowdedPart is the part of the requests that may be refused for lack of time
 	// without the router leaving the rotation: callers come in clumps. A choice.
 	crowdedPart = 0.1
@@ -52,9 +59,74 @@
 	cost time.Duration
 	// taken and refused count requests since the last sample.
 	taken, refused int
+	// parts are the processor time that organisations have had of late, and most is the
+	// largest of them.
+	parts map[string]*part
+	most  time.Duration
 }
 
-func newIntake(cores float64) *intake { return &intake{cores: cores, cost: costFirst} }
+// part is the processor time that an organisation's requests were admitted with, as an
+// exponentially decaying sum over partWindow.
+type part struct {
+	had time.Duration
+	at  time.Time
+}
+
+func newIntake(cores float64) *intake {
+	return &intake{cores: cores, cost: costFirst, parts: make(map[string]*part)}
+}
+
+// partOf brings an organisation's part to now.
+func (i *intake) partOf(now time.Time, org string) *part {
+	p := i.parts[org]
+	if p == nil {
+		p = &part{at: now}
+		i.parts[org] = p
+	}
+	if now.After(p.at) {
+		p.had = time.Duration(float64(p.had) * math.Exp(-now.Sub(p.at).Seconds()/partWindow.Seconds()))
+		p.at = now
+	}
+	return p
+}
+
+// note counts an admitted request for its organisation, which is known only once its
+// header has been read.
+func (i *intake) note(now time.Time, org string) {
+	if i.cores <= 0 {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.count(i.partOf(now, org))
+}
+
+func (i *intake) count(p *part) {
+	p.had += i.cost
+	i.most = max(i.most, p.had)
+}
+
+// admitOwed admits a request that admit has refused if its organisation has had less
+// than owedPart of what another one has. The processor time that it takes beforehand is
+// missing for the others later; it is bounded as what can be saved up is.
+func (i *intake) admitOwed(now time.Time, org string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	p := i.partOf(now, org)
+	if float64(p.had+i.cost) > owedPart*float64(i.most) || i.balance < -i.room() {
+		return false
+	}
+	i.count(p)
+	i.balance -= i.cost
+	i.taken++
+	i.refused--
+	return true
+}
+
+// rate is the part of the cores that requests may use, and room how much of it is saved
+// up at most.
+func (i *intake) rate() float64       { return intakeShare * i.cores }
+func (i *intake) room() time.Duration { return time.Duration(i.rate() * float64(intakeBurst)) }
 
 // admit reports whether there is processor time for one more request, and takes it.
 func (i *intake) admit(now time.Time) bool {
@@ -74,11 +146,10 @@
 // short brings the balance to now, and takes what a refusal costs if there is no time
 // for a request.
 func (i *intake) short(now time.Time) bool {
-	rate := intakeShare * i.cores
-	room := time.Duration(rate * float64(intakeBurst))
+	room := i.room()
 	gained := room
 	if !i.at.IsZero() {
-		gained = min(room, time.Duration(rate*float64(now.Sub(i.at))))
+		gained = min(room, time.Duration(i.rate()*float64(now.Sub(i.at))))
 	}
 	i.at = now
 	i.balance = min(room, i.balance+gained)
@@ -119,5 +190,17 @@
 	}
 	crowded = lag >= lagLow && float64(i.refused) > crowdedPart*float64(i.taken)
 	i.taken, i.refused = 0, 0
+	i.forget()
 	return crowded
 }
+
+// forget drops the organisations that have had next to nothing of late.
+func (i *intake) forget() {
+	i.most = 0
+	for org, p := range i.parts {
+		if i.partOf(i.at, org); p.had < costLeast/10 {
+			delete(i.parts, org)
+		}
+		i.most = max(i.most, p.had)
+	}
+}
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -129,13 +129,8 @@
 	return p.high
 }
 
-// sheds reports whether this request should go elsewhere. The intake has charged it
-// already if it is paid.
-func (p *pressure) sheds(now time.Time, paid bool) bool {
-	return p.shedsPart() || !paid && !p.intake.admit(now)
-}
-
-// shedsPart refuses the part of the requests that the samples ask for.
+// shedsPart reports whether this request should go elsewhere, for the part of the
+// requests that the samples ask for.
 func (p *pressure) shedsPart() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/pressure_test.go
+++ b/internal/gateway/pressure_test.go
@@ -21,7 +21,7 @@
 	}
 	refused := func() (n int) {
 		for range 100 {
-			if p.sheds(now, false) {
+			if p.shedsPart() {
 				n++
 			}
 		}
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -36,27 +36,79 @@
 	g *Gateway
 	// buffers hold *bufio.Reader.
 	buffers sync.Pool
+	// taken are the connections to be served, and the end of the listener.
+	taken chan taken
+	// closed ends the handing over of connections.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
-// Accept implements net.Listener.
-func (l *shedListener) Accept() (net.Conn, error) {
+// taken is a connection to be served, or the end of the listener.
+type taken struct {
+	conn net.Conn
+	err  error
+}
+
+func newShedListener(ln *net.TCPListener, g *Gateway) *shedListener {
+	l := &shedListener{TCPListener: ln, g: g, taken: make(chan taken), closed: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+// run takes connections until the listener ends.
+func (l *shedListener) run() {
 	for {
 		c, err := l.TCPListener.Accept()
 		if err != nil {
-			return nil, err
+			l.hand(taken{err: err})
+			return
 		}
 		// Charged now: many connections may be taken before the first is served.
 		if l.g.pressure.intake.admit(time.Now()) {
-			l.g.conns.pay(c)
-			return c, nil
+			if !l.serve(c, payment{paid: true}) {
+				c.Close()
+			}
+			continue
 		}
-		go l.refuse(c)
+		go l.refuse(c.(*net.TCPConn))
+	}
+}
+
+// hand passes a connection on to Accept; false means that the listener is closed.
+func (l *shedListener) hand(t taken) bool {
+	select {
+	case l.taken <- t:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+// Accept implements net.Listener.
+func (l *shedListener) Accept() (net.Conn, error) {
+	select {
+	case t := <-l.taken:
+		return t.conn, t.err
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
 }
 
-// refuse answers the first request on a connection as not run, and closes it.
-func (l *shedListener) refuse(c net.Conn) {
-	defer c.Close()
+// Close implements net.Listener.
+func (l *shedListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.TCPListener.Close()
+}
+
+// refuse answers the first request on a connection as not run, and closes it, unless
+// its organisation has had less than its part of the processor time.
+func (l *shedListener) refuse(c *net.TCPConn) {
+	served := false
+	defer func() {
+		if !served {
+			c.Close()
+		}
+	}()
 	now := time.Now()
 	if err := errors.Join(c.SetReadDeadline(now.Add(shedTimeout)), c.SetWriteDeadline(now.Add(2*shedTimeout))); err != nil {
 		logs.Info("shed", "Gateway: no deadline for a refusal.", "err", err)
@@ -74,7 +126,11 @@
 		l.g.metrics.shed("left")
 		return
 	}
-	l.log(head)
+	caller, org := l.callerOf(head)
+	if served = l.serveOwed(c, in, head, org); served {
+		return
+	}
+	l.log(head, caller, org)
 	length, known := contentLength(head)
 	if whole = whole && known; whole {
 		_, err = io.CopyN(io.Discard, in, int64(length))
@@ -90,16 +146,69 @@
 	}
 }
 
+// callerOf reads the caller and its organisation out of a request's header. What cannot
+// be read is empty.
+func (l *shedListener) callerOf(head []byte) (caller Caller, org string) {
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil {
+		return caller, ""
+	}
+	// The id and the key are there also if another header cannot be used.
+	caller, _ = l.g.options.Protocol.Caller(r.Header)
+	return caller, l.g.organisationOf(caller)
+}
+
+// serveOwed has a request served whose organisation has had less than its part of the
+// processor time that goes to requests. It reports whether it did.
+func (l *shedListener) serveOwed(c *net.TCPConn, in *bufio.Reader, head []byte, org string) bool {
+	if org == "" || !l.g.pressure.intake.admitOwed(time.Now(), org) {
+		return false
+	}
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		logs.Info("shed", "Gateway: deadline not taken back.", "err", err)
+		return false
+	}
+	rest, err := in.Peek(in.Buffered())
+	if err != nil {
+		return false
+	}
+	ahead := &readAhead{TCPConn: c, ahead: append(bytes.Clone(head), rest...)}
+	return l.serve(ahead, payment{paid: true, counted: true})
+}
+
+// serve hands a connection to the server; false means that there is none any more.
+func (l *shedListener) serve(c net.Conn, p payment) bool {
+	l.g.conns.pay(c, p)
+	if !l.hand(taken{conn: c}) {
+		l.g.conns.takePaid(c)
+		return false
+	}
+	return true
+}
+
+// readAhead is a connection of which some bytes have been read already.
+type readAhead struct {
+	*net.TCPConn
+	ahead []byte
+}
+
+// Read implements net.Conn.
+func (c *readAhead) Read(p []byte) (int, error) {
+	if len(c.ahead) == 0 {
+		return c.TCPConn.Read(p)
+	}
+	n := copy(p, c.ahead)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return n, nil
+}
+
 // log writes the line of a refusal, if its rate allows one.
-func (l *shedListener) log(head []byte) {
+func (l *shedListener) log(head []byte, caller Caller, org string) {
 	logs.InfoFunc("refused", "Gateway: request refused.", func() []any {
-		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
-		if err != nil {
-			return []any{"id", "", "err", err, "status", http.StatusServiceUnavailable, "reason", reasonOverloaded}
-		}
-		// The id is there also if another header cannot be used.
-		caller, _ := l.g.options.Protocol.Caller(r.Header)
-		return []any{"id", caller.ID, "org", l.g.organisationOf(caller), "host", r.Host, "path", r.URL.Path,
+		line, _, _ := bytes.Cut(head, []byte("\r\n"))
+		return []any{"id", caller.ID, "org", org, "request", string(line),
 			"status", http.StatusServiceUnavailable, "reason", reasonOverloaded, "config", l.g.version()}
 	})
 }
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -12,6 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/routing"
+	"github.com/jujubeford/jujubeford/internal/sockets"
 )
 
 // anonymous finds nothing in a caller's header.
@@ -21,19 +23,19 @@
 
 // shedding listens for a router with a number of cores, and hands out the connections
 // that it accepts.
-func shedding(t testing.TB, cores float64) (addr string, accepted chan net.Conn) {
+func shedding(t testing.TB, cores float64, protocol Protocol) (addr string, accepted chan net.Conn, gw *Gateway) {
 	g := NewWithT(t)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { ln.Close() })
-	gw := &Gateway{
-		options: Options{Protocol: anonymous{}}, pressure: pressure{intake: newIntake(cores)},
+	gw = &Gateway{
+		options: Options{Protocol: protocol}, pressure: pressure{intake: newIntake(cores)},
 		dispatcher: dispatch.New(dispatch.DefaultOptions()),
 	}
 	gw.metrics, err = newMetrics(gw)
 	g.Expect(err).NotTo(HaveOccurred())
 	gw.conns = newConns(0)
-	l := &shedListener{TCPListener: ln.(*net.TCPListener), g: gw}
+	l := newShedListener(ln.(*net.TCPListener), gw)
+	t.Cleanup(func() { l.Close() })
 	accepted = make(chan net.Conn, 1)
 	go func() {
 		for {
@@ -44,7 +46,7 @@
 			accepted <- c
 		}
 	}()
-	return ln.Addr().String(), accepted
+	return ln.Addr().String(), accepted, gw
 }
 
 // TestNoProcessorTimeRefusesAtOnce whole requests, long ones, chunked ones and those
@@ -52,7 +54,7 @@
 // without a reset that would take the answer away.
 func TestNoProcessorTimeRefusesAtOnce(t *testing.T) {
 	g := NewWithT(t)
-	addr, accepted := shedding(t, 1e-9)
+	addr, accepted, _ := shedding(t, 1e-9, anonymous{})
 	for _, request := range []string{
 		"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: h\r\ncontent-length: 100000\r\n\r\n" + strings.Repeat("x", 100_000),
@@ -81,7 +83,7 @@
 	g := NewWithT(t)
 	const cores, dials = 0.01, 100
 	started := time.Now()
-	addr, accepted := shedding(t, cores)
+	addr, accepted, _ := shedding(t, cores, anonymous{})
 	taken := 0
 	for range dials {
 		c, err := net.Dial("tcp4", addr)
@@ -103,6 +105,50 @@
 	g.Expect(float64(taken)).To(BeNumerically("<=", 1+intakeShare*cores*time.Seconds()/costFirst.Seconds()))
 }
 
+// keyed finds the id and the key in a caller's header.
+type keyed struct{ Protocol }
+
+func (keyed) Caller(h http.Header) (Caller, error) {
+	return Caller{ID: h.Get("Id"), Key: h.Get("Key")}, nil
+}
+
+// TestOwedOrganisationIsServed with the whole of its request, while others are refused.
+func TestOwedOrganisationIsServed(t *testing.T) {
+	g := NewWithT(t)
+	addr, accepted, gw := shedding(t, 1e-3, keyed{})
+	gw.table.Store(routing.NewTable(1, routing.Limits{}, nil, nil, []routing.Organisation{
+		{Name: "owed", Keys: []string{"owed"}}, {Name: "served", Keys: []string{"served"}},
+	}))
+	intake := gw.pressure.intake
+	intake.admit(time.Now())
+	for range 100 {
+		intake.note(time.Now(), "served")
+	}
+	ask := func(key string) net.Conn {
+		c, err := net.Dial("tcp4", addr)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { c.Close() })
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nKey: "+key+"\r\nContent-Length: 4\r\n\r\nbody")
+		g.Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(ask("served")), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	ask("owed")
+	var c net.Conn
+	g.Eventually(accepted, 30*time.Second).Should(Receive(&c))
+	defer c.Close()
+	g.Expect(gw.conns.takePaid(c)).To(Equal(payment{paid: true, counted: true}))
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(req.Header.Get("Key")).To(Equal("owed"))
+	body, err := io.ReadAll(req.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("body"))
+	g.Expect(sockets.Ended(c)).To(BeFalse())
+}
+
 // TestPaidConnectionServesItsFirstRequest without being charged again.
 func TestPaidConnectionServesItsFirstRequest(t *testing.T) {
 	g := NewWithT(t)
@@ -110,18 +156,18 @@
 	defer near.Close()
 	defer far.Close()
 	c := newConns(0)
-	c.pay(near)
-	g.Expect(c.takePaid(near)).To(BeTrue())
-	g.Expect(c.takePaid(near)).To(BeFalse())
-	c.pay(near)
+	c.pay(near, payment{paid: true})
+	g.Expect(c.takePaid(near).paid).To(BeTrue())
+	g.Expect(c.takePaid(near).paid).To(BeFalse())
+	c.pay(near, payment{paid: true})
 	c.changed(near, http.StateNew)
 	c.changed(near, http.StateClosed)
-	g.Expect(c.takePaid(near)).To(BeFalse())
+	g.Expect(c.takePaid(near).paid).To(BeFalse())
 }
 
 func TestProcessorTimeLetsConnectionsIn(t *testing.T) {
 	g := NewWithT(t)
-	addr, accepted := shedding(t, 0)
+	addr, accepted, _ := shedding(t, 0, anonymous{})
 	c, err := net.Dial("tcp4", addr)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
@@ -131,7 +177,7 @@
 // BenchmarkRefusal is the cost of a refusal without a server, the caller's part
 // included.
 func BenchmarkRefusal(b *testing.B) {
-	addr, _ := shedding(b, 1e-9)
+	addr, _, _ := shedding(b, 1e-9, anonymous{})
 	request := []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2400\r\n\r\n" + strings.Repeat("x", 2400))
 	for b.Loop() {
 		c, err := net.Dial("tcp4", addr)
