--- a/cmd/standin/replica.go
+++ b/cmd/standin/replica.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -25,6 +27,7 @@
 func (*replicaCommand) Synopsis() string { return "run the stand-in for a replica of the users" }
 func (*replicaCommand) Usage() string {
 	return "standin replica [flags]\nStandard output has a line \"run ATTEMPT\" for each request that runs.\n" +
+		"After SIGUSR1 all answers say that the replica is leaving.\n" +
 		"Each flag is also an environment variable JUJUBEFORD_STANDIN_<FLAG>.\n"
 }
 
@@ -49,6 +52,13 @@
 		return failure(errors.Wrap(err, "-listen"))
 	}
 	r := &replica.Replica{ID: c.id, Events: c.events, Gap: c.gap, OnRun: printRun}
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGUSR1)
+	defer signal.Stop(leave)
+	go func() {
+		<-leave
+		r.Leaving.Store(true)
+	}()
 	running := newGroup()
 	running.serve(listener, r)
 	if err := running.wait(ctx); err != nil {
