--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,13 +87,13 @@
 		IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: serverLog,
 		ConnState: g.conns.changed, ConnContext: withConn,
 	}
-	entry, err := net.Listen("tcp4", g.options.Listen)
+	entry, err := listenForCallers(ctx, g.options.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	defer callers.Close()
 	failed := make(chan error, 4)
-	go func() { failed <- callers.Serve(newShedListener(entry.(*net.TCPListener), g)) }()
+	go func() { failed <- callers.Serve(newShedListener(entry, g)) }()
 	for _, s := range []struct {
 		server *http.Server
 		addr   string
@@ -127,7 +127,7 @@
 		return ctx.Err()
 	case <-g.stop:
 	}
-	g.drain(callers, entry.(*net.TCPListener))
+	g.drain(callers, entry)
 	klog.InfoS("Gateway: stopped.", "name", g.options.Name)
 	return nil
 }
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -49,6 +50,17 @@
 	err  error
 }
 
+// listenForCallers listens without keep-alive probes: setting them takes four of the
+// system calls of a refusal, so connections get them once they are to be served.
+func listenForCallers(ctx context.Context, addr string) (*net.TCPListener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: false}, KeepAlive: -1}
+	ln, err := config.Listen(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return ln.(*net.TCPListener), nil
+}
+
 func newShedListener(ln *net.TCPListener, g *Gateway) *shedListener {
 	l := &shedListener{TCPListener: ln, g: g, taken: make(chan taken), closed: make(chan struct{})}
 	go l.run()
@@ -178,6 +190,13 @@
 
 // serve hands a connection to the server; false means that there is none any more.
 func (l *shedListener) serve(c net.Conn, p payment) bool {
+	if tcp, ok := c.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
+		if err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true}); err != nil {
+			logs.Info("keep-alive", "Gateway: no keep-alive probes.", "err", err)
+		}
+	}
 	l.g.conns.pay(c, p)
 	if !l.hand(taken{conn: c}) {
 		l.g.conns.takePaid(c)
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -25,7 +25,7 @@
 // that it accepts.
 func shedding(t testing.TB, cores float64, protocol Protocol) (addr string, accepted chan net.Conn, gw *Gateway) {
 	g := NewWithT(t)
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := listenForCallers(t.Context(), "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	gw = &Gateway{
 		options: Options{Protocol: protocol}, pressure: pressure{intake: newIntake(cores)},
@@ -34,7 +34,7 @@
 	gw.metrics, err = newMetrics(gw)
 	g.Expect(err).NotTo(HaveOccurred())
 	gw.conns = newConns(0)
-	l := newShedListener(ln.(*net.TCPListener), gw)
+	l := newShedListener(ln, gw)
 	t.Cleanup(func() { l.Close() })
 	accepted = make(chan net.Conn, 1)
 	go func() {
