--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -40,12 +40,10 @@
 // share is what an organisation has had, and may have while requests of a group
 // come in.
 func (s *State) share(now time.Time, org, service string, g group) Share {
-	return s.shares.share(now, org, &s.shares.levels[g], func() float64 { return s.capacity(now, service, g) })
-}
-
-// seenShare is the same if the engines do no more than they are seen to do.
-func (s *State) seenShare(now time.Time, org string) Share {
-	return s.shares.share(now, org, &s.shares.seenLevel, func() float64 { return s.capacityOf(now, 1) })
+	l := &s.shares.levels[g]
+	s.shares.update(now, &s.shares.seen, func() float64 { return s.capacityOf(now, 1) })
+	s.shares.update(now, l, func() float64 { return s.capacity(now, service, g) })
+	return s.shares.share(now, org, l)
 }
 
 // growth is by how much more, or less, may be started while a backlog waits.
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -61,7 +61,7 @@
 	}
 	for org, m := range s.shares.own {
 		m.decay(now, s.shares.window)
-		if m.usage.Asked >= 1 || m.usage.Started >= 1 {
+		if m.usage.used() {
 			r.Usage[Key(org)] = m.usage
 		}
 	}
@@ -126,8 +126,7 @@
 	}
 	for key, u := range o.Usage {
 		sum := r.Usage[key]
-		sum.Asked += u.Asked
-		sum.Started += u.Started
+		sum.add(u)
 		r.Usage[key] = sum
 	}
 	for _, key := range o.Contended {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -160,7 +160,7 @@
 	had := make(map[string]float64, len(q.orgs))
 	for org := range q.orgs {
 		orgs = append(orgs, org)
-		had[org] = s.shares.started(now, org)
+		had[org] = s.shares.charged(now, org)
 	}
 	sort.Slice(orgs, func(i, j int) bool {
 		if had[orgs[i]] != had[orgs[j]] {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -88,13 +88,13 @@
 		return false
 	}
 	r.share = s.share(now, r.Organisation, r.Service, r.group)
-	excess := r.share.Excess()
+	excess := r.share.Excess
 	r.overShare = excess > 1
 	if excess > muchExcess || r.overShare && s.contended(now, queueKey{r.Service, r.group}) {
 		return true
 	}
 	if s.contended(now, queueKey{r.Service, r.group.other()}) {
-		return s.seenShare(now, r.Organisation).Excess() > muchExcess
+		return s.shares.charged(now, r.Organisation) > muchExcess
 	}
 	return false
 }
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -12,6 +12,29 @@
 type Usage struct {
 	Asked   float64
 	Started float64
+	// Charged is Started with each request divided by what an organisation might have
+	// when it was sent, of what the engines were seen to do: 1 is the whole share. What it
+	// had while others asked for little thus is not held against it once they ask for
+	// more.
+	Charged float64
+}
+
+// used reports whether the usage is worth keeping.
+func (u Usage) used() bool { return u.Asked >= 1 || u.Started >= 1 || u.Charged >= leastCharge }
+
+// leastCharge is the charge below which an organisation counts as one that had nothing.
+const leastCharge = 1e-3
+
+func (u *Usage) add(o Usage) {
+	u.Asked += o.Asked
+	u.Started += o.Started
+	u.Charged += o.Charged
+}
+
+func (u *Usage) sub(o Usage) {
+	u.Asked -= o.Asked
+	u.Started -= o.Started
+	u.Charged -= o.Charged
 }
 
 // Share is what an organisation had on the arrival of a request, against what it
@@ -21,19 +44,15 @@
 	// Level is its max-min fair part; infinite while all demand fits, 0 if the
 	// capacity is not known.
 	Level float64
+	// Excess is what it was charged, as a multiple of that part.
+	Excess float64
 }
 
-// Excess is what the organisation has had as a multiple of its part.
-func (s Share) Excess() float64 {
-	if s.Level <= 0 {
-		return 0
-	}
-	return s.Had / s.Level
+// String is for logs: rates in thousands of tokens a second, and the excess.
+func (s Share) String() string {
+	return fmt.Sprintf("%.1f/%.1f x%.2f", s.Had/1000, s.Level/1000, s.Excess)
 }
 
-// String is for logs: rates in thousands of tokens a second.
-func (s Share) String() string { return fmt.Sprintf("%.1f/%.1f", s.Had/1000, s.Level/1000) }
-
 // meter is a pair of exponentially decaying rates.
 type meter struct {
 	usage Usage
@@ -46,6 +65,7 @@
 		f := math.Exp(-now.Sub(m.at).Seconds() / window.Seconds())
 		m.usage.Asked *= f
 		m.usage.Started *= f
+		m.usage.Charged *= f
 	}
 	m.at = now
 }
@@ -58,19 +78,24 @@
 	peers  map[string]map[uint32]Usage
 	// total is the sum over the other routers, by the key of the organisation.
 	total map[uint32]Usage
-	// levels are those for the requests of each group, and seenLevel the one if the
-	// engines do no more than they are seen to do.
-	levels    [groups]level
-	seenLevel level
+	// levels are those for the requests of each group, and seen the one if the engines
+	// do no more than they are seen to do.
+	levels [groups]level
+	seen   level
 }
 
 // level is the rate above which an organisation is over its share, infinite while
 // all demand fits.
 type level struct {
 	rate float64
-	at   time.Time
+	// whole is the capacity that is divided.
+	whole float64
+	at    time.Time
 }
 
+// part is what an organisation may have if it asks for everything.
+func (l *level) part() float64 { return min(l.rate, l.whole) }
+
 // levelEvery is how often the level is computed anew.
 const levelEvery = 50 * time.Millisecond
 
@@ -96,20 +121,21 @@
 	s.meter(org, now).usage.Asked += tokens / s.window.Seconds()
 }
 
-// start counts a request that was sent, and with a negative size one that did
-// not run after all.
+// start counts a request that was sent, and with a negative size one that did not run
+// after all.
 func (s *shares) start(now time.Time, org string, tokens float64) {
 	m := s.meter(org, now)
 	m.usage.Started = max(0, m.usage.Started+tokens/s.window.Seconds())
+	if part := s.seen.part(); part > 0 {
+		m.usage.Charged = max(0, m.usage.Charged+tokens/s.window.Seconds()/part)
+	}
 }
 
 // setPeer replaces what another router reported; nil drops it.
 func (s *shares) setPeer(peer string, usage map[uint32]Usage) {
 	for key, u := range s.peers[peer] {
 		t := s.total[key]
-		t.Asked -= u.Asked
-		t.Started -= u.Started
-		if t.Asked < 1 && t.Started < 1 {
+		if t.sub(u); !t.used() {
 			delete(s.total, key)
 			continue
 		}
@@ -122,8 +148,7 @@
 	s.peers[peer] = usage
 	for key, u := range usage {
 		t := s.total[key]
-		t.Asked += u.Asked
-		t.Started += u.Started
+		t.add(u)
 		s.total[key] = t
 	}
 }
@@ -133,6 +158,11 @@
 	return s.meter(org, now).usage.Started + s.total[Key(org)].Started
 }
 
+// charged is what an organisation was charged by all routers.
+func (s *shares) charged(now time.Time, org string) float64 {
+	return s.meter(org, now).usage.Charged + s.total[Key(org)].Charged
+}
+
 // startedByAll is the rate at which all routers serve all organisations.
 func (s *shares) startedByAll(now time.Time) (sum float64) {
 	for _, m := range s.own {
@@ -145,16 +175,24 @@
 	return sum
 }
 
-// share is what an organisation has had, and may have of a capacity, a rate in
-// tokens a second. The level l of that capacity is brought up to date.
-func (s *shares) share(now time.Time, org string, l *level, capacity func() float64) Share {
-	if now.Sub(l.at) >= levelEvery {
-		l.at, l.rate = now, 0
-		if c := capacity(); c > 0 {
-			l.rate = maxMinLevel(s.asked(now), c)
-		}
+// update brings a level up to date with a capacity, a rate in tokens a second.
+func (s *shares) update(now time.Time, l *level, capacity func() float64) {
+	if now.Sub(l.at) < levelEvery {
+		return
+	}
+	l.at, l.rate, l.whole = now, 0, capacity()
+	if l.whole > 0 {
+		l.rate = maxMinLevel(s.asked(now), l.whole)
+	}
+}
+
+// share is what an organisation has had, and may have at a level.
+func (s *shares) share(now time.Time, org string, l *level) Share {
+	share := Share{Had: s.started(now, org), Level: l.rate}
+	if part := l.part(); part > 0 {
+		share.Excess = s.charged(now, org) * s.seen.part() / part
 	}
-	return Share{Had: s.started(now, org), Level: l.rate}
+	return share
 }
 
 // asked lists the demand of all organisations over all routers.
@@ -165,7 +203,7 @@
 	}
 	for org, m := range s.own {
 		m.decay(now, s.window)
-		if m.usage.Asked < 1 && m.usage.Started < 1 {
+		if !m.usage.used() {
 			delete(s.own, org)
 			continue
 		}
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -44,6 +44,9 @@
 	fieldStoreLost
 )
 
+// chargeUnit is how many parts a charge is counted in.
+const chargeUnit = 1e5
+
 var errDatagram = errors.New("datagram cannot be read")
 
 // numbers encodes a message of varint fields 1, 2, ...
@@ -88,7 +91,7 @@
 		b = numbers(b, fieldLoad, uint64(key), uint64(l.Running), uint64(l.Prefill), uint64(l.Memory), uint64(l.Output))
 	}
 	for key, u := range d.report.Usage {
-		b = numbers(b, fieldUsage, uint64(key), uint64(u.Asked), uint64(u.Started))
+		b = numbers(b, fieldUsage, uint64(key), uint64(u.Asked), uint64(u.Started), uint64(chargeUnit*u.Charged))
 	}
 	for _, key := range d.report.Contended {
 		b = number(b, fieldContended, uint64(key))
@@ -178,7 +181,9 @@
 	case fieldLoad:
 		d.report.Loads[uint32(v[0])] = dispatch.Load{Running: int(v[1]), Prefill: int(v[2]), Memory: int(v[3]), Output: int(v[4])}
 	case fieldUsage:
-		d.report.Usage[uint32(v[0])] = dispatch.Usage{Asked: float64(v[1]), Started: float64(v[2])}
+		d.report.Usage[uint32(v[0])] = dispatch.Usage{
+			Asked: float64(v[1]), Started: float64(v[2]), Charged: float64(v[3]) / chargeUnit,
+		}
 	case fieldPlaced:
 		d.report.Placed = append(d.report.Placed, dispatch.Placement{
 			Upstream: uint32(v[0]), Part: dispatch.Part{ID: v[1], Tokens: int(v[2])}, Read: v[3] != 0,
