--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -36,3 +36,34 @@
 		}
 	}
 }
+
+// BenchmarkArrive is the cost of taking in a request, sending it and ending it before
+// engines that have room.
+func BenchmarkArrive(b *testing.B) {
+	for _, n := range []int{12, 145, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := New(DefaultOptions())
+			s.Step(start, TableChanged{routing.NewTable(1, routing.Limits{TokenRate: 3_000_000}, nil, []routing.Service{
+				{Name: model, Engine: &routing.Engine{Slots: 12, CacheTokens: 300_000, EventTokens: 10, Moves: true}},
+			}, nil)})
+			s.Step(start, InstancesChanged{instances(n)})
+			now := start
+			for i := range b.N {
+				now = now.Add(2 * time.Millisecond)
+				id := fmt.Sprint("r", i)
+				for _, e := range s.Step(now, Arrive{&Request{
+					ID: id, Organisation: fmt.Sprint("o", i%20), Route: chat, Service: model, Deadline: now.Add(time.Hour),
+					Prompt: Prompt{Tokens: 2000, MaxOutput: 300, Parts: []Part{{uint64(i % 16), 500}, {uint64(100 + i%500), 900}, {uint64(1000 + i), 600}}},
+				}}) {
+					if send, ok := e.(Send); ok {
+						s.Step(now, Answered{ID: id, Attempt: send.Attempt})
+						s.Step(now, Done{ID: id, Attempt: send.Attempt})
+					}
+				}
+				if i%5 == 0 {
+					s.Step(now, Tick{})
+				}
+			}
+		})
+	}
+}
