--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -24,12 +24,13 @@
 func (s *State) advised(now time.Time, e Advised) {
 	until := now.Add(min(e.HoldOff, holdOffMost))
 	u := s.upstreams[e.Instance.ID]
-	if u == nil || !u.same(e.Instance) {
+	if u == nil || !same(u.Instance, e.Instance) {
 		// It may be listed again: entries lapse while their instances live.
-		old := s.lapsed[e.Instance.ID]
-		s.lapsed[e.Instance.ID] = lapsed{
-			Instance: e.Instance, leaving: old.leaving || e.Leaving, outUntil: later(old.outUntil, until), at: now,
+		l := lapsed{Instance: e.Instance, leaving: e.Leaving, outUntil: until, at: now}
+		if old, ok := s.lapsed[e.Instance.ID]; ok && same(old.Instance, e.Instance) {
+			l.leaving, l.outUntil = l.leaving || old.leaving, later(l.outUntil, old.outUntil)
 		}
+		s.lapsed[e.Instance.ID] = l
 		return
 	}
 	u.leaving = u.leaving || e.Leaving
@@ -43,9 +44,9 @@
 	return b
 }
 
-// same reports whether an entry names the same start of the same instance.
-func (u *upstream) same(in Instance) bool {
-	return u.Started == in.Started && u.Addr == in.Addr && u.Service == in.Service
+// same reports whether two entries name the same start of the same instance.
+func same(a, b Instance) bool {
+	return a.Started == b.Started && a.Addr == b.Addr && a.Service == b.Service
 }
 
 // keepAdvice remembers what an upstream said that leaves the list.
@@ -62,7 +63,7 @@
 		return
 	}
 	delete(s.lapsed, in.ID)
-	if known := (upstream{Instance: old.Instance}); known.same(in) {
+	if same(old.Instance, in) {
 		u.leaving, u.outUntil = old.leaving, old.outUntil
 	}
 }
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -37,6 +37,15 @@
 	list[1].Started = 1
 	w.step(InstancesChanged{Instances: list})
 	g.Expect(sentTo()).To(HaveKey("p00"), "it started anew")
+	// What an earlier start had said does not hold for a later one that is not listed.
+	w.step(InstancesChanged{Instances: list[2:]})
+	earlier := list[1]
+	earlier.Started = 0
+	w.step(Advised{Instance: earlier, Leaving: true})
+	w.step(Advised{Instance: list[1], HoldOff: time.Millisecond})
+	w.now = w.now.Add(time.Second)
+	w.step(InstancesChanged{Instances: list})
+	g.Expect(sentTo()).To(HaveKey("p00"))
 }
 
 // TestUpstreamIsSparedAsLongAsItAsks, also when its entry lapses and comes back
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -190,7 +190,7 @@
 	for _, in := range list {
 		seen[in.ID] = true
 		u := s.upstreams[in.ID]
-		if u == nil || !u.same(in) {
+		if u == nil || !same(u.Instance, in) {
 			s.forget(now, in.ID)
 			u = &upstream{key: Key(in.ID)}
 			s.recall(u, in)
