--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -187,6 +187,9 @@
 		i.cost = min(costMost, time.Duration(costRise*float64(i.cost)))
 	case lag < lagLow && i.refused > 0:
 		i.cost = max(costLeast, time.Duration(costFall*float64(i.cost)))
+	case lag < lagLow && i.cost > costFirst:
+		// The lack is over: the next callers need not be refused to find that out.
+		i.cost = max(costFirst, time.Duration(costFall*float64(i.cost)))
 	}
 	crowded = lag >= lagLow && float64(i.refused) > crowdedPart*float64(i.taken)
 	i.taken, i.refused = 0, 0
--- a/internal/gateway/intake_test.go
+++ b/internal/gateway/intake_test.go
@@ -74,6 +74,10 @@
 		sample(one, lagHigh)
 	}
 	g.Expect(i.cost).To(Equal(costMost))
+	for range 20 {
+		sample(one, 0)
+	}
+	g.Expect(i.cost).To(Equal(costFirst), "the lack is over")
 	// Without a bound of the processor time nothing is refused.
 	unbounded := newIntake(0)
 	for range many {
