--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -46,7 +46,13 @@
 			s.Step(start, TableChanged{routing.NewTable(1, routing.Limits{TokenRate: 3_000_000}, nil, []routing.Service{
 				{Name: model, Engine: &routing.Engine{Slots: 12, CacheTokens: 300_000, EventTokens: 10, Moves: true}},
 			}, nil)})
-			s.Step(start, InstancesChanged{instances(n)})
+			list := instances(n)
+			for j := range list {
+				list[j].Domain = []string{"a", "b", "c", "d"}[j/2%4]
+			}
+			s.options.Domain = "a"
+			s.Step(start, FleetChanged{Routers: 60, ByDomain: true})
+			s.Step(start, InstancesChanged{list})
 			now := start
 			for i := range b.N {
 				now = now.Add(2 * time.Millisecond)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -55,8 +55,22 @@
 	if s.engine(r.Service) != nil {
 		from = s.fetchSource(now, r)
 	}
-	for _, u := range s.services[r.Service] {
-		if slices.Contains(r.avoid, u.ID) || !u.takesWork(now) || !s.health.Available(u.ID, now) || !s.hasRoom(now, r, u) {
+	list := s.services[r.Service]
+	best, ok = s.best(now, r, list, from, func(u *upstream) bool { return u.Domain == s.options.Domain })
+	if ok && best.score <= s.leastElsewhere(r) {
+		return best, ok
+	}
+	other, found := s.best(now, r, list, from, func(u *upstream) bool { return u.Domain != s.options.Domain })
+	if found && (!ok || other.score < best.score) {
+		return other, true
+	}
+	return best, ok
+}
+
+// best picks one of some upstreams.
+func (s *State) best(now time.Time, r *request, list []*upstream, from source, of func(*upstream) bool) (best choice, ok bool) {
+	for _, u := range list {
+		if !of(u) || slices.Contains(r.avoid, u.ID) || !u.takesWork(now) || !s.health.Available(u.ID, now) || !s.hasRoom(now, r, u) {
 			continue
 		}
 		c := s.weigh(now, r, u, from)
@@ -67,6 +81,19 @@
 	return best, ok
 }
 
+// leastElsewhere is a score that no upstream of another failure domain is under. Up to it
+// they need not be weighed, of which there may be thousands.
+func (s *State) leastElsewhere(r *request) float64 {
+	least := float64(domainPenalty)
+	if s.byDomain {
+		least = lateDomainPenalty
+	}
+	if s.engine(r.Service) != nil {
+		least += ms(s.options.FirstToken)
+	}
+	return least
+}
+
 // hasRoom reports whether an upstream can take a request now.
 func (s *State) hasRoom(now time.Time, r *request, u *upstream) bool {
 	e := s.engine(r.Service)
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -52,3 +54,44 @@
 	}
 	NewWithT(t).Expect(len(picked)).To(BeNumerically(">=", 4), "%v", picked)
 }
+
+// TestUpstreamsElsewhereAreWeighedIfTheyMayBeBetter: leaving them out where they cannot be
+// changes no choice.
+func TestUpstreamsElsewhereAreWeighedIfTheyMayBeBetter(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(3, 3))
+	own, elsewhere := 0, 0
+	for round := range 200 {
+		w := newWorld(t, 0)
+		list := instances(12)
+		for i := range list {
+			list[i].Domain = []string{"a", "b", "c"}[i/2%3]
+		}
+		w.options.Domain = "a"
+		w.step(InstancesChanged{Instances: list})
+		w.step(FleetChanged{Routers: 30, ByDomain: round%2 == 0})
+		for _, u := range w.upstreams {
+			u.remote = Load{Running: random.IntN(60), Prefill: random.IntN(3) * random.IntN(12_000)}
+		}
+		for _, service := range []string{model, plain} {
+			r := &request{Request: &Request{
+				ID: fmt.Sprint(round), Route: chat, Service: service, Deadline: w.now.Add(time.Minute),
+				Prompt: Prompt{Tokens: 500 + random.IntN(9000), MaxOutput: 300},
+			}}
+			r.group = groupOf(r.Prompt)
+			got, ok := w.place(w.now, r)
+			want, found := w.best(w.now, r, w.services[service], source{}, func(*upstream) bool { return true })
+			g.Expect(ok).To(Equal(found))
+			g.Expect(got.score).To(Equal(want.score))
+			g.Expect(got.on).To(BeIdenticalTo(want.on))
+			switch {
+			case ok && got.on.Domain == "a":
+				own++
+			case ok:
+				elsewhere++
+			}
+		}
+	}
+	g.Expect(own).To(BeNumerically(">", 0))
+	g.Expect(elsewhere).To(BeNumerically(">", 0))
+}
