--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -5,10 +5,7 @@
 // What engines can do is not what is stated: some have crashed, some are slow, and
 // half of them may be set apart for streams. It is found by feedback instead: the
 // capacity counts as more than what is being started while little waits at the
-// engines, and as less while much does. Measured on the first 13 s of a heavy day
-// of 88 routers (trouble-3 of pspower-atl-grown, trials without charged processor
-// time): worth 0.534 with the stated rate and idle time, 0.624 with a target of
-// 80 ms, 0.654 with 100, 0.674 with 120 and 0.673 with 160.
+// engines, and as less while much does (docs/MEASURES.md, constants).
 const (
 	// targetBacklog is the prompt work, as time, that should wait at an engine:
 	// enough that it is not idle before the next prompt gets there.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,15 +20,11 @@
 	groupPenalty = 400
 	// domainPenalty is the cost of another failure domain, and lateDomainPenalty
 	// that of one whose loads are known late: an upstream that looks idle there has
-	// been picked by many routers meanwhile. With 88 routers, eight and more
-	// prompts went to one engine within 50 ms that showed a backlog of 20 ms. Worth
-	// of 13 s of trouble-3 of pspower-atl-grown: 0.515 with 60, 0.537 with 150, 0.519
-	// with 300 (one trial each).
+	// been picked by many routers meanwhile (docs/MEASURES.md, constants).
 	domainPenalty     = 2
 	lateDomainPenalty = 150
 	// tieSpread separates upstreams of nearly the same score, so that routers which
-	// see the same loads do not all pick the same one. Without it quiet-1 of
-	// planos-reposo had worth 0.678 for 0.737 (one trial each).
+	// see the same loads do not all pick the same one (docs/MEASURES.md, constants).
 	tieSpread = 20
 	// unsoundPenalty is the cost of an upstream that answers with errors only.
 	unsoundPenalty = 400
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -22,19 +22,15 @@
 	calmMost     = 32 * time.Second
 	calmMemory   = 20 * time.Second
 	// lagHigh and lagLow bound in the same way how long goroutines wait for the
-	// processor: a slow instance may not account for what its router lacks. With
-	// enough time that was under 17 ms on a day of 62 routers, with a third of it
-	// 60 to 235 ms. Worth of 12 s with a fifth of it: 0.354 without a bound, 0.405
-	// with 80 and 200 ms (lagFull), 0.472 with 60 and 120, 0.495 with 40 and 80 (one
-	// trial each).
+	// processor: a slow instance may not account for what its router lacks
+	// (docs/MEASURES.md, constants).
 	lagHigh = 40 * time.Millisecond
 	lagLow  = 20 * time.Millisecond
 	// pressureFull is the part from which it also refuses some requests at once,
 	// so that their callers go to another router: shedStep more with each sample,
 	// and as many fewer below that, up to shedMax. lagFull is the lag that does the
-	// same, and a multiple of it, up to shedSteps, as many steps: at the start of
-	// traffic a lag of 235 ms grew to seconds within one. The steps and their bounds
-	// are choices; they were not measured apart.
+	// same, and a multiple of it, up to shedSteps, as many steps: a lag grows to
+	// seconds within one. The steps and their bounds are choices.
 	pressureFull = 0.95
 	lagFull      = 80 * time.Millisecond
 	shedStep     = 0.15
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -28,10 +28,9 @@
 )
 
 // shedListener hands out connections while there is processor time for their
-// requests, and refuses the rest itself, with what little an HTTP answer needs: at
-// the crests of the users' days one router gets thousands of connections a second,
-// and the 92 us that a refusal takes in an http.Server (profile of 20,000) are more than
-// 0.192 cores have for 2,200 of them.
+// requests, and refuses the rest itself, with what little an HTTP answer needs: one
+// router may get thousands of connections a second, and a refusal by an http.Server
+// takes more processor time than it has for them (docs/MEASURES.md, constants).
 type shedListener struct {
 	*net.TCPListener
 	g *Gateway
