--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,7 +93,11 @@
 	}
 	defer callers.Close()
 	failed := make(chan error, 4)
-	go func() { failed <- callers.Serve(newShedListener(entry, g)) }()
+	served := make(chan struct{})
+	go func() {
+		failed <- callers.Serve(newShedListener(entry, g))
+		close(served)
+	}()
 	for _, s := range []struct {
 		server *http.Server
 		addr   string
@@ -127,7 +131,7 @@
 		return ctx.Err()
 	case <-g.stop:
 	}
-	g.drain(callers, entry)
+	g.drain(callers, entry, served)
 	klog.InfoS("Gateway: stopped.", "name", g.options.Name)
 	return nil
 }
@@ -155,8 +159,9 @@
 // drain waits until the platform sends no new connections, and then for the
 // requests under way. Callers that keep their connections are told to close
 // them with their next answer; a request that has arrived is answered, also if it
-// was not yet read when the intake ended.
-func (g *Gateway) drain(callers *http.Server, entry *net.TCPListener) {
+// was not yet read when the intake ended. served is closed once the server takes no more
+// connections.
+func (g *Gateway) drain(callers *http.Server, entry *net.TCPListener, served <-chan struct{}) {
 	klog.InfoS("Gateway: stopping.", "name", g.options.Name, "running", g.running(), "grace", g.options.Grace)
 	end := time.Now().Add(g.options.Grace - graceMargin)
 	time.Sleep(min(outOfRotation, time.Until(end)))
@@ -165,6 +170,12 @@
 	if err := sockets.StopListening(ctx, entry); err != nil {
 		klog.InfoS("Gateway: connections may be reset in the listener.", "err", err)
 	}
+	// The server has all connections that were taken once it has seen the end of them.
+	select {
+	case <-served:
+	case <-ctx.Done():
+		klog.InfoS("Gateway: connections may be reset before they are served.", "err", ctx.Err())
+	}
 	if err := g.conns.awaitRead(ctx); err != nil {
 		klog.InfoS("Gateway: requests may be reset before they are read.", "err", err)
 	}
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/dispatch"
+)
+
+// TestStopServesConnectionsThatWereTaken: one that the listener has taken, and the server
+// has not yet, is answered.
+func TestStopServesConnectionsThatWereTaken(t *testing.T) {
+	g := NewWithT(t)
+	entry, err := listenForCallers(t.Context(), "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	gw := &Gateway{
+		options: Options{Grace: time.Minute}, pressure: pressure{intake: newIntake(0)}, conns: newConns(0),
+		dispatcher: dispatch.New(dispatch.DefaultOptions()),
+	}
+	listener := newShedListener(entry, gw)
+	callers := &http.Server{
+		ConnState: gw.conns.changed,
+		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+	}
+	c, err := net.Dial("tcp4", entry.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	served, drained := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(drained)
+		gw.drain(callers, entry, served)
+	}()
+	// By then the listener has stopped; the server gets to the connection late.
+	time.Sleep(outOfRotation + 300*time.Millisecond)
+	go func() {
+		if err := callers.Serve(listener); err == nil {
+			t.Error("the server ended without a reason")
+		}
+		close(served)
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusNoContent))
+	g.Eventually(drained, 30*time.Second).Should(BeClosed())
+}
