--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/logs"
@@ -33,7 +34,9 @@
 // takes more processor time than it has for them (docs/MEASURES.md, constants).
 type shedListener struct {
 	*net.TCPListener
-	g *Gateway
+	// accept takes the next connection.
+	accept func() (net.Conn, error)
+	g      *Gateway
 	// buffers hold *bufio.Reader.
 	buffers sync.Pool
 	// taken are the connections to be served, and the end of the listener.
@@ -61,18 +64,27 @@
 }
 
 func newShedListener(ln *net.TCPListener, g *Gateway) *shedListener {
-	l := &shedListener{TCPListener: ln, g: g, taken: make(chan taken), closed: make(chan struct{})}
+	return newListener(ln, g, ln.Accept)
+}
+
+// newListener is newShedListener with another way to take connections.
+func newListener(ln *net.TCPListener, g *Gateway, accept func() (net.Conn, error)) *shedListener {
+	l := &shedListener{TCPListener: ln, accept: accept, g: g, taken: make(chan taken), closed: make(chan struct{})}
 	go l.run()
 	return l
 }
 
-// run takes connections until the listener ends.
+// run takes connections until the listener ends. Other errors pass: the server waits
+// for a while after one, and this with it.
 func (l *shedListener) run() {
 	for {
-		c, err := l.TCPListener.Accept()
+		c, err := l.accept()
 		if err != nil {
-			l.hand(taken{err: err})
-			return
+			if !l.hand(taken{err: err}) || !passes(err) {
+				return
+			}
+			logs.Info("accept", "Gateway: no connection taken.", "err", err)
+			continue
 		}
 		// Charged now: many connections may be taken before the first is served.
 		if l.g.pressure.intake.admit(time.Now()) {
@@ -85,6 +97,19 @@
 	}
 }
 
+// passes reports whether connections can be taken again after an error: once there are
+// descriptors or memory, or with the next caller.
+func passes(err error) bool {
+	for _, e := range []error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR,
+	} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // hand passes a connection on to Accept; false means that the listener is closed.
 func (l *shedListener) hand(t taken) bool {
 	select {
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -195,3 +197,28 @@
 		}
 	}
 }
+
+// TestListenerOutlivesALackOfDescriptors: the server goes on with the connections that come
+// once there are descriptors again.
+func TestListenerOutlivesALackOfDescriptors(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := listenForCallers(t.Context(), "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	gw := &Gateway{pressure: pressure{intake: newIntake(0)}, conns: newConns(0)}
+	lacks := 3
+	l := newListener(ln, gw, func() (net.Conn, error) {
+		if lacks--; lacks >= 0 {
+			return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+		}
+		return ln.Accept()
+	})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(l) }()
+	resp, err := http.Get("http://" + ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusNoContent))
+	g.Expect(server.Close()).To(Succeed())
+	g.Eventually(ended, 30*time.Second).Should(Receive(MatchError(http.ErrServerClosed)))
+}
