--- /dev/null
+++ b/internal/gateway/listener.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/logs"
+)
+
+// shedListener hands out connections while there is processor time for their
+// requests, and refuses the rest itself, with what little an HTTP answer needs: one
+// router may get thousands of connections a second, and a refusal by an http.Server
+// takes more processor time than it has for them (docs/MEASURES.md, constants).
+type shedListener struct {
+	*net.TCPListener
+	// accept takes the next connection.
+	accept func() (net.Conn, error)
+	g      *Gateway
+	// buffers hold *bufio.Reader.
+	buffers sync.Pool
+	// taken are the connections to be served, and the end of the listener.
+	taken chan taken
+	// closed ends the handing over of connections.
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// taken is a connection to be served, or the end of the listener.
+type taken struct {
+	conn net.Conn
+	err  error
+}
+
+// listenForCallers listens without keep-alive probes: setting them takes four of the
+// system calls of a refusal, so connections get them once they are to be served.
+func listenForCallers(ctx context.Context, addr string) (*net.TCPListener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: false}, KeepAlive: -1}
+	ln, err := config.Listen(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return ln.(*net.TCPListener), nil
+}
+
+func newShedListener(ln *net.TCPListener, g *Gateway) *shedListener {
+	return newListener(ln, g, ln.Accept)
+}
+
+// newListener is newShedListener with another way to take connections.
+func newListener(ln *net.TCPListener, g *Gateway, accept func() (net.Conn, error)) *shedListener {
+	l := &shedListener{TCPListener: ln, accept: accept, g: g, taken: make(chan taken), closed: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+// run takes connections until the listener ends. Other errors pass: the server waits
+// for a while after one, and this with it.
+func (l *shedListener) run() {
+	for {
+		c, err := l.accept()
+		if err != nil {
+			if !l.hand(taken{err: err}) || !passes(err) {
+				return
+			}
+			logs.Info("accept", "Gateway: no connection taken.", "err", err)
+			continue
+		}
+		// Charged now: many connections may be taken before the first is served.
+		if l.g.pressure.intake.admit(time.Now()) {
+			if !l.serve(c, payment{paid: true}) {
+				c.Close()
+			}
+			continue
+		}
+		go l.refuse(c.(*net.TCPConn))
+	}
+}
+
+// passes reports whether connections can be taken again after an error: once there are
+// descriptors or memory, or with the next caller.
+func passes(err error) bool {
+	for _, e := range []error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR,
+	} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// hand passes a connection on to Accept; false means that the listener is closed.
+func (l *shedListener) hand(t taken) bool {
+	select {
+	case l.taken <- t:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+// Accept implements net.Listener.
+func (l *shedListener) Accept() (net.Conn, error) {
+	select {
+	case t := <-l.taken:
+		return t.conn, t.err
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *shedListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.TCPListener.Close()
+}
+
+// serve hands a connection to the server; false means that there is none any more.
+func (l *shedListener) serve(c net.Conn, p payment) bool {
+	if tcp, ok := c.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
+		if err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true}); err != nil {
+			logs.Info("keep-alive", "Gateway: no keep-alive probes.", "err", err)
+		}
+	}
+	l.g.conns.pay(c, p)
+	if !l.hand(taken{conn: c}) {
+		l.g.conns.takePaid(c)
+		return false
+	}
+	return true
+}
+
+// readAhead is a connection of which some bytes have been read already.
+type readAhead struct {
+	*net.TCPConn
+	ahead []byte
+}
+
+// Read implements net.Conn.
+func (c *readAhead) Read(p []byte) (int, error) {
+	if len(c.ahead) == 0 {
+		return c.TCPConn.Read(p)
+	}
+	n := copy(p, c.ahead)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return n, nil
+}
