--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -40,6 +40,9 @@
 
 // serveCaller takes one request from its caller to its end.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if conn, ok := connOf(r).(*callerConn); ok {
+		defer conn.enter()()
+	}
 	if g.draining.Load() || g.pressure.isHigh() || g.conns.crowded() || len(r.TransferEncoding) > 0 {
 		// A chunked body may hide a second request behind it from a party that
 		// reads its length differently, so nothing after it is read.
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/sockets"
@@ -28,6 +29,8 @@
 	// readPoll is how often connections are looked through for unread requests
 	// before the rest is closed: a small part of what a stop may last.
 	readPoll = 2 * time.Millisecond
+	// readClear is how many looks in a row find none. A choice.
+	readClear = 5
 )
 
 // conns follows the connections of callers. It is safe for concurrent use.
@@ -40,6 +43,8 @@
 	open int
 	// idle are the connections without a request, with the time of the last one.
 	idle map[net.Conn]time.Time
+	// reading counts connections with a request that has been read and not handled.
+	reading atomic.Int64
 	// paid are the connections whose first request the intake has charged.
 	paid map[net.Conn]payment
 }
@@ -95,6 +100,9 @@
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 		delete(c.paid, conn)
+		if caller, ok := conn.(*callerConn); ok {
+			caller.end()
+		}
 	}
 }
 
@@ -143,10 +151,13 @@
 	return append(list, conn)
 }
 
-// awaitRead waits until no connection without a request has bytes that are not read
-// yet.
+// awaitRead waits until no connection has a request that its handler has not heard of,
+// for some time: between a system call that reads and the note of it nothing shows.
 func (c *conns) awaitRead(ctx context.Context) error {
-	for c.unread() {
+	for quiet := 0; quiet < readClear; quiet++ {
+		if c.reading.Load() > 0 || c.unread() {
+			quiet = 0
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -69,14 +69,19 @@
 			logs.Info("accept", "Gateway: no connection taken.", "err", err)
 			continue
 		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			c.Close()
+			continue
+		}
 		// Charged now: many connections may be taken before the first is served.
 		if l.g.pressure.intake.admit(time.Now()) {
-			if !l.serve(c, payment{paid: true}) {
-				c.Close()
+			if !l.serve(l.g.conns.wrap(tcp, nil), payment{paid: true}) {
+				tcp.Close()
 			}
 			continue
 		}
-		go l.refuse(c.(*net.TCPConn))
+		go l.refuse(tcp)
 	}
 }
 
@@ -120,36 +125,15 @@
 }
 
 // serve hands a connection to the server; false means that there is none any more.
-func (l *shedListener) serve(c net.Conn, p payment) bool {
-	if tcp, ok := c.(interface {
-		SetKeepAliveConfig(net.KeepAliveConfig) error
-	}); ok {
-		if err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true}); err != nil {
-			logs.Info("keep-alive", "Gateway: no keep-alive probes.", "err", err)
-		}
+func (l *shedListener) serve(c *callerConn, p payment) bool {
+	if err := c.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true}); err != nil {
+		logs.Info("keep-alive", "Gateway: no keep-alive probes.", "err", err)
 	}
 	l.g.conns.pay(c, p)
 	if !l.hand(taken{conn: c}) {
 		l.g.conns.takePaid(c)
+		c.end()
 		return false
 	}
 	return true
 }
-
-// readAhead is a connection of which some bytes have been read already.
-type readAhead struct {
-	*net.TCPConn
-	ahead []byte
-}
-
-// Read implements net.Conn.
-func (c *readAhead) Read(p []byte) (int, error) {
-	if len(c.ahead) == 0 {
-		return c.TCPConn.Read(p)
-	}
-	n := copy(p, c.ahead)
-	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-		c.ahead = nil
-	}
-	return n, nil
-}
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -97,8 +97,7 @@
 	if err != nil {
 		return false
 	}
-	ahead := &readAhead{TCPConn: c, ahead: append(bytes.Clone(head), rest...)}
-	return l.serve(ahead, payment{paid: true, counted: true})
+	return l.serve(l.g.conns.wrap(c, append(bytes.Clone(head), rest...)), payment{paid: true, counted: true})
 }
 
 // log writes the line of a refusal, if its rate allows one.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -25,8 +26,11 @@
 	}
 	listener := newShedListener(entry, gw)
 	callers := &http.Server{
-		ConnState: gw.conns.changed,
-		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+		ConnState: gw.conns.changed, ConnContext: withConn,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer connOf(r).(*callerConn).enter()()
+			w.WriteHeader(http.StatusNoContent)
+		}),
 	}
 	c, err := net.Dial("tcp4", entry.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -51,3 +55,35 @@
 	g.Expect(resp.StatusCode).To(Equal(http.StatusNoContent))
 	g.Eventually(drained, 30*time.Second).Should(BeClosed())
 }
+
+// TestAwaitReadWaitsForTheHandler of a request that has been read, or for the end of its
+// connection.
+func TestAwaitReadWaitsForTheHandler(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := listenForCallers(t.Context(), "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	gw := &Gateway{conns: newConns(0)}
+	for _, end := range []func(*callerConn){
+		func(c *callerConn) { c.enter()() },
+		func(c *callerConn) { gw.conns.changed(c, http.StateClosed) },
+	} {
+		far, err := net.Dial("tcp4", ln.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer far.Close()
+		near, err := ln.AcceptTCP()
+		g.Expect(err).NotTo(HaveOccurred())
+		defer near.Close()
+		c := gw.conns.wrap(near, nil)
+		gw.conns.changed(c, http.StateNew)
+		_, err = io.WriteString(far, "GET")
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = c.Read(make([]byte, 3))
+		g.Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(t.Context(), 10*readClear*readPoll)
+		defer cancel()
+		g.Expect(gw.conns.awaitRead(ctx)).To(MatchError(context.DeadlineExceeded))
+		end(c)
+		g.Expect(gw.conns.awaitRead(t.Context())).To(Succeed())
+	}
+}
