--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// endRead is end for a caller's connection.
+func endRead(conn net.Conn) {
+	if c, ok := conn.(*callerConn); ok {
+		c.end()
+	}
+}
+
 // enter notes that a handler runs; the function that it returns ends that.
 func (c *callerConn) enter() (leave func()) {
 	c.handled.Store(true)
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -97,12 +97,12 @@
 		c.idle[conn] = time.Now()
 	case http.StateIdle:
 		c.idle[conn] = time.Now()
+		// What was read since the handler ended was the rest of its request.
+		endRead(conn)
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 		delete(c.paid, conn)
-		if caller, ok := conn.(*callerConn); ok {
-			caller.end()
-		}
+		endRead(conn)
 	}
 }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -66,6 +66,7 @@
 	gw := &Gateway{conns: newConns(0)}
 	for _, end := range []func(*callerConn){
 		func(c *callerConn) { c.enter()() },
+		func(c *callerConn) { gw.conns.changed(c, http.StateIdle) },
 		func(c *callerConn) { gw.conns.changed(c, http.StateClosed) },
 	} {
 		far, err := net.Dial("tcp4", ln.Addr().String())
