--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -49,12 +49,26 @@
 	// long. Other requests use an idle connection only if its end would have been
 	// noticed; see maxIdleNonRepeatable.
 	Repeatable bool
-	// OwnsResponse reports whether a response belongs to this request.
-	OwnsResponse func(status int, h http.Header) bool
+	// OwnsResponse tells whether a response belongs to this request.
+	OwnsResponse func(status int, h http.Header) Ownership
 	// Deadline is when the whole exchange must be over.
 	Deadline time.Time
 }
 
+// Ownership tells whether a response belongs to a request.
+type Ownership int
+
+const (
+	// Foreign responses belong to another request.
+	Foreign Ownership = iota
+	// Owned responses name this request.
+	Owned
+	// Anonymous responses name no request and are taken for this one's. Their
+	// connection carries no other request: a late copy of such a response could not be
+	// told from the next one's.
+	Anonymous
+)
+
 // maxIdleNonRepeatable is how long a connection may have been idle to be used for a
 // request that must not run twice: after a reset it would be unknown whether the
 // request ran.
@@ -109,8 +123,8 @@
 	// writeResult receives the result of a background write; it is nil if the
 	// request is written inline.
 	writeResult chan error
-	// reusable is false once the connection has carried a response to another
-	// request.
+	// reusable is false once the connection has carried a response that does not name
+	// this request.
 	reusable bool
 }
 
@@ -234,7 +248,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if e.req.OwnsResponse(resp.StatusCode, resp.Header) {
+		if owner := e.req.OwnsResponse(resp.StatusCode, resp.Header); owner != Foreign {
+			e.reusable = e.reusable && owner == Owned
 			c.limiter.clearLimit()
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Closing: resp.Close,
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -48,8 +48,13 @@
 func (e *endlessServer) request() (*Response, *Failure) {
 	return New(0).Begin(&Request{
 		Addr: e.addr, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-		OwnsResponse: func(_ int, h http.Header) bool { return h.Get("X-Other") == "" },
-		Deadline:     time.Now().Add(time.Minute),
+		OwnsResponse: func(_ int, h http.Header) Ownership {
+			if h.Get("X-Other") != "" {
+				return Foreign
+			}
+			return Owned
+		},
+		Deadline: time.Now().Add(time.Minute),
 	}).Run()
 }
 
@@ -126,7 +131,7 @@
 	request := func() (*Response, *Failure) {
 		a, failure := client.Begin(&Request{
 			Addr: ln.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-			OwnsResponse: func(int, http.Header) bool { return true }, Deadline: time.Now().Add(time.Minute),
+			OwnsResponse: func(int, http.Header) Ownership { return Owned }, Deadline: time.Now().Add(time.Minute),
 		}).Run()
 		g.Expect(failure).To(BeNil())
 		_, failure = a.ReadAll(1 << 20)
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -93,8 +93,8 @@
 			FetchFrom: e.FetchFrom, ResumeAfter: e.ResumeAfter, ContinueFrom: e.ContinueFrom,
 		}),
 		Repeatable: c.request.Route.Kind.Repeatable(),
-		OwnsResponse: func(status int, h http.Header) bool {
-			return g.options.Protocol.IsResponseTo(status, h, c.caller.ID)
+		OwnsResponse: func(status int, h http.Header) exchange.Ownership {
+			return g.options.Protocol.Ownership(status, h, c.caller.ID)
 		},
 		Deadline: e.ExpiresAt,
 	})
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/exchange"
 	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
@@ -57,8 +58,8 @@
 	Caller(h http.Header) (Caller, error)
 	// Forward builds the header for the upstream from the caller's header.
 	Forward(from http.Header, f Forwarding) http.Header
-	// IsResponseTo reports whether an answer belongs to the request with the given id.
-	IsResponseTo(status int, answer http.Header, id string) bool
+	// Ownership tells whether an answer belongs to the request with the given id.
+	Ownership(status int, answer http.Header, id string) exchange.Ownership
 	// Answer parses the header of an answer to a request intended for the given
 	// instance.
 	Answer(status int, h http.Header, instance string) AnswerInfo
