--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -167,29 +167,56 @@
 	if e, ok := g.mirror.Get(directory.ConfigKey()); ok {
 		g.applyTable(e)
 	}
-	var list []dispatch.Instance
-	for _, e := range g.mirror.Entries(directory.InstancePrefix()) {
-		in, err := directory.Instance(e.Key, e.Value)
-		if err != nil {
-			g.logSkipped(e, err)
-			continue
-		}
-		list = append(list, in)
-	}
+	list := g.decodeInstances(g.mirror.Entries(directory.InstancePrefix()))
 	g.step(dispatch.InstancesChanged{Instances: list})
 	g.peers.setRegistered(g.mirror.Entries(routerPrefix))
-	g.step(dispatch.FleetChanged{Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.reportsByDomain()})
+	g.step(dispatch.FleetChanged{Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays()})
 	g.peers.wakeSender()
 	if g.mirror.Revision() > 0 && !g.listed.Swap(true) {
 		klog.InfoS("Directory: first list of upstreams applied.", "upstreams", len(list), "revision", g.mirror.Revision())
 	}
 }
 
-// applyTable puts a configuration in force if it is newer than the current one.
+// decodedInstance is the result of decoding an upstream's entry of a revision.
+type decodedInstance struct {
+	index    uint64
+	instance dispatch.Instance
+	valid    bool
+}
+
+// decodeInstances decodes the entries of upstreams; those that have not changed since the
+// last call are not decoded again. The caller holds mirrorMu.
+func (g *Gateway) decodeInstances(entries []store.Entry) []dispatch.Instance {
+	list := make([]dispatch.Instance, 0, len(entries))
+	decoded := make(map[string]decodedInstance, len(entries))
+	for _, e := range entries {
+		d, known := g.decoded[e.Key]
+		if !known || d.index != e.Index {
+			in, err := g.options.Directory.Instance(e.Key, e.Value)
+			if err != nil {
+				logs.Info("skipped", "Store: invalid entry skipped.", "key", e.Key, "revision", e.Index, "err", err)
+			}
+			d = decodedInstance{index: e.Index, instance: in, valid: err == nil}
+		}
+		decoded[e.Key] = d
+		if d.valid {
+			list = append(list, d.instance)
+		}
+	}
+	g.decoded = decoded
+	return list
+}
+
+// applyTable puts a configuration in force if it is newer than the current one. An entry
+// is decoded once. The caller holds mirrorMu.
 func (g *Gateway) applyTable(e store.Entry) {
+	if e.Index == g.tableIndex {
+		return
+	}
+	g.tableIndex = e.Index
 	t, err := g.options.Directory.Table(e.Value)
 	if err != nil {
-		g.logSkipped(e, err)
+		logs.Info("skipped", "Store: invalid entry skipped.", "key", e.Key, "revision", e.Index, "err", err)
 		return
 	}
 	old := g.table.Load()
@@ -201,15 +228,6 @@
 	klog.InfoS("Config: new version in force.", "version", t.Version, "before", tableVersion(old), "revision", e.Index)
 }
 
-// logSkipped logs an entry that cannot be decoded, once for each of its revisions.
-func (g *Gateway) logSkipped(e store.Entry, err error) {
-	if g.skipped[e.Key] == e.Index {
-		return
-	}
-	g.skipped[e.Key] = e.Index
-	logs.Info("skipped", "Store: invalid entry skipped.", "key", e.Key, "revision", e.Index, "err", err)
-}
-
 const (
 	// routerPrefix is the prefix of the keys under which routers register themselves.
 	routerPrefix = "jujubeford/routers/"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,10 +30,13 @@
 	dispatcher *dispatch.State
 	calls      map[string]*call
 
-	// mirrorMu guards mirror and skipped.
+	// mirrorMu guards mirror, decoded and tableIndex.
 	mirrorMu sync.Mutex
 	mirror   *mirror.Mirror
-	skipped  map[string]uint64
+	// decoded holds the decoded entries of upstreams by key, and tableIndex is the
+	// revision of the configuration's entry that was decoded last.
+	decoded    map[string]decodedInstance
+	tableIndex uint64
 
 	table    atomic.Pointer[routing.Table]
 	listed   atomic.Bool
@@ -62,7 +65,6 @@
 		dispatcher: dispatch.New(o.Dispatch),
 		calls:      make(map[string]*call),
 		mirror:     mirror.New(o.Directory.InstancePrefix()),
-		skipped:    make(map[string]uint64),
 		stop:       make(chan struct{}),
 	}
 	var err error
