--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -54,7 +54,7 @@
 // Report returns this router's load, and the placements since the last call.
 func (s *State) Report(now time.Time) Report {
 	s.unreportedTokens = 0
-	r := Report{Loads: make(map[uint32]Load), Usage: make(map[uint32]Usage)}
+	r := NewReport()
 	for _, u := range s.upstreams {
 		if u.local != (Load{}) {
 			r.Loads[u.key] = u.local
@@ -136,3 +136,33 @@
 		}
 	}
 }
+
+// NewReport returns an empty report that others can be added to.
+func NewReport() Report {
+	return Report{Loads: make(map[uint32]Load), Usage: make(map[uint32]Usage)}
+}
+
+// Sub takes another router's report, except for its placements and contended queues, out
+// of a sum. What the sum has less of than the report counts as nothing: the usage of the
+// two may be of different times.
+func (r *Report) Sub(o Report) {
+	for key, l := range o.Loads {
+		left := r.Loads[key]
+		left.sub(l)
+		if left = left.atLeastZero(); left == (Load{}) {
+			delete(r.Loads, key)
+			continue
+		}
+		r.Loads[key] = left
+	}
+	for key, u := range o.Usage {
+		left := r.Usage[key]
+		left.sub(u)
+		left = Usage{Demand: max(0, left.Demand), Started: max(0, left.Started), Charged: max(0, left.Charged)}
+		if !left.significant() {
+			delete(r.Usage, key)
+			continue
+		}
+		r.Usage[key] = left
+	}
+}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -31,6 +31,14 @@
 	l.Memory -= o.Memory
 }
 
+// atLeastZero returns the load with negative values replaced by 0.
+func (l Load) atLeastZero() Load {
+	return Load{
+		Running: max(0, l.Running), Prefill: max(0, l.Prefill),
+		DecodeAttempts: max(0, l.DecodeAttempts), Memory: max(0, l.Memory),
+	}
+}
+
 // upstream is an instance with its load and the expected content of its cache.
 type upstream struct {
 	Instance
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -1,12 +1,25 @@
 package gateway
 
 import (
+	"encoding/binary"
+
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 )
 
+// scope says whose load a datagram reports.
+type scope uint64
+
+const (
+	// scopeRouter is the sender's own load, scopeDomain the sum of its failure domain
+	// and scopeElsewhere the sum of the other ones.
+	scopeRouter scope = iota
+	scopeDomain
+	scopeElsewhere
+)
+
 // datagram is a report of one router to another, encoded in protobuf's wire format.
 type datagram struct {
 	// addr is the sender's peer address. incarnation identifies the sender's process
@@ -20,31 +33,41 @@
 	config, lastChange uint64
 	// domain is the sender's failure domain.
 	domain string
-	// wholeDomain means that the report sums up all routers of the sender's failure
-	// domain.
-	wholeDomain bool
+	scope  scope
 	// storeLost means that the store does not answer the sender, and leaving that the
 	// sender is stopping.
 	storeLost, leaving bool
-	report             dispatch.Report
+	// members is the number of routers whose reports a sum contains. applied is the
+	// serial number of the receiver's report in it, 0 if there is none, and watch tells
+	// the receiver to watch the store.
+	members int
+	applied uint64
+	watch   bool
+	// encoded is the report of a received datagram, in the encoding of appendReport.
+	encoded encodedReport
 }
 
-// The field numbers of a datagram. Loads, usages and placements are nested messages
-// with varint fields 1, 2, ...
+// encodedReport has the three sections of an encoded report: sequences of varints.
+type encodedReport struct{ loads, usage, placements, contended []byte }
+
+// The field numbers of a datagram. Numbers 7 to 10 and 12 had other encodings.
 const (
-	fieldAddr protowire.Number = iota + 1
-	fieldIncarnation
-	fieldSerial
-	fieldConfig
-	fieldLastChange
-	fieldLeaving
-	fieldLoad
-	fieldUsage
-	fieldPlacement
-	fieldContended
-	fieldDomain
-	fieldWholeDomain
-	fieldStoreLost
+	fieldAddr        protowire.Number = 1
+	fieldIncarnation protowire.Number = 2
+	fieldSerial      protowire.Number = 3
+	fieldConfig      protowire.Number = 4
+	fieldLastChange  protowire.Number = 5
+	fieldLeaving     protowire.Number = 6
+	fieldDomain      protowire.Number = 11
+	fieldStoreLost   protowire.Number = 13
+	fieldScope       protowire.Number = 14
+	fieldMembers     protowire.Number = 15
+	fieldApplied     protowire.Number = 16
+	fieldWatch       protowire.Number = 17
+	fieldLoads       protowire.Number = 18
+	fieldUsage       protowire.Number = 19
+	fieldPlacements  protowire.Number = 20
+	fieldContended   protowire.Number = 21
 )
 
 // chargeScale is the factor by which charges are multiplied to be sent as integers.
@@ -52,20 +75,10 @@
 
 var errDatagram = errors.New("malformed datagram")
 
-// appendNumbers appends a field that holds a message of varint fields 1, 2, ...
-func appendNumbers(b []byte, field protowire.Number, values ...uint64) []byte {
-	var inner []byte
-	for i, v := range values {
-		if v != 0 {
-			inner = protowire.AppendTag(inner, protowire.Number(i+1), protowire.VarintType)
-			inner = protowire.AppendVarint(inner, v)
-		}
-	}
-	b = protowire.AppendTag(b, field, protowire.BytesType)
-	return protowire.AppendBytes(b, inner)
-}
-
 func appendNumber(b []byte, field protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
 	b = protowire.AppendTag(b, field, protowire.VarintType)
 	return protowire.AppendVarint(b, v)
 }
@@ -77,8 +90,8 @@
 	return 0
 }
 
-// encode appends the encoded datagram to b.
-func (d *datagram) encode(b []byte) []byte {
+// encode appends the encoded header and the report to b.
+func (d *datagram) encode(b []byte, r dispatch.Report) []byte {
 	b = protowire.AppendTag(b, fieldAddr, protowire.BytesType)
 	b = protowire.AppendString(b, d.addr)
 	b = appendNumber(b, fieldIncarnation, d.incarnation)
@@ -87,29 +100,66 @@
 	b = appendNumber(b, fieldLastChange, d.lastChange)
 	b = protowire.AppendTag(b, fieldDomain, protowire.BytesType)
 	b = protowire.AppendString(b, d.domain)
-	b = appendNumber(b, fieldWholeDomain, boolToUint(d.wholeDomain))
+	b = appendNumber(b, fieldScope, uint64(d.scope))
 	b = appendNumber(b, fieldStoreLost, boolToUint(d.storeLost))
 	b = appendNumber(b, fieldLeaving, boolToUint(d.leaving))
-	for key, l := range d.report.Loads {
-		b = appendNumbers(b, fieldLoad, uint64(key), uint64(l.Running), uint64(l.Prefill), uint64(l.Memory), uint64(l.DecodeAttempts))
+	b = appendNumber(b, fieldMembers, uint64(d.members))
+	return appendReport(b, r)
+}
+
+// appendReceiver appends the fields that differ between the receivers of a sum.
+func (d *datagram) appendReceiver(b []byte) []byte {
+	b = appendNumber(b, fieldApplied, d.applied)
+	return appendNumber(b, fieldWatch, boolToUint(d.watch))
+}
+
+// appendReport appends the sections of a report. Keys have four bytes, since they are
+// hashes; other numbers are varints.
+func appendReport(b []byte, r dispatch.Report) []byte {
+	section := make([]byte, 0, 16*(len(r.Loads)+len(r.Usage)+len(r.Placements)))
+	for key, l := range r.Loads {
+		section = binary.LittleEndian.AppendUint32(section, key)
+		section = appendVarints(section, uint64(l.Running), uint64(max(0, l.Prefill)), uint64(l.Memory), uint64(l.DecodeAttempts))
 	}
-	for key, u := range d.report.Usage {
-		b = appendNumbers(b, fieldUsage, uint64(key), uint64(u.Demand), uint64(u.Started), uint64(chargeScale*u.Charged))
+	b = appendSection(b, fieldLoads, section)
+	section = section[:0]
+	for key, u := range r.Usage {
+		section = binary.LittleEndian.AppendUint32(section, key)
+		section = appendVarints(section, uint64(u.Demand), uint64(u.Started), uint64(chargeScale*u.Charged))
 	}
-	for _, key := range d.report.Contended {
-		b = appendNumber(b, fieldContended, uint64(key))
+	b = appendSection(b, fieldUsage, section)
+	section = section[:0]
+	for _, p := range r.Placements {
+		section = binary.LittleEndian.AppendUint32(section, p.Upstream)
+		section = binary.LittleEndian.AppendUint64(section, p.Part.ID)
+		section = appendVarints(section, uint64(p.Part.Tokens)<<1|boolToUint(p.Read))
 	}
-	for _, p := range d.report.Placements {
-		b = appendNumbers(b, fieldPlacement, uint64(p.Upstream), p.Part.ID, uint64(p.Part.Tokens), boolToUint(p.Read))
+	b = appendSection(b, fieldPlacements, section)
+	section = section[:0]
+	for _, key := range r.Contended {
+		section = binary.LittleEndian.AppendUint32(section, key)
+	}
+	return appendSection(b, fieldContended, section)
+}
+
+func appendSection(b []byte, field protowire.Number, section []byte) []byte {
+	if len(section) == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendBytes(b, section)
+}
+
+func appendVarints(b []byte, values ...uint64) []byte {
+	for _, v := range values {
+		b = binary.AppendUvarint(b, v)
 	}
 	return b
 }
 
-// decode parses a datagram. Unknown fields are skipped.
+// decode parses a datagram's header. Unknown fields are skipped. The report refers to b.
 func decode(b []byte) (*datagram, error) {
-	d := &datagram{report: dispatch.Report{
-		Loads: make(map[uint32]dispatch.Load), Usage: make(map[uint32]dispatch.Usage),
-	}}
+	d := &datagram{}
 	for len(b) > 0 {
 		field, kind, n := protowire.ConsumeTag(b)
 		if n < 0 {
@@ -129,9 +179,7 @@
 			if n < 0 {
 				return nil, errDatagram
 			}
-			if err := d.setBytes(field, v); err != nil {
-				return nil, err
-			}
+			d.setBytes(field, v)
 			b = b[n:]
 		default:
 			if n = protowire.ConsumeFieldValue(field, kind, b); n < 0 {
@@ -156,61 +204,127 @@
 		d.config = v
 	case fieldLastChange:
 		d.lastChange = v
-	case fieldWholeDomain:
-		d.wholeDomain = v != 0
+	case fieldScope:
+		d.scope = scope(v)
 	case fieldStoreLost:
 		d.storeLost = v != 0
-	case fieldContended:
-		d.report.Contended = append(d.report.Contended, uint32(v))
 	case fieldLeaving:
 		d.leaving = v != 0
+	case fieldMembers:
+		d.members = int(min(v, maxMembers))
+	case fieldApplied:
+		d.applied = v
+	case fieldWatch:
+		d.watch = v != 0
 	}
 }
 
-func (d *datagram) setBytes(field protowire.Number, b []byte) error {
+// maxMembers bounds the number of routers in a sum.
+const maxMembers = 1 << 20
+
+func (d *datagram) setBytes(field protowire.Number, b []byte) {
 	switch field {
 	case fieldAddr:
 		d.addr = string(b)
-		return nil
 	case fieldDomain:
 		d.domain = string(b)
-		return nil
-	}
-	var v [5]uint64
-	if err := readNumbers(b, v[:]); err != nil {
-		return err
-	}
-	switch field {
-	case fieldLoad:
-		d.report.Loads[uint32(v[0])] = dispatch.Load{Running: int(v[1]), Prefill: int(v[2]), Memory: int(v[3]), DecodeAttempts: int(v[4])}
+	case fieldLoads:
+		d.encoded.loads = b
 	case fieldUsage:
-		d.report.Usage[uint32(v[0])] = dispatch.Usage{
-			Demand: float64(v[1]), Started: float64(v[2]), Charged: float64(v[3]) / chargeScale,
-		}
-	case fieldPlacement:
-		d.report.Placements = append(d.report.Placements, dispatch.Placement{
-			Upstream: uint32(v[0]), Part: dispatch.Part{ID: v[1], Tokens: int(v[2])}, Read: v[3] != 0,
-		})
+		d.encoded.usage = b
+	case fieldPlacements:
+		d.encoded.placements = b
+	case fieldContended:
+		d.encoded.contended = b
 	}
-	return nil
 }
 
-// readNumbers decodes varint fields 1, 2, ... into values.
-func readNumbers(b []byte, values []uint64) error {
-	for len(b) > 0 {
-		field, kind, n := protowire.ConsumeTag(b)
-		if n < 0 || kind != protowire.VarintType {
-			return errDatagram
-		}
-		b = b[n:]
-		v, n := protowire.ConsumeVarint(b)
-		if n < 0 {
-			return errDatagram
+// Sizes of the shortest entries of the sections, in bytes, from which the number of
+// entries is estimated.
+const (
+	minLoadBytes  = 10
+	minUsageBytes = 9
+)
+
+// decode parses the sections of a report.
+func (e encodedReport) decode() (dispatch.Report, error) {
+	r := dispatch.Report{
+		Loads: make(map[uint32]dispatch.Load, len(e.loads)/minLoadBytes),
+		Usage: make(map[uint32]dispatch.Usage, len(e.usage)/minUsageBytes),
+	}
+	in := sectionReader{b: e.loads}
+	for in.more() {
+		key := in.key()
+		r.Loads[key] = dispatch.Load{
+			Running: int(in.number()), Prefill: int(in.number()), Memory: int(in.number()), DecodeAttempts: int(in.number()),
 		}
-		b = b[n:]
-		if field >= 1 && int(field) <= len(values) {
-			values[field-1] = v
+	}
+	failed := in.failed
+	in = sectionReader{b: e.usage}
+	for in.more() {
+		key := in.key()
+		r.Usage[key] = dispatch.Usage{
+			Demand: float64(in.number()), Started: float64(in.number()), Charged: float64(in.number()) / chargeScale,
 		}
 	}
-	return nil
+	failed = failed || in.failed
+	in = sectionReader{b: e.placements}
+	for in.more() {
+		p := dispatch.Placement{Upstream: in.key(), Part: dispatch.Part{ID: in.id()}}
+		v := in.number()
+		p.Part.Tokens, p.Read = int(v>>1), v&1 != 0
+		r.Placements = append(r.Placements, p)
+	}
+	failed = failed || in.failed
+	in = sectionReader{b: e.contended}
+	for in.more() {
+		r.Contended = append(r.Contended, in.key())
+	}
+	if failed || in.failed {
+		return dispatch.Report{}, errDatagram
+	}
+	return r, nil
+}
+
+// sectionReader reads the numbers of a section. After an error it returns zeros.
+type sectionReader struct {
+	b      []byte
+	failed bool
+}
+
+func (s *sectionReader) more() bool { return len(s.b) > 0 && !s.failed }
+
+// take returns the next n bytes, or nil if there are fewer.
+func (s *sectionReader) take(n int) []byte {
+	if len(s.b) < n {
+		s.failed = true
+		return nil
+	}
+	taken := s.b[:n]
+	s.b = s.b[n:]
+	return taken
+}
+
+func (s *sectionReader) key() uint32 {
+	if b := s.take(4); b != nil {
+		return binary.LittleEndian.Uint32(b)
+	}
+	return 0
+}
+
+func (s *sectionReader) id() uint64 {
+	if b := s.take(8); b != nil {
+		return binary.LittleEndian.Uint64(b)
+	}
+	return 0
+}
+
+func (s *sectionReader) number() uint64 {
+	v, n := binary.Uvarint(s.b)
+	if n <= 0 {
+		s.failed = true
+		return 0
+	}
+	s.b = s.b[n:]
+	return v
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/relay"
 	"github.com/jujubeford/jujubeford/store"
 )
 
@@ -23,11 +25,8 @@
 	// peerRetention is how long an unregistered peer is still sent reports.
 	peerRetention = 15 * time.Second
 	// maxDirectPeers is the number of peers up to which every router reports to every
-	// other. In larger fleets each failure domain sends one report to the others.
+	// other. In larger fleets relays pass the reports on.
 	maxDirectPeers = 16
-	// watchersPerDomain is how many routers of a failure domain watch the store. Two,
-	// so that changes arrive while one of them is frozen or cut off.
-	watchersPerDomain = 2
 	// watchStartDelay is how long a new router waits for reports of its peers before it
 	// decides whether it has to watch the store.
 	watchStartDelay = 700 * time.Millisecond
@@ -39,10 +38,13 @@
 	domain     string
 	udpAddr    netip.AddrPort
 	registered bool
+	// cores is the processor time that it may use, 0 if not known.
+	cores      float64
 	reportedAt time.Time
-	// live means that its reports arrive.
-	live         bool
-	lastDatagram datagram
+	// live means that its datagrams arrive. The fields below are from the last one.
+	live                bool
+	incarnation, serial uint64
+	storeLost, leaving  bool
 }
 
 // peers exchanges reports and copies of the store's keys with the other routers.
@@ -54,25 +56,31 @@
 	started     time.Time
 	// wake makes the sender report before its interval is over.
 	wake chan struct{}
+	// sentAt is when the last report was sent to all peers, and lastPlacements holds the
+	// placements of the last report, which are sent once more. Both belong to the sender.
+	sentAt         time.Time
+	lastPlacements []dispatch.Placement
 
 	mu     sync.Mutex
 	known  map[string]*peer
 	seeds  []string
 	serial uint64
-	// domainReportedAt maps failure domains to the time of their last summed-up report.
-	domainReportedAt map[string]time.Time
-	copying          copyState
-	client           *http.Client
-	// lastPlacements holds the placements of the last report, which are sent once more.
-	// relayed holds the own placements and those of peers for the next report of the
-	// failure domain.
-	lastPlacements, relayed []dispatch.Placement
+	// relay is used while the fleet is larger than maxDirectPeers.
+	relay   *relay.State
+	copying copyState
+	client  *http.Client
+
+	// viewsMu guards views, the names of the reports in use at the dispatcher: peer
+	// addresses, or the names of sums. It is locked after mu.
+	viewsMu sync.Mutex
+	views   map[string]bool
 }
 
 func newPeers(g *Gateway) *peers {
 	p := &peers{
-		g: g, known: make(map[string]*peer), domainReportedAt: make(map[string]time.Time),
+		g: g, known: make(map[string]*peer), views: make(map[string]bool),
 		incarnation: rand.Uint64()>>1 + 1, started: time.Now(), wake: make(chan struct{}, 1),
+		relay: relay.New(relay.Router{Addr: g.options.PeerListen, Domain: g.options.Domain, Cores: g.options.Cores}),
 		client: &http.Client{Timeout: copyTimeout, Transport: &http.Transport{
 			MaxResponseHeaderBytes: headerBytes, IdleConnTimeout: peerRetention,
 		}},
@@ -116,10 +124,29 @@
 	return fmt.Sprintf("%s%s.%x", routerPrefix, p.g.options.Name, p.incarnation)
 }
 
-// registrationValue is the value stored under registrationKey: the peer address and the
-// failure domain.
+// registrationValue is the value stored under registrationKey: the peer address, the
+// failure domain and the processor time that the router may use, in cores.
 func (p *peers) registrationValue() []byte {
-	return []byte(p.g.options.PeerListen + " " + p.g.options.Domain)
+	return fmt.Appendf(nil, "%s %s %g", p.g.options.PeerListen, p.g.options.Domain, p.g.options.Cores)
+}
+
+// parseRegistration parses a value written by registrationValue. The cores are 0 if the
+// value has none, as those of earlier builds.
+func parseRegistration(value []byte) (addr, domain string, cores float64) {
+	fields := strings.Fields(string(value))
+	if len(fields) > 0 {
+		addr = fields[0]
+	}
+	if len(fields) > 1 {
+		domain = fields[1]
+	}
+	if len(fields) > 2 {
+		var err error
+		if cores, err = strconv.ParseFloat(fields[2], 64); err != nil {
+			logs.Info("peer-cores", "Peers: cores of a registered router are not a number, taken as unknown.", "addr", addr, "err", err)
+		}
+	}
+	return addr, domain, cores
 }
 
 // setRegistered updates the peers from the routers registered in the store.
@@ -130,11 +157,26 @@
 		other.registered = false
 	}
 	for _, e := range entries {
-		addr, domain, _ := strings.Cut(string(e.Value), " ")
+		addr, domain, cores := parseRegistration(e.Value)
 		if other := p.add(addr); other != nil {
-			other.registered, other.domain = true, domain
+			other.registered, other.domain, other.cores = true, domain, cores
 		}
 	}
+	p.updateRelay()
+}
+
+// updateRelay tells the relay state which routers there are. The caller holds mu.
+func (p *peers) updateRelay() {
+	if len(p.known) <= maxDirectPeers {
+		return
+	}
+	list := make([]relay.Router, 0, len(p.known))
+	for _, other := range p.known {
+		if other.registered {
+			list = append(list, relay.Router{Addr: other.addr, Domain: other.domain, Cores: other.cores})
+		}
+	}
+	p.relay.SetRouters(list)
 }
 
 // fleetSize is the number of routers in the fleet, this one included.
@@ -144,9 +186,9 @@
 	return 1 + len(p.known)
 }
 
-// reportsByDomain reports whether the routers of other failure domains send one
-// summed-up report per domain.
-func (p *peers) reportsByDomain() bool {
+// usesRelays reports whether relays pass the reports on, so that those of other failure
+// domains arrive summed up and late.
+func (p *peers) usesRelays() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.known) > maxDirectPeers
@@ -173,45 +215,40 @@
 	}
 }
 
-// mustWatch reports whether this router has to watch the store: it is among the first
-// watchersPerDomain routers of its failure domain, in order of address, that are live
-// and reach the store.
+// reportInterval is the time between two looks at what has to be reported.
+func (p *peers) reportInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.known) > maxDirectPeers {
+		return relay.TickInterval
+	}
+	return reportBase + time.Duration(len(p.known))*reportPerPeer
+}
+
+// mustWatch reports whether this router has to watch the store: a relay says so or, in a
+// small fleet, it is among the first routers of its failure domain, in order of address,
+// that are live and reach the store.
 func (p *peers) mustWatch() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Since(p.started) < watchStartDelay {
 		return false
 	}
+	if len(p.known) > maxDirectPeers {
+		return p.relay.Watches(time.Now())
+	}
 	earlier := 0
 	for _, other := range p.known {
-		if other.activeIn(p.g.options.Domain) && !other.lastDatagram.storeLost && other.addr < p.g.options.PeerListen {
+		if other.live && other.domain == p.g.options.Domain && !other.leaving && !other.storeLost && other.addr < p.g.options.PeerListen {
 			earlier++
 		}
 	}
-	return earlier < watchersPerDomain
-}
-
-// activeIn reports whether a peer is live, in the given failure domain and not
-// stopping.
-func (p *peer) activeIn(domain string) bool {
-	return p.live && p.lastDatagram.domain == domain && !p.lastDatagram.leaving
-}
-
-// isDomainReporter reports whether this router sends the report of its failure domain:
-// it is the first active one in order of address. The caller holds mu.
-func (p *peers) isDomainReporter() bool {
-	for _, other := range p.known {
-		if other.activeIn(p.g.options.Domain) && other.addr < p.g.options.PeerListen {
-			return false
-		}
-	}
-	return true
+	return earlier < relay.WatchersPerDomain
 }
 
-// expire marks peers that have been silent for longer than timeout as not live, and drops
-// failure domains whose last summed-up report is older than that. It returns the names
-// by which the dispatcher knows these peers and domains. Peers that are neither
-// registered nor seeds are forgotten after peerRetention. The caller holds mu.
+// expire marks peers that have been silent for longer than timeout as not live, and
+// returns their addresses. Peers that are neither registered nor seeds are forgotten after
+// peerRetention. The caller holds mu.
 func (p *peers) expire(now time.Time, timeout time.Duration) (lost []string) {
 	for addr, other := range p.known {
 		silentFor := now.Sub(other.reportedAt)
@@ -223,15 +260,5 @@
 			delete(p.known, addr)
 		}
 	}
-	for domain, reportedAt := range p.domainReportedAt {
-		if now.Sub(reportedAt) > timeout {
-			delete(p.domainReportedAt, domain)
-			lost = append(lost, domainKey(domain))
-		}
-	}
 	return lost
 }
-
-// domainKey is the name by which the dispatcher knows a failure domain's summed-up
-// report.
-func domainKey(domain string) string { return "domain " + domain }
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -7,33 +7,23 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"k8s.io/klog/v2"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/logs"
 )
 
 const (
-	// reportBase is the minimum time between two reports of a router to its peers, and
-	// reportPerPeer the addition per receiver, so that the cost of all reports grows
-	// more slowly than the square of the fleet's size. 22 receivers give 31 ms; with 75
-	// ms predictions of the first byte were off by over 100 ms.
+	// reportBase is the minimum time between two reports of a router to all its peers,
+	// and reportPerPeer the addition per receiver.
 	reportBase    = 20 * time.Millisecond
 	reportPerPeer = 500 * time.Microsecond
 	// reportThreshold is the change of this router's loads, in tokens, from which they
 	// are reported at the next interval; smaller changes wait for up to
-	// maxQuietIntervals intervals. An engine reads that many tokens in 40 ms. Four
-	// intervals of 31 ms are shorter than domainReportInterval.
+	// maxQuietIntervals intervals. An engine reads that many tokens in 40 ms.
 	reportThreshold   = 2000
 	maxQuietIntervals = 4
-	// domainReportInterval is the time between two reports of a failure domain. At 30
-	// ms the traffic between domains cost 0.03 of the users' score, and predictions were
-	// no better.
-	domainReportInterval = 150 * time.Millisecond
 	// datagramBytes bounds the size of a received datagram.
 	datagramBytes = 64 << 10
-	// maxRelayed bounds the number of placements in a domain's report.
-	maxRelayed = 256
 )
 
 // start opens the socket and starts to send and receive reports.
@@ -54,49 +44,46 @@
 
 // send reports to the peers at intervals, and sooner when woken.
 func (p *peers) send(ctx context.Context) {
-	var sentAt, domainSentAt time.Time
 	for {
-		near, far := p.targets()
-		interval := reportBase + time.Duration(len(near))*reportPerPeer
+		interval := p.reportInterval()
+		urgent := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.wake:
-			sentAt = time.Time{}
+			urgent = true
 		case <-time.After(interval):
 		}
 		now := time.Now()
-		domainDue := len(far) > 0 && now.Sub(domainSentAt) >= domainReportInterval
-		if !domainDue && now.Sub(sentAt) < maxQuietIntervals*interval && p.g.unreported() < reportThreshold {
-			continue
-		}
-		sentAt = now
 		p.dropSilent(now, peerTimeout+3*interval)
-		report := p.ownReport(now)
-		p.sendTo(near, report, false)
-		if domainDue {
-			domainSentAt = now
-			p.sendTo(far, p.domainReport(report), true)
+		relays := p.usesRelays()
+		p.dropOtherViews(relays)
+		if relays {
+			p.sendByRelays(now, urgent)
+		} else {
+			p.sendDirectly(now, interval, urgent)
 		}
 	}
 }
 
-// targets returns the peers that get this router's own report, and those to which it
-// sends the report of its failure domain.
-func (p *peers) targets() (near, far []netip.AddrPort) {
+// sendDirectly sends this router's report to all peers if it is due.
+func (p *peers) sendDirectly(now time.Time, interval time.Duration, urgent bool) {
+	if !urgent && now.Sub(p.sentAt) < maxQuietIntervals*interval && p.g.unreported() < reportThreshold {
+		return
+	}
+	p.sentAt = now
+	report := p.ownReport(now)
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	direct := len(p.known) <= maxDirectPeers
-	reporter := !direct && p.isDomainReporter()
+	to := make([]netip.AddrPort, 0, len(p.known))
 	for _, other := range p.known {
-		switch {
-		case direct || other.domain == "" || other.domain == p.g.options.Domain:
-			near = append(near, other.udpAddr)
-		case reporter:
-			far = append(far, other.udpAddr)
-		}
+		to = append(to, other.udpAddr)
+	}
+	p.mu.Unlock()
+	d := p.header(scopeRouter)
+	b := d.encode(nil, report)
+	for _, addr := range to {
+		p.write(b, addr)
 	}
-	return near, far
 }
 
 func (p *peers) dropSilent(now time.Time, timeout time.Duration) {
@@ -104,9 +91,9 @@
 	lost := p.expire(now, timeout)
 	p.mu.Unlock()
 	for _, name := range lost {
-		klog.InfoS("Peers: peer lost.", "peer", name)
-		p.g.step(dispatch.PeerLost{Peer: name})
+		logs.Info("peer-lost", "Peers: peer lost.", "peer", name)
 	}
+	p.dropViews(lost...)
 }
 
 // ownReport is this router's report. Placements are sent in two successive reports,
@@ -115,58 +102,28 @@
 	p.g.mu.Lock()
 	report := p.g.dispatcher.Report(now)
 	p.g.mu.Unlock()
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	fresh := report.Placements
-	p.queueRelay(fresh)
 	report.Placements = append(append([]dispatch.Placement(nil), fresh...), p.lastPlacements...)
 	p.lastPlacements = fresh
 	return report
 }
 
-// queueRelay adds placements to the next domain report, up to maxRelayed. The caller
-// holds mu.
-func (p *peers) queueRelay(placements []dispatch.Placement) {
-	if room := maxRelayed - len(p.relayed); len(placements) > room {
-		placements = placements[:room]
-	}
-	p.relayed = append(p.relayed, placements...)
-}
-
-// domainReport sums up the reports of the routers in this failure domain.
-func (p *peers) domainReport(own dispatch.Report) dispatch.Report {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	sum := dispatch.Report{Loads: make(map[uint32]dispatch.Load), Usage: make(map[uint32]dispatch.Usage), Placements: p.relayed}
-	p.relayed = nil
-	sum.Add(own)
-	for _, other := range p.known {
-		if other.activeIn(p.g.options.Domain) {
-			sum.Add(other.lastDatagram.report)
-		}
-	}
-	return sum
-}
-
-// sendTo sends a report to the given peers.
-func (p *peers) sendTo(to []netip.AddrPort, report dispatch.Report, wholeDomain bool) {
-	if len(to) == 0 {
-		return
-	}
+// header is the header of the next datagram. Its fields for sums are not set.
+func (p *peers) header(s scope) datagram {
 	p.mu.Lock()
 	p.serial++
 	serial := p.serial
 	p.mu.Unlock()
-	d := datagram{
+	return datagram{
 		addr: p.g.options.PeerListen, incarnation: p.incarnation, serial: serial,
-		config: p.g.configVersion(), lastChange: p.g.lastChange(), domain: p.g.options.Domain, wholeDomain: wholeDomain,
-		storeLost: p.g.isStoreLost(), leaving: p.g.draining.Load(), report: report,
+		config: p.g.configVersion(), lastChange: p.g.lastChange(), domain: p.g.options.Domain, scope: s,
+		storeLost: p.g.isStoreLost(), leaving: p.g.draining.Load(),
 	}
-	b := d.encode(nil)
-	for _, addr := range to {
-		if _, err := p.conn.WriteToUDPAddrPort(b, addr); err != nil {
-			logs.Info("peer-send", "Peers: sending a report failed.", "to", addr, "err", err)
-		}
+}
+
+func (p *peers) write(b []byte, to netip.AddrPort) {
+	if _, err := p.conn.WriteToUDPAddrPort(b, to); err != nil {
+		logs.Info("peer-send", "Peers: sending a report failed.", "to", to, "err", err)
 	}
 }
 
@@ -188,37 +145,37 @@
 			logs.Info("peer-receive", "Peers: malformed report skipped.", "err", err)
 			continue
 		}
-		p.applyReport(d)
+		p.applyDatagram(d)
 	}
 }
 
-// applyReport applies a report unless it is older than the last one of its sender.
-func (p *peers) applyReport(d *datagram) {
+// applyDatagram applies a datagram unless it is older than the last one of its sender.
+func (p *peers) applyDatagram(d *datagram) {
 	now := time.Now()
 	p.mu.Lock()
 	sender := p.add(d.addr)
-	if sender == nil || sender.lastDatagram.incarnation == d.incarnation && d.serial <= sender.lastDatagram.serial {
+	if sender == nil || sender.incarnation == d.incarnation && d.serial <= sender.serial {
 		p.mu.Unlock()
 		return
 	}
 	if !sender.live {
-		klog.InfoS("Peers: peer regained.", "peer", d.addr, "config", d.config, "news", d.lastChange)
+		logs.Info("peer-regained", "Peers: peer regained.", "peer", d.addr, "config", d.config, "news", d.lastChange)
 	}
 	sender.reportedAt, sender.live, sender.domain = now, true, d.domain
-	name := d.addr
-	if d.wholeDomain {
-		name = domainKey(d.domain)
-		p.domainReportedAt[d.domain] = now
-		report := sender.lastDatagram.report
-		sender.lastDatagram = *d
-		sender.lastDatagram.report = report
-	} else {
-		sender.lastDatagram = *d
-		if d.domain == p.g.options.Domain {
-			p.queueRelay(d.report.Placements)
+	sender.incarnation, sender.serial, sender.storeLost, sender.leaving = d.incarnation, d.serial, d.storeLost, d.leaving
+	p.mu.Unlock()
+	var err error
+	if p.usesRelays() {
+		err = p.applyByRelays(now, d)
+	} else if d.scope == scopeRouter {
+		var report dispatch.Report
+		if report, err = d.encoded.decode(); err == nil {
+			p.applyView(d.addr, report)
 		}
 	}
-	p.mu.Unlock()
-	p.g.step(dispatch.PeerReported{Peer: name, Report: d.report})
+	if err != nil {
+		logs.Info("peer-receive", "Peers: malformed report skipped.", "from", d.addr, "err", err)
+		return
+	}
 	p.catchUp(now, d)
 }
