--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -9,8 +9,9 @@
 // prompts, where its events arrive without pauses. This is needed under loads where
 // long prompts keep their upstreams reading all the time.
 const (
-	// minMoveEvents is the least number of expected events for which a move pays off.
-	minMoveEvents = 12
+	// minMoveTokens is the least number of expected output tokens for which a move pays
+	// off: it copies the memory of the whole prompt.
+	minMoveTokens = 120
 	// maxTargetMemory and maxTargetSlots are the fractions of a target's memory and
 	// slots up to which it accepts moved streams.
 	maxTargetMemory = 0.8
@@ -37,7 +38,7 @@
 	if e == nil || !e.Moves || r.move.target != nil || r.move.handle != "" || r.upstream.class == classDecode {
 		return
 	}
-	if r.Prompt.ExpectedOutput()/max(1, e.EventTokens) < minMoveEvents {
+	if r.Prompt.ExpectedOutput() < minMoveTokens {
 		return
 	}
 	target := s.moveTarget(now, r)
--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -109,3 +109,28 @@
 	f.step(FirstByteReceived{"r", s.Attempt})
 	f.g.Expect(f.last["r"]).To(Equal(s))
 }
+
+// A short stream is not moved: its few events cost less beside prompts than the copy of
+// its prompt. The two requests are those of which most are sent on the users' sites with
+// fast and with slow engines.
+func TestOnlyLongStreamsAreMoved(t *testing.T) {
+	for _, x := range []struct {
+		prompt, output, eventTokens int
+		moved                       bool
+	}{
+		{9190, 51, 3, false},
+		{11_992, 380, 5, true},
+	} {
+		f := newMoveFixture(t, 6)
+		f.step(TableChanged{Table: routing.NewTable(3, routing.Limits{}, nil, []routing.Service{
+			{Name: model, Engine: &routing.Engine{Slots: 48, CacheTokens: 380_000, TokenBytes: 190_000, LinkBytesPerSecond: 180e9, EventTokens: x.eventTokens, Moves: true}},
+		}, nil)})
+		f.step(Arrive{&Request{
+			ID: "r", Organisation: "org", Route: draft, Service: model, Deadline: f.now.Add(15 * time.Second),
+			Prompt: Prompt{Tokens: x.prompt, MaxOutput: x.output, Parts: []Part{{ID: 1, Tokens: x.prompt}}},
+		}})
+		f.step(FirstByteReceived{"r", f.lastSend("r").Attempt})
+		_, moved := f.last["r"].(Move)
+		f.g.Expect(moved).To(Equal(x.moved), "%d tokens out", x.output)
+	}
+}
