--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -43,10 +43,11 @@
 }
 
 const (
-	// tickBusy and tickIdle are the intervals between Ticks while requests wait and
-	// while none do.
-	tickBusy = 10 * time.Millisecond
-	tickIdle = 50 * time.Millisecond
+	// tickBusy, tickIdle and tickEmpty are the intervals between Ticks while requests
+	// wait, while requests run and while there are none.
+	tickBusy  = 10 * time.Millisecond
+	tickIdle  = 50 * time.Millisecond
+	tickEmpty = 150 * time.Millisecond
 	// maxSends is the maximum number of attempts per request, including those that
 	// did not run.
 	maxSends = 4
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -156,6 +156,9 @@
 			return tickBusy
 		}
 	}
+	if len(s.requests) == 0 {
+		return tickEmpty
+	}
 	return tickIdle
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -232,9 +232,10 @@
 	// routerPrefix is the prefix of the keys under which routers register themselves.
 	routerPrefix = "jujubeford/routers/"
 	// registerTTL is the time after which a registration expires unless it is renewed.
-	registerTTL = 6 * time.Second
+	// A router that is gone without notice is found by its silence before that.
+	registerTTL = 12 * time.Second
 	// registerInterval is the time between two renewals.
-	registerInterval = 2 * time.Second
+	registerInterval = 4 * time.Second
 	// registerTimeout bounds one call on the store.
 	registerTimeout = time.Second
 )
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,8 +28,9 @@
 	// other. In larger fleets relays pass the reports on.
 	maxDirectPeers = 16
 	// watchStartDelay is how long a new router waits for reports of its peers before it
-	// decides whether it has to watch the store.
-	watchStartDelay = 700 * time.Millisecond
+	// decides whether it has to watch the store. In a fleet that starts as a whole most
+	// routers have registered by then, so that one call finds them.
+	watchStartDelay = 1200 * time.Millisecond
 )
 
 // peer is another router.
@@ -217,10 +218,11 @@
 
 // reportInterval is the time between two looks at what has to be reported.
 func (p *peers) reportInterval() time.Duration {
+	unreported := p.g.unreported()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.known) > maxDirectPeers {
-		return relay.TickInterval
+		return p.relay.NextTick(unreported)
 	}
 	return reportBase + time.Duration(len(p.known))*reportPerPeer
 }
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -22,6 +22,8 @@
 	// maxQuietIntervals intervals. An engine reads that many tokens in 40 ms.
 	reportThreshold   = 2000
 	maxQuietIntervals = 4
+	// silenceCheckInterval is the time between two checks for silent peers.
+	silenceCheckInterval = 200 * time.Millisecond
 	// datagramBytes bounds the size of a received datagram.
 	datagramBytes = 64 << 10
 )
@@ -44,6 +46,7 @@
 
 // send reports to the peers at intervals, and sooner when woken.
 func (p *peers) send(ctx context.Context) {
+	var checkedAt time.Time
 	for {
 		interval := p.reportInterval()
 		urgent := false
@@ -55,7 +58,10 @@
 		case <-time.After(interval):
 		}
 		now := time.Now()
-		p.dropSilent(now, peerTimeout+3*interval)
+		if now.Sub(checkedAt) >= silenceCheckInterval {
+			checkedAt = now
+			p.dropSilent(now, peerTimeout+3*interval)
+		}
 		relays := p.usesRelays()
 		p.dropOtherViews(relays)
 		if relays {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -92,7 +92,7 @@
 		}
 		var most, sum, across int
 		for _, r := range f.routers {
-			if isRelay, _ := r.state.isRelay(); !isRelay {
+			if !r.state.isRelay {
 				most = max(most, r.sent+r.received)
 			}
 			sum += r.sent
--- a/internal/relay/sim_test.go
+++ b/internal/relay/sim_test.go
@@ -116,7 +116,7 @@
 }
 
 func (f *fleet) tick(r *simRouter) {
-	f.schedule(TickInterval, r.router.Addr, f.tick)
+	defer func() { f.schedule(r.state.NextTick(r.unreported), r.router.Addr, f.tick) }()
 	if r.down {
 		return
 	}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -88,6 +88,9 @@
 	changed bool
 
 	toMembers, toDomains, fromElsewhere placementQueue
+
+	// isRelay and isFirst are the result of updateRole.
+	isRelay, isFirst bool
 }
 
 // link is another router in its role as a relay.
@@ -208,25 +211,27 @@
 	return list
 }
 
-// isRelay reports whether this router is a relay of its failure domain, and isFirst
-// whether it is the one that sends more often: that of the best rank that knows about as
-// many routers as this one.
-func (s *State) isRelay() (isRelay, isFirst bool) {
-	for _, addr := range s.relays(s.self.Domain) {
+// updateRole sets isRelay, whether this router is a relay of its failure domain, and
+// isFirst, whether it is the one that sends more often: that of the best rank that knows
+// about as many routers as this one.
+func (s *State) updateRole() {
+	relays := s.relays(s.self.Domain)
+	s.isRelay, s.isFirst = slices.Contains(relays, s.self.Addr), false
+	for _, addr := range relays {
 		if addr == s.self.Addr {
-			return true, true
+			s.isFirst = true
+			return
 		}
 		if l := s.links[addr]; l == nil || float64(l.members) >= enoughMembers*float64(len(s.members)+1) {
-			return slices.Contains(s.relays(s.self.Domain), s.self.Addr), false
+			return
 		}
 	}
-	return false, false
 }
 
 // Watches reports whether this router has to watch the store: a relay says so, or no
 // relay has been heard for loadTimeout.
 func (s *State) Watches(now time.Time) bool {
-	if isRelay, _ := s.isRelay(); isRelay && len(s.members) > 0 {
+	if s.isRelay && len(s.members) > 0 {
 		return s.watchers()[s.self.Addr]
 	}
 	if now.Sub(s.ownView.at) > loadTimeout {
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -7,8 +7,12 @@
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 )
 
-// TickInterval is the time between two Ticks.
-const TickInterval = reportInterval
+const (
+	// TickInterval is the time between two Ticks, and idleTickInterval that of a router
+	// that has nothing to report.
+	TickInterval     = reportInterval
+	idleTickInterval = 2 * reportInterval
+)
 
 // DomainView and ElsewhereView are the names of the two sums that a router uses.
 const (
@@ -25,6 +29,15 @@
 	Watch   bool
 }
 
+// NextTick is the time until the next Tick: less while this router passes reports on or
+// has loads to report.
+func (s *State) NextTick(unreported int) time.Duration {
+	if s.isRelay || len(s.members) > 0 || unreported > 0 {
+		return TickInterval
+	}
+	return idleTickInterval
+}
+
 // Effect is an action that Tick requests.
 type Effect interface{ isEffect() }
 
@@ -67,7 +80,8 @@
 // are due at once.
 func (s *State) Tick(now time.Time, unreported int, urgent bool, own func() dispatch.Report) (effects []Effect) {
 	effects = s.expire(now)
-	isRelay, isFirst := s.isRelay()
+	s.updateRole()
+	isRelay, isFirst := s.isRelay, s.isFirst
 	sumDue := s.sumDue(now, isFirst, urgent)
 	domainDue := isRelay && s.due(now, s.domainSentAt, isFirst, domainInterval, backupDomainInterval)
 	if urgent || sumDue || domainDue || s.reportDue(now, unreported) {
