--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -27,12 +27,15 @@
 )
 
 // Writer writes lines to an output in the background. Write never blocks; it drops
-// lines when the buffer is full. Writer is safe for concurrent use until Close.
+// lines when the buffer is full. Writer is safe for concurrent use.
 type Writer struct {
-	lines     chan []byte
-	dropped   atomic.Uint64
-	done      chan struct{}
-	closeOnce sync.Once
+	lines   chan []byte
+	dropped atomic.Uint64
+	done    chan struct{}
+
+	// mu guards closed against the end of lines.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewWriter returns a writer to out and starts its goroutine.
@@ -58,8 +61,15 @@
 	}
 }
 
-// Write implements io.Writer. It always reports success.
+// Write implements io.Writer. It always reports success. After Close lines are lost: a
+// goroutine may still log while the process ends.
 func (w *Writer) Write(p []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), p...):
 	default:
@@ -72,9 +82,14 @@
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
 // Close stops the writer and waits until the buffered lines are written, but no
-// longer than the given time. Write must not be called afterwards.
+// longer than the given time.
 func (w *Writer) Close(wait time.Duration) {
-	w.closeOnce.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	select {
 	case <-w.done:
 	case <-time.After(wait):
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -96,3 +97,14 @@
 	ok, _ := l.Allow("other")
 	g.Expect(ok).To(BeTrue())
 }
+
+// TestWriteAfterClose: a line that comes while the process ends is lost and does no harm.
+func TestWriteAfterClose(t *testing.T) {
+	g := NewWithT(t)
+	w := NewWriter(io.Discard)
+	w.Close(time.Second)
+	w.Close(time.Second)
+	_, err := w.Write([]byte("late\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Dropped()).To(Equal(uint64(1)))
+}
