--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -30,8 +30,16 @@
 	copyDelayWatching = 500 * time.Millisecond
 )
 
+// firstCopyDelay is how long a router that has no keys listens to its peers before it copies
+// those of the one with the newest: one that has been cut off has old ones, with upstreams
+// that have left and API keys that have been withdrawn. Peers report within that time.
+const firstCopyDelay = 300 * time.Millisecond
+
 // copyState is the state of copying keys from peers.
 type copyState struct {
+	// newestFrom is the peer whose last change, newest, is the latest that was heard.
+	newestFrom string
+	newest     uint64
 	// behindSince is when a peer was first seen to have newer keys.
 	behindSince time.Time
 	startedAt   time.Time
@@ -62,9 +70,15 @@
 	if p.copying.behindSince.IsZero() {
 		p.copying.behindSince = now
 	}
+	from := d.addr
+	if d.lastChange >= p.copying.newest {
+		p.copying.newest, p.copying.newestFrom = d.lastChange, d.addr
+	}
 	wait := time.Duration(0)
 	switch {
-	case own == 0 || lost:
+	case own == 0:
+		wait, from = firstCopyDelay, p.copying.newestFrom
+	case lost:
 	case watches:
 		wait = copyDelayWatching
 	case d.domain != p.g.options.Domain:
@@ -74,7 +88,7 @@
 		return
 	}
 	p.copying.running, p.copying.startedAt = true, now
-	go p.copyFrom(d.addr)
+	go p.copyFrom(from)
 }
 
 // copyFrom copies a peer's keys and clears the running flag.
@@ -82,6 +96,10 @@
 	err := p.copyKeys(addr)
 	p.mu.Lock()
 	p.copying.running = false
+	if err != nil {
+		// Another peer may answer.
+		p.copying.newest, p.copying.newestFrom = 0, ""
+	}
 	p.mu.Unlock()
 	if err != nil {
 		logs.Info("peer-copy", "Peers: copying the store's keys from a peer failed.", "from", addr, "err", err)
