--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -80,10 +80,15 @@
 	var use func(dispatch.Report)
 	switch {
 	case d.scope == scopeRouter && sameDomain:
-		use = func(r dispatch.Report) { p.relay.HandleReport(now, d.addr, d.serial, status, r) }
+		use = func(r dispatch.Report) {
+			p.relay.HandleReport(now, d.addr, d.serial, status, r)
+			if p.relay.Direct() {
+				p.applyView(d.addr, r)
+			}
+		}
 	case d.scope == scopeDomain && !sameDomain && p.relay.AcceptRemote(now, sum):
 		use = func(r dispatch.Report) { p.relay.SetRemote(d.domain, r) }
-	case d.scope == scopeDomain && sameDomain && p.relay.AcceptDomain(now, sum):
+	case d.scope == scopeDomain && sameDomain && p.relay.AcceptDomain(now, sum) && !p.relay.Direct():
 		use = func(r dispatch.Report) { p.applyView(relay.DomainView, p.relay.WithoutOwn(r, d.applied)) }
 	case d.scope == scopeElsewhere && sameDomain && p.relay.AcceptElsewhere(now, sum):
 		use = func(r dispatch.Report) { p.applyView(relay.ElsewhereView, r) }
@@ -118,17 +123,32 @@
 	}
 }
 
-// dropOtherViews removes the reports that the other way of reporting has left behind:
-// those of single peers if relays are used, and sums if not. Otherwise the same loads
-// would count twice once the fleet has grown or shrunk.
-func (p *peers) dropOtherViews(relays bool) {
+// dropOtherViews removes the reports that another way of reporting has left behind, which
+// the fleet used while it was smaller or larger. Otherwise the same loads would count
+// twice.
+func (p *peers) dropOtherViews() {
+	p.mu.Lock()
+	relays, direct := len(p.known) > maxDirectPeers, p.relay.Direct()
+	inUse := func(name string) bool {
+		switch {
+		case name == relay.DomainView:
+			return relays && !direct
+		case name == relay.ElsewhereView:
+			return relays
+		case relays:
+			other := p.known[name]
+			return direct && other != nil && other.domain == p.g.options.Domain
+		}
+		return true
+	}
 	p.viewsMu.Lock()
 	var stale []string
 	for name := range p.views {
-		if isSum := name == relay.DomainView || name == relay.ElsewhereView; isSum != relays {
+		if !inUse(name) {
 			stale = append(stale, name)
 		}
 	}
 	p.viewsMu.Unlock()
+	p.mu.Unlock()
 	p.dropViews(stale...)
 }
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -62,9 +62,8 @@
 			checkedAt = now
 			p.dropSilent(now, peerTimeout+3*interval)
 		}
-		relays := p.usesRelays()
-		p.dropOtherViews(relays)
-		if relays {
+		p.dropOtherViews()
+		if p.usesRelays() {
 			p.sendByRelays(now, urgent)
 		} else {
 			p.sendDirectly(now, interval, urgent)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -15,6 +15,9 @@
 	// WatchersPerDomain is the number of routers of a failure domain that watch the
 	// store. Two, so that changes arrive while one of them is frozen or cut off.
 	WatchersPerDomain = 2
+	// maxDirectDomain is the number of routers of a failure domain up to which each reports
+	// to all others there.
+	maxDirectDomain = 32
 	// reportInterval is the minimum time between two reports of a router. A report with
 	// small changes waits for quietInterval, one without changes for keepAliveInterval.
 	reportInterval    = 30 * time.Millisecond
@@ -89,6 +92,8 @@
 
 	toMembers, toDomains, fromElsewhere placementQueue
 
+	// direct means that the routers of this failure domain report to each other.
+	direct bool
 	// isRelay and isFirst are the result of updateRole.
 	isRelay, isFirst bool
 }
@@ -163,6 +168,7 @@
 			s.ranked[domain] = append(s.ranked[domain], r.Addr)
 		}
 	}
+	s.direct = len(s.ranked[s.self.Domain]) <= maxDirectDomain
 	for addr := range s.links {
 		if !known[addr] {
 			delete(s.links, addr)
@@ -211,6 +217,10 @@
 	return list
 }
 
+// Direct reports whether the routers of this failure domain report to each other, so that
+// their reports are used as they come.
+func (s *State) Direct() bool { return s.direct }
+
 // updateRole sets isRelay, whether this router is a relay of its failure domain, and
 // isFirst, whether it is the one that sends more often: that of the best rank that knows
 // about as many routers as this one.
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -115,6 +115,9 @@
 }
 
 func (s *State) sumDue(now time.Time, isFirst, urgent bool) bool {
+	if s.direct && !s.isRelay {
+		return false
+	}
 	return len(s.members) > 0 && (urgent || s.due(now, s.summedAt, isFirst && s.changed, sumInterval, backupSumInterval))
 }
 
@@ -129,8 +132,18 @@
 	return now.Sub(s.reportedAt) >= interval-tickTolerance
 }
 
-// reportTargets returns the relays of this failure domain that get this router's report.
+// reportTargets returns the routers of this failure domain that get this router's report:
+// its relays, or all if they report to each other.
 func (s *State) reportTargets(now time.Time) (to []string) {
+	if s.direct {
+		for _, addr := range s.ranked[s.self.Domain] {
+			if addr != s.self.Addr {
+				to = append(to, addr)
+			}
+		}
+		s.eachTarget(now, s.self.Domain, func(string) {})
+		return to
+	}
 	s.eachTarget(now, s.self.Domain, func(addr string) { to = append(to, addr) })
 	return to
 }
@@ -193,8 +206,11 @@
 // domainSums sends the sum of this failure domain to the routers that report to this one.
 func (s *State) domainSums(now time.Time, isFirst bool, own dispatch.Report) []Effect {
 	s.summedAt, s.changed = now, false
-	sum := s.domainSum(own)
-	sum.Placements = s.toMembers.take()
+	sum := dispatch.NewReport()
+	if !s.direct {
+		sum = s.domainSum(own)
+		sum.Placements = s.toMembers.take()
+	}
 	watchers := s.watchers()
 	var to []Receiver
 	for addr, m := range s.members {
@@ -202,10 +218,12 @@
 	}
 	effects := []Effect{SendDomain{To: to, Members: len(s.members) + 1, Report: sum}}
 	if isFirst {
+		s.ownView = source{addr: s.self.Addr, at: now, members: len(s.members) + 1}
+	}
+	if isFirst && !s.direct {
 		// This relay uses its own sum, without its own part.
 		others := s.memberSum()
 		others.Placements = sum.Placements
-		s.ownView = source{addr: s.self.Addr, at: now, members: len(s.members) + 1}
 		effects = append(effects, Apply{Name: DomainView, Report: others})
 	}
 	return effects
