Log crashes of upstreams, told from lost connections by a probe

Change: the dispatcher asks for a probe when an attempt's connection breaks, one at a time for an upstream; the gateway connects, logs the result and keeps the connection for a request if there is one. No decision depends on it yet. Ruled out: taking several attempts that break at once as a crash. A lone request is then not seen, and a reset of connections looks the same. Test: TestBrokenConnectionsCauseOneProbe.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -46,6 +46,9 @@
 	// ResumeAfter is the id of the last event that the caller received of an
 	// earlier answer, empty if the answer starts from the beginning.
 	ResumeAfter string
+	// Fingerprint is the same for each repetition of a request by its organisation; 0
+	// if not known.
+	Fingerprint uint64
 }
 
 // Instance is an upstream as listed by the directory.
@@ -116,6 +119,12 @@
 		// if not stated.
 		HoldOff time.Duration
 	}
+	// Probed reports the result of a Probe.
+	Probed struct {
+		Upstream Instance
+		// Refused means that nothing listens at the address: the instance has ended.
+		Refused bool
+	}
 	// Moved reports that a stream has been stopped at its upstream so that it can
 	// continue from the memory named by Handle.
 	Moved struct {
@@ -164,6 +173,7 @@
 func (Done) isEvent()              {}
 func (Failed) isEvent()            {}
 func (InstanceReported) isEvent()  {}
+func (Probed) isEvent()            {}
 func (Moved) isEvent()             {}
 func (MoveFailed) isEvent()        {}
 func (CallerLeft) isEvent()        {}
@@ -253,6 +263,12 @@
 		Attempt  int
 		From, To Instance
 	}
+	// Probe connects to an upstream whose connections broke, to tell a crash from the
+	// loss of connections. It is followed by Probed. ID is the first request that broke.
+	Probe struct {
+		ID       string
+		Upstream Instance
+	}
 	// Abort aborts a silent attempt. It is followed by Failed or, if part of the
 	// answer has arrived meanwhile, by AbortDeclined.
 	Abort struct {
@@ -273,5 +289,8 @@
 // RequestID implements Effect.
 func (e Move) RequestID() string { return e.ID }
 
+// RequestID implements Effect.
+func (e Probe) RequestID() string { return e.ID }
+
 // RequestID implements Effect.
 func (e Abort) RequestID() string { return e.ID }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -245,6 +245,7 @@
 		r.failedUpstreams = append(r.failedUpstreams, r.upstream.ID)
 		s.markUnavailable(now, r.upstream, e)
 	}
+	s.probeIfBroken(r, e)
 	if !e.MayHaveRun {
 		s.shares.recordStart(now, r.Organisation, -s.shareCost(r))
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -17,6 +17,8 @@
 	// upstreams holds the upstreams by id and byKey by Key(id). services lists
 	// those that take new work, in the order of sortUpstreams.
 	upstreams map[string]*upstream
+	// probing holds the ids of the instances that are being probed.
+	probing map[string]bool
 	// delisted holds the advice of instances that are not listed, by id.
 	delisted map[string]delisted
 	byKey    map[uint32]*upstream
@@ -95,6 +97,7 @@
 	s := &State{
 		options:    o,
 		upstreams:  make(map[string]*upstream),
+		probing:    make(map[string]bool),
 		delisted:   make(map[string]delisted),
 		byKey:      make(map[uint32]*upstream),
 		services:   make(map[string][]*upstream),
@@ -126,6 +129,8 @@
 		s.handleFailure(now, e)
 	case InstanceReported:
 		s.handleInstanceReport(now, e)
+	case Probed:
+		s.handleProbe(e)
 	case Moved:
 		s.handleMoved(now, e)
 	case MoveFailed:
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -90,6 +90,18 @@
 // CloseExpired closes the connections whose idle timeout has expired.
 func (c *Client) CloseExpired(now time.Time) { c.pool.closeExpired(now) }
 
+// Probe opens a connection to an address and keeps it for a later request. The failure
+// tells why there is none.
+func (c *Client) Probe(ctx context.Context, addr string) *Failure {
+	conn, err := c.pool.dial(ctx, addr)
+	if err != nil {
+		return &Failure{Kind: core.FailDial, Err: err}
+	}
+	conn.idleTimeout = defaultIdleTimeout
+	c.pool.putIdle(addr, conn)
+	return nil
+}
+
 // CloseIdle closes the idle connections to an address.
 func (c *Client) CloseIdle(addr string) { c.pool.closeIdle(addr) }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -81,6 +81,11 @@
 		}
 		c.Close()
 	}
+	return p.dial(ctx, addr)
+}
+
+// dial opens a connection.
+func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -28,6 +28,8 @@
 	effects chan dispatch.Effect
 	// startMove moves the call's stream to another upstream.
 	startMove func(dispatch.Move)
+	// startProbe probes an upstream after a connection of the call broke.
+	startProbe func(dispatch.Probe)
 	// reportAnswering tells the dispatcher that an attempt was not aborted as silent,
 	// because part of its answer is waiting to be read.
 	reportAnswering func(dispatch.Abort)
@@ -77,7 +79,7 @@
 	return c.firstAt.Sub(c.started)
 }
 
-// deliver carries out an Abort, starts a Move, and hands other effects to the call's
+// deliver carries out an Abort, starts a Move or a Probe, and hands other effects to the call's
 // goroutine. A Fail also aborts the exchange in progress.
 func (c *call) deliver(e dispatch.Effect) {
 	switch e := e.(type) {
@@ -89,6 +91,9 @@
 	case dispatch.Move:
 		go c.startMove(e)
 		return
+	case dispatch.Probe:
+		go c.startProbe(e)
+		return
 	case dispatch.Fail:
 		c.effects <- e
 		c.abort(true)
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -148,10 +148,12 @@
 		timeout = defaultTimeout
 	}
 	c.startMove = func(e dispatch.Move) { g.move(c, e) }
+	c.startProbe = g.probe
 	c.reportAnswering = func(e dispatch.Abort) { g.step(dispatch.AbortDeclined(e)) }
 	c.request = &dispatch.Request{
 		ID: caller.ID, Organisation: org, Route: route, Service: route.SelectService(caller.ID),
 		Prompt: caller.Prompt, Deadline: started.Add(timeout), ResumeAfter: caller.ResumeAfter,
+		Fingerprint: fingerprint(org, r, body),
 	}
 	return c, nil
 }
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+
+	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/logs"
+)
+
+// fingerprint returns a number that repetitions of a request by its organisation share:
+// a hash of organisation, method, host, path and body.
+func fingerprint(org string, r *http.Request, body []byte) uint64 {
+	h := sha256.New()
+	for _, field := range []string{org, r.Method, r.Host, r.RequestURI} {
+		h.Write([]byte(field))
+		h.Write([]byte{0})
+	}
+	h.Write(body)
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
+// probe connects to an upstream whose connections broke and tells the dispatcher whether
+// it still listens.
+func (g *Gateway) probe(e dispatch.Probe) {
+	failure := g.client.Probe(context.Background(), e.Upstream.Addr)
+	refused := failure != nil && failure.Unreachable()
+	if refused {
+		logs.Info("crashed", "Gateway: upstream crashed.", "upstream", e.Upstream.ID, "addr", e.Upstream.Addr,
+			"started", e.Upstream.Started, "id", e.ID)
+	} else {
+		logs.Info("probed", "Gateway: upstream lost connections.", "upstream", e.Upstream.ID, "addr", e.Upstream.Addr,
+			"started", e.Upstream.Started, "id", e.ID, "failure", failure)
+	}
+	g.step(dispatch.Probed{Upstream: e.Upstream, Refused: refused})
+}
