Refuse requests that have crashed several upstreams

Callers saw: one request, repeated by its caller at any router, ended one upstream after the other, and with each the streams of others. Cause: crashes were counted against upstreams only. What was built for this (quarantine) stands on the product's own interface; the platform's gateway has its own path and never had it. A repetition is a new request to every router, and each router saw the crashes of its own sends. Change: a pure reducer (internal/poison) gathers the requests that were in flight at a crash, as told by the probe. Three crashes without a success in between block a request's fingerprint; five over two seconds if such requests had succeeded before, since upstreams of a failure domain are lost together. A crash that a blocked request explains speaks against no other, and while two requests are equally suspect the next crash is waited for. A success clears at once, at all routers. Routers tell each other with their reports, relays pass it on, and blocks are announced again each second, so that a router which has just started knows them. A blocked request is refused on arrival, before a repeat and while it waits; it has not run, or gets 502. An upstream that refuses the probe gets no work for a while, as one that refuses a connection. Ruled out: the quarantine's reducer as it is: it charges all that was in flight and has nothing that clears, so that with 64 streams at an engine and requests without a body (all repetitions of each other) sound ones would be blocked for half an hour.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
@@ -122,8 +123,9 @@
 	// Probed reports the result of a Probe.
 	Probed struct {
 		Upstream Instance
-		// Refused means that nothing listens at the address: the instance has ended.
-		Refused bool
+		// Connected means that the upstream still listens, and Refused that nothing listens
+		// at its address: it has ended. If neither is set, it did not answer.
+		Connected, Refused bool
 	}
 	// Moved reports that a stream has been stopped at its upstream so that it can
 	// continue from the memory named by Handle.
@@ -210,6 +212,8 @@
 	// ReasonBroken: the answer broke off after part of it had been delivered, and it
 	// cannot be resumed.
 	ReasonBroken Reason = "stream-broken"
+	// ReasonCrashes: requests like this one have crashed several upstreams.
+	ReasonCrashes Reason = "crashes-upstreams"
 	// ReasonResources: this router lacked file descriptors or memory for the attempt.
 	ReasonResources Reason = "router-resources"
 )
@@ -263,6 +267,9 @@
 		Attempt  int
 		From, To Instance
 	}
+	// BlockChanged tells that requests with a trait are refused from now on, or no longer,
+	// because of crashes.
+	BlockChanged struct{ poison.Change }
 	// Probe connects to an upstream whose connections broke, to tell a crash from the
 	// loss of connections. It is followed by Probed. ID is the first request that broke.
 	Probe struct {
@@ -289,6 +296,9 @@
 // RequestID implements Effect.
 func (e Move) RequestID() string { return e.ID }
 
+// RequestID implements Effect. The effect concerns no single request.
+func (e BlockChanged) RequestID() string { return "" }
+
 // RequestID implements Effect.
 func (e Probe) RequestID() string { return e.ID }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jujubeford/jujubeford/internal/poison"
 )
 
 // Placement states that an upstream has cached a prompt part, or will cache it.
@@ -23,6 +25,9 @@
 	// Contended lists the queues, by wire key, in which requests wait or recently found
 	// no room.
 	Contended []uint32
+	// Crashes is what the router has seen of requests that crash upstreams since the
+	// previous report.
+	Crashes []poison.Fact
 }
 
 // maxUnreportedPlacements bounds the placements kept for the next report.
@@ -51,7 +56,8 @@
 // prompt tokens.
 func (s *State) UnreportedTokens() int { return s.unreportedTokens }
 
-// Report returns this router's load, and the placements since the last call.
+// Report returns this router's load, and the placements and news of crashes since the
+// last call.
 func (s *State) Report(now time.Time) Report {
 	s.unreportedTokens = 0
 	r := NewReport()
@@ -73,6 +79,7 @@
 	}
 	r.Placements = append(r.Placements, s.unreportedPlacements...)
 	s.unreportedPlacements = s.unreportedPlacements[:0]
+	r.Crashes, s.newsCounted = s.poison.News(now), false
 	return r
 }
 
@@ -84,6 +91,7 @@
 	s.replaceLoads(s.peers[peer], r)
 	s.peers[peer] = Report{Loads: r.Loads, Contended: r.Contended}
 	s.shares.setPeer(peer, r.Usage)
+	s.poison.Learn(now, r.Crashes)
 	for _, p := range r.Placements {
 		if u := s.byKey[p.Upstream]; u != nil {
 			u.cache.recordUse(now, []Part{p.Part}, p.Read)
@@ -118,7 +126,7 @@
 	s.drainAllQueues(now)
 }
 
-// Add adds another router's report, except for its placements.
+// Add adds another router's report, except for its placements and crashes.
 func (r *Report) Add(o Report) {
 	for key, l := range o.Loads {
 		sum := r.Loads[key]
@@ -142,7 +150,7 @@
 	return Report{Loads: make(map[uint32]Load), Usage: make(map[uint32]Usage)}
 }
 
-// Sub takes another router's report, except for its placements and contended queues, out
+// Sub takes another router's report, except for its placements, crashes and contended queues, out
 // of a sum. What the sum has less of than the report counts as nothing: the usage of the
 // two may be of different times.
 func (r *Report) Sub(o Report) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,6 +12,9 @@
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
 	}
+	if s.refuseIfBlocked(now, r) {
+		return
+	}
 	r.queueDeadline = s.queueDeadline(r)
 	s.requests[r.ID] = r
 	s.shares.recordDemand(now, r.Organisation, s.shareCost(r))
@@ -57,6 +60,9 @@
 	}
 	if r.sends > 0 {
 		// The request was admitted before; this is a retry.
+		if s.refuseIfBlocked(now, r) {
+			return
+		}
 		s.readmit(now, r)
 		return
 	}
@@ -145,6 +151,7 @@
 	r.sends++
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = choice.upstream, now, now, false, false
+	r.survived = false
 	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
 	if r.class == classDecode {
 		r.load.DecodeAttempts = 1
@@ -170,7 +177,7 @@
 	if r == nil || r.firstByteReceived {
 		return
 	}
-	r.firstByteReceived = true
+	r.firstByteReceived, r.firstByteAt = true, now
 	r.upstream.local.Prefill -= r.load.Prefill
 	s.unreportedTokens += r.load.Prefill
 	r.load.Prefill = 0
@@ -211,6 +218,7 @@
 		return
 	}
 	s.health.RecordSuccess(r.upstream.ID, r.Service, now)
+	s.poison.Succeeded(now, r.traits())
 	s.releaseAttempt(r)
 	delete(s.requests, r.ID)
 	s.drainService(now, r.Service)
@@ -245,7 +253,7 @@
 		r.failedUpstreams = append(r.failedUpstreams, r.upstream.ID)
 		s.markUnavailable(now, r.upstream, e)
 	}
-	s.probeIfBroken(r, e)
+	s.recordBreak(now, r, e)
 	if !e.MayHaveRun {
 		s.shares.recordStart(now, r.Organisation, -s.shareCost(r))
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/health"
+	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
@@ -17,6 +18,10 @@
 	// upstreams holds the upstreams by id and byKey by Key(id). services lists
 	// those that take new work, in the order of sortUpstreams.
 	upstreams map[string]*upstream
+	// poison knows which requests crash upstreams, and newsCounted means that what peers
+	// have to hear of it is counted in unreportedTokens.
+	poison      *poison.State
+	newsCounted bool
 	// probing holds the ids of the instances that are being probed.
 	probing map[string]bool
 	// delisted holds the advice of instances that are not listed, by id.
@@ -65,6 +70,10 @@
 	attempt  int
 	upstream *upstream
 	sentAt   time.Time
+	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
+	// has run for survivalTime since then.
+	firstByteAt time.Time
+	survived    bool
 	// silentSince is the time from which the silence of the attempt is measured.
 	silentSince time.Time
 	load        Load
@@ -97,6 +106,7 @@
 	s := &State{
 		options:    o,
 		upstreams:  make(map[string]*upstream),
+		poison:     poison.New(),
 		probing:    make(map[string]bool),
 		delisted:   make(map[string]delisted),
 		byKey:      make(map[uint32]*upstream),
@@ -130,7 +140,7 @@
 	case InstanceReported:
 		s.handleInstanceReport(now, e)
 	case Probed:
-		s.handleProbe(e)
+		s.handleProbe(now, e)
 	case Moved:
 		s.handleMoved(now, e)
 	case MoveFailed:
@@ -151,6 +161,7 @@
 	case PeerLost:
 		s.dropPeer(now, e.Peer)
 	}
+	s.applyBlocks(now)
 	return s.effects
 }
 
@@ -285,6 +296,8 @@
 		for _, u := range s.upstreams {
 			u.samplePrefill(now, s.options.PrefillRate)
 		}
+		s.recordSurvivors(now)
+		s.poison.Expire(now)
 	}
 	if now.Sub(s.partitionedAt) >= partitionInterval {
 		s.partitionedAt = now
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/poison"
 )
 
 // scope says whose load a datagram reports.
@@ -47,8 +49,8 @@
 	encoded encodedReport
 }
 
-// encodedReport has the three sections of an encoded report: sequences of varints.
-type encodedReport struct{ loads, usage, placements, contended []byte }
+// encodedReport has the sections of an encoded report: sequences of varints.
+type encodedReport struct{ loads, usage, placements, contended, crashes []byte }
 
 // The field numbers of a datagram. Numbers 7 to 10 and 12 had other encodings.
 const (
@@ -68,6 +70,7 @@
 	fieldUsage       protowire.Number = 19
 	fieldPlacements  protowire.Number = 20
 	fieldContended   protowire.Number = 21
+	fieldCrashes     protowire.Number = 22
 )
 
 // chargeScale is the factor by which charges are multiplied to be sent as integers.
@@ -139,7 +142,14 @@
 	for _, key := range r.Contended {
 		section = binary.LittleEndian.AppendUint32(section, key)
 	}
-	return appendSection(b, fieldContended, section)
+	b = appendSection(b, fieldContended, section)
+	section = section[:0]
+	for _, f := range r.Crashes {
+		section = binary.LittleEndian.AppendUint64(section, f.Trait.ID)
+		section = binary.LittleEndian.AppendUint64(section, uint64(f.Run))
+		section = appendVarints(section, uint64(f.Kind)<<1|boolToUint(f.Proven), uint64(f.Trait.Kind), uint64(f.Left/time.Second))
+	}
+	return appendSection(b, fieldCrashes, section)
 }
 
 func appendSection(b []byte, field protowire.Number, section []byte) []byte {
@@ -236,6 +246,8 @@
 		d.encoded.placements = b
 	case fieldContended:
 		d.encoded.contended = b
+	case fieldCrashes:
+		d.encoded.crashes = b
 	}
 }
 
@@ -280,12 +292,25 @@
 	for in.more() {
 		r.Contended = append(r.Contended, in.key())
 	}
+	failed = failed || in.failed
+	in = sectionReader{b: e.crashes}
+	for in.more() {
+		f := poison.Fact{Trait: poison.Trait{ID: in.id()}, Run: poison.RunID(in.id())}
+		kind := in.number()
+		f.Kind, f.Proven = poison.FactKind(kind>>1), kind&1 != 0
+		f.Trait.Kind = poison.Kind(in.number())
+		f.Left = time.Duration(min(in.number(), maxSecondsLeft)) * time.Second
+		r.Crashes = append(r.Crashes, f)
+	}
 	if failed || in.failed {
 		return dispatch.Report{}, errDatagram
 	}
 	return r, nil
 }
 
+// maxSecondsLeft bounds the time of a block that a datagram may name.
+const maxSecondsLeft = 1 << 20
+
 // sectionReader reads the numbers of a section. After an error it returns zeros.
 type sectionReader struct {
 	b      []byte
--- a/internal/gateway/datagram_test.go
+++ b/internal/gateway/datagram_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/poison"
 )
 
 // sampleReport is a report of a router or, with more entries, of a failure domain.
@@ -24,6 +25,10 @@
 		})
 	}
 	r.Contended = []uint32{5, 1 << 31}
+	r.Crashes = []poison.Fact{
+		{Kind: poison.FactSuspect, Trait: poison.Trait{Kind: poison.KindRequest, ID: 1 << 63}, Run: 1<<63 + 1},
+		{Kind: poison.FactBlocked, Trait: poison.Trait{Kind: poison.KindRequest, ID: 7}, Proven: true, Left: poison.BlockTime},
+	}
 	return r
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,6 +206,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, effect := range g.dispatcher.Step(now, e) {
+		if change, ok := effect.(dispatch.BlockChanged); ok {
+			logs.Info("block", "Gateway: refusal of requests that crash upstreams changed.", "blocked", change.Blocked,
+				"kind", change.Trait.Kind, "trait", change.Trait.ID, "crashes", change.Crashes, "reported", change.Reported)
+			continue
+		}
 		if c := g.calls[effect.RequestID()]; c != nil {
 			c.deliver(effect)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/relay"
 	"github.com/jujubeford/jujubeford/store"
 )
@@ -58,9 +59,11 @@
 	// wake makes the sender report before its interval is over.
 	wake chan struct{}
 	// sentAt is when the last report was sent to all peers, and lastPlacements holds the
-	// placements of the last report, which are sent once more. Both belong to the sender.
+	// placements of the last report and lastCrashes its crashes, which are sent once more.
+	// They belong to the sender.
 	sentAt         time.Time
 	lastPlacements []dispatch.Placement
+	lastCrashes    []poison.Fact
 
 	mu     sync.Mutex
 	known  map[string]*peer
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -34,5 +34,5 @@
 		logs.Info("probed", "Gateway: upstream lost connections.", "upstream", e.Upstream.ID, "addr", e.Upstream.Addr,
 			"started", e.Upstream.Started, "id", e.ID, "failure", failure)
 	}
-	g.step(dispatch.Probed{Upstream: e.Upstream, Refused: refused})
+	g.step(dispatch.Probed{Upstream: e.Upstream, Connected: failure == nil, Refused: refused})
 }
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -10,6 +10,7 @@
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/poison"
 )
 
 const (
@@ -101,8 +102,8 @@
 	p.dropViews(lost...)
 }
 
-// ownReport is this router's report. Placements are sent in two successive reports,
-// since a datagram may be lost.
+// ownReport is this router's report. Placements and crashes are sent in two successive
+// reports, since a datagram may be lost.
 func (p *peers) ownReport(now time.Time) dispatch.Report {
 	p.g.mu.Lock()
 	report := p.g.dispatcher.Report(now)
@@ -110,6 +111,9 @@
 	fresh := report.Placements
 	report.Placements = append(append([]dispatch.Placement(nil), fresh...), p.lastPlacements...)
 	p.lastPlacements = fresh
+	freshCrashes := report.Crashes
+	report.Crashes = append(append([]poison.Fact(nil), freshCrashes...), p.lastCrashes...)
+	p.lastCrashes = freshCrashes
 	return report
 }
 
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -11,8 +11,8 @@
 	s.linkTo(from).leaving = status.Leaving
 	s.members[from] = &member{at: now, serial: serial, status: status, report: r}
 	s.changed = true
-	s.toMembers.add(r.Placements)
-	s.toDomains.add(r.Placements)
+	s.toMembers.add(r)
+	s.toDomains.add(r)
 }
 
 // Sum is the header of a sum that a relay sent.
@@ -64,8 +64,8 @@
 		d = &domainSum{}
 		s.domains[domain] = d
 	}
-	s.fromElsewhere.add(r.Placements)
-	r.Placements = nil
+	s.fromElsewhere.add(r)
+	r.Placements, r.Crashes = nil, nil
 	d.report = r
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/poison"
 )
 
 // loaded returns a settled fleet in which every router has one attempt in flight.
@@ -271,7 +272,7 @@
 // TestPlacementsReachEveryRouter: each placement is passed on, and not endlessly.
 func TestPlacementsReachEveryRouter(t *testing.T) {
 	g := NewWithT(t)
-	var q placementQueue
+	var q queue[dispatch.Placement]
 	p := dispatch.Placement{Upstream: 1, Part: dispatch.Part{ID: 2, Tokens: 3}}
 	q.add([]dispatch.Placement{p, p})
 	g.Expect(q.take()).To(HaveLen(1))
@@ -280,8 +281,39 @@
 	g.Expect(q.take()).To(BeEmpty())
 	q.add([]dispatch.Placement{p})
 	g.Expect(q.take()).To(HaveLen(1))
-	for i := range 2 * maxPlacements {
+	for i := range 2 * maxQueued {
 		q.add([]dispatch.Placement{{Upstream: uint32(i)}})
 	}
-	g.Expect(len(q.take())).To(BeNumerically("<=", maxPlacements+1))
+	g.Expect(len(q.take())).To(BeNumerically("<=", maxQueued+1))
+}
+
+// TestCrashesReachEveryRouter: what one router tells of a crash is heard by all others
+// within a second, and is not passed on endlessly.
+func TestCrashesReachEveryRouter(t *testing.T) {
+	forBothSizes(t, "", func(t *testing.T, n int) {
+		g := NewWithT(t)
+		f := loaded(n, 4)
+		for i := range 10 {
+			fact := poison.Fact{Kind: poison.FactSuspect, Trait: poison.Trait{Kind: poison.KindRequest, ID: uint64(i)}, Run: 1}
+			teller := f.routers[f.order[(i*13)%n]]
+			// A router tells each fact in two reports.
+			for range 2 {
+				teller.load.Crashes = []poison.Fact{fact}
+				teller.unreported = reportThreshold
+				f.run(2 * reportInterval)
+				teller.load.Crashes = nil
+			}
+			f.run(time.Second - 4*reportInterval)
+			for _, r := range f.routers {
+				if r != teller {
+					g.Expect(r.crashes[fact]).To(BeNumerically(">", 0))
+				}
+			}
+			f.run(time.Second)
+			for _, r := range f.routers {
+				g.Expect(r.crashes[fact]).To(BeNumerically("<=", 16))
+				g.Expect(r.views[DomainView].Crashes).NotTo(ContainElement(fact))
+			}
+		}
+	})
 }
--- a/internal/relay/sim_test.go
+++ b/internal/relay/sim_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/poison"
 )
 
 // fleet simulates routers that exchange reports over a network with delay and loss.
@@ -29,6 +30,8 @@
 	load   dispatch.Report
 	// views are the sums in use, by name.
 	views map[string]dispatch.Report
+	// crashes counts how often each fact of a crash was in a view.
+	crashes map[poison.Fact]int
 	// down means that it neither sends nor receives: killed, frozen or cut off.
 	down bool
 	// seenAt is when a view of a single router arrived.
@@ -81,7 +84,7 @@
 		list = append(list, r)
 	}
 	for i, r := range list {
-		s := &simRouter{router: r, state: New(r), views: make(map[string]dispatch.Report), seenAt: make(map[string]time.Time)}
+		s := &simRouter{router: r, state: New(r), views: make(map[string]dispatch.Report), crashes: make(map[poison.Fact]int), seenAt: make(map[string]time.Time)}
 		s.state.SetRouters(list)
 		s.setLoad(i+1, 0)
 		f.routers[r.Addr] = s
@@ -146,7 +149,7 @@
 			f.send(r, to, func(other *simRouter) {
 				other.state.HandleReport(f.now, r.router.Addr, serial, r.state.status, copyReport(e.Report))
 				if other.state.Direct() {
-					other.views[r.router.Addr] = copyReport(e.Report)
+					other.use(r.router.Addr, copyReport(e.Report))
 					other.seenAt[r.router.Addr] = f.now
 				}
 			})
@@ -162,7 +165,7 @@
 						other.state.SetRemote(sum.Domain, report)
 					}
 				case other.state.AcceptDomain(f.now, sum) && !other.state.Direct():
-					other.views[DomainView] = other.state.WithoutOwn(report, sum.Applied)
+					other.use(DomainView, other.state.WithoutOwn(report, sum.Applied))
 				}
 			})
 		}
@@ -171,17 +174,25 @@
 			sum := Sum{From: r.router.Addr, Domain: r.router.Domain, Status: r.state.status}
 			f.send(r, to.Addr, func(other *simRouter) {
 				if other.state.AcceptElsewhere(f.now, sum) {
-					other.views[ElsewhereView] = copyReport(e.Report)
+					other.use(ElsewhereView, copyReport(e.Report))
 				}
 			})
 		}
 	case Apply:
-		r.views[e.Name] = copyReport(e.Report)
+		r.use(e.Name, copyReport(e.Report))
 	case Drop:
 		delete(r.views, e.Name)
 	}
 }
 
+// use puts a view in use at a router.
+func (r *simRouter) use(name string, report dispatch.Report) {
+	r.views[name] = report
+	for _, fact := range report.Crashes {
+		r.crashes[fact]++
+	}
+}
+
 func (f *fleet) send(r *simRouter, to string, handle func(other *simRouter)) {
 	r.sent++
 	if other := f.routers[to]; other.router.Domain != r.router.Domain {
@@ -211,5 +222,6 @@
 	c := dispatch.NewReport()
 	c.Add(r)
 	c.Placements = append(c.Placements, r.Placements...)
+	c.Crashes = append(c.Crashes, r.Crashes...)
 	return c
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -90,7 +90,7 @@
 	// changed means that a report has arrived since the last sum.
 	changed bool
 
-	toMembers, toDomains, fromElsewhere placementQueue
+	toMembers, toDomains, fromElsewhere newsQueue
 
 	// direct means that the routers of this failure domain report to each other.
 	direct bool
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -85,11 +85,11 @@
 	sumDue := s.sumDue(now, isFirst, urgent)
 	domainDue := isRelay && s.due(now, s.domainSentAt, isFirst, domainInterval, backupDomainInterval)
 	if urgent || sumDue || domainDue || s.reportDue(now, unreported) {
-		// The other relay gets the report along with each sum: own takes the placements.
+		// The other relay gets the report along with each sum: own takes the news.
 		s.reportedAt = now
 		report := own()
-		s.toDomains.add(report.Placements)
-		s.toMembers.add(report.Placements)
+		s.toDomains.add(report)
+		s.toMembers.add(report)
 		effects = append(effects, SendReport{To: s.reportTargets(now), Report: report})
 		if sumDue {
 			effects = append(effects, s.domainSums(now, isFirst, report)...)
@@ -209,7 +209,7 @@
 	sum := dispatch.NewReport()
 	if !s.direct {
 		sum = s.domainSum(own)
-		sum.Placements = s.toMembers.take()
+		s.toMembers.moveTo(&sum)
 	}
 	watchers := s.watchers()
 	var to []Receiver
@@ -223,7 +223,7 @@
 	if isFirst && !s.direct {
 		// This relay uses its own sum, without its own part.
 		others := s.memberSum()
-		others.Placements = sum.Placements
+		others.Placements, others.Crashes = sum.Placements, sum.Crashes
 		effects = append(effects, Apply{Name: DomainView, Report: others})
 	}
 	return effects
@@ -237,7 +237,7 @@
 		return nil
 	}
 	sum := s.domainSum(own)
-	sum.Placements = s.toDomains.take()
+	s.toDomains.moveTo(&sum)
 	return []Effect{SendDomain{To: to, Members: len(s.members) + 1, Report: sum}}
 }
 
@@ -268,7 +268,7 @@
 	if len(s.sent) == kept {
 		s.sent = append(s.sent[:0], s.sent[1:]...)
 	}
-	r.Placements = nil
+	r.Placements, r.Crashes = nil, nil
 	s.sent = append(s.sent, sentReport{serial, r})
 }
 
@@ -338,6 +338,6 @@
 	for _, d := range s.domains {
 		sum.Add(d.report)
 	}
-	sum.Placements = s.fromElsewhere.take()
+	s.fromElsewhere.moveTo(&sum)
 	return sum
 }
