--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -121,7 +121,7 @@
 		return false
 	}
 	logs.Info("attempt-failed", "Gateway: attempt failed.", "id", c.caller.ID, "attempt", e.Attempt,
-		"upstream", e.Upstream.ID, "fingerprint", c.request.Fingerprint, "kind", failure.Kind, "mayHaveRun", failure.Sent, "after", time.Since(sentAt),
+		"upstream", e.Upstream.ID, "fingerprint", c.request.Fingerprint, "parts", partIDs(c.request.Prompt), "kind", failure.Kind, "mayHaveRun", failure.Sent, "after", time.Since(sentAt),
 		"err", failure.Err)
 	g.step(dispatch.Failed{
 		ID: c.key, Attempt: e.Attempt, Kind: failure.Kind, MayHaveRun: failure.Sent,
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/logs"
@@ -22,6 +24,15 @@
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
+// partIDs lists the ids of a prompt's parts, for logs.
+func partIDs(p dispatch.Prompt) string {
+	ids := make([]string, 0, len(p.Parts))
+	for _, part := range p.Parts {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // probe connects to an upstream whose connections broke and tells the dispatcher whether
 // it still listens.
 func (g *Gateway) probe(e dispatch.Probe) {
