Refuse requests with a part of the prompt that crashes upstreams

Callers saw: with one part in one request of twenty the engines fell by turns, for as long as such requests came; streams were cut, and most of the sound requests were refused for lack of engines. Cause: what is told apart at a crash was the request alone, and no two of these are alike. Change: the shared parts of a prompt are traits beside the fingerprint. Three crashes, not all at once, block a part that no request has survived with; not while one request was in flight at all of them, since then it may be that request. A blocked part explains the crashes of the requests that hold it; a blocked request does not explain those of a part, as one that is repeated may crash several upstreams before its part is known. Ruled out: the part in flight at most crashes, without clearing: parts that many requests share are in flight at each of them.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -13,9 +13,13 @@
 // count as one that does not crash upstreams.
 const survivalTime = time.Second
 
-// traits names the properties of a request by which it may crash upstreams.
-func (r *request) traits() poison.Request {
-	return poison.Request{Fingerprint: r.Fingerprint}
+// traitsOf names the properties of a request by which it may crash upstreams.
+func traitsOf(r *Request) poison.Request {
+	traits := poison.Request{Fingerprint: r.Fingerprint}
+	for _, p := range r.Prompt.shared() {
+		traits.Parts = append(traits.Parts, p.ID)
+	}
+	return traits
 }
 
 // runID identifies the run of an instance from its start on.
@@ -39,9 +43,9 @@
 	}
 	u := r.upstream
 	if r.hasSurvived(now) {
-		s.poison.Succeeded(now, r.traits())
+		s.poison.Succeeded(now, r.traits)
 	} else {
-		s.poison.Broken(now, runID(u.Instance), r.traits())
+		s.poison.Broken(now, runID(u.Instance), r.traits)
 	}
 	if !s.probing[u.ID] {
 		s.probing[u.ID] = true
@@ -72,7 +76,7 @@
 	for _, r := range s.requests {
 		if !r.survived && r.upstream != nil && r.hasSurvived(now) {
 			r.survived = true
-			s.poison.Succeeded(now, r.traits())
+			s.poison.Succeeded(now, r.traits)
 		}
 	}
 }
@@ -80,7 +84,7 @@
 // refuseIfBlocked ends a request if requests like it crash upstreams. It may come back
 // once they are no longer refused.
 func (s *State) refuseIfBlocked(now time.Time, r *request) bool {
-	_, until, blocked := s.poison.Blocked(now, r.traits())
+	_, until, blocked := s.poison.Blocked(now, r.traits)
 	if !blocked {
 		return false
 	}
@@ -117,7 +121,7 @@
 	for _, key := range s.queueOrder {
 		for _, list := range s.queues[key].byOrg {
 			for _, r := range append([]*request(nil), list...) {
-				if _, _, blocked := s.poison.Blocked(now, r.traits()); blocked {
+				if _, _, blocked := s.poison.Blocked(now, r.traits); blocked {
 					s.dequeue(r)
 					s.refuseIfBlocked(now, r)
 				}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -8,7 +8,7 @@
 
 // handleArrival admits a new request: it is sent, waits, or is refused immediately.
 func (s *State) handleArrival(now time.Time, req *Request) {
-	r := &request{Request: req, class: classify(req.Prompt), arrivedAt: now, expiresAt: req.Deadline, lastEventID: req.ResumeAfter}
+	r := &request{Request: req, class: classify(req.Prompt), traits: traitsOf(req), arrivedAt: now, expiresAt: req.Deadline, lastEventID: req.ResumeAfter}
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
 	}
@@ -218,7 +218,7 @@
 		return
 	}
 	s.health.RecordSuccess(r.upstream.ID, r.Service, now)
-	s.poison.Succeeded(now, r.traits())
+	s.poison.Succeeded(now, r.traits)
 	s.releaseAttempt(r)
 	delete(s.requests, r.ID)
 	s.drainService(now, r.Service)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -58,6 +58,7 @@
 type request struct {
 	*Request
 	class     workloadClass
+	traits    poison.Request
 	arrivedAt time.Time
 	// expiresAt is when the request has to end.
 	expiresAt time.Time
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -7,11 +7,14 @@
 
 const (
 	// crashThreshold is the number of crashes that blocks a trait, unless a request with
-	// it has succeeded since the first of them.
+	// it has succeeded since the first of them. Those that block a part of prompts must
+	// also be spread over partSpan: many requests share it, and upstreams of a failure
+	// domain may be lost together.
 	crashThreshold = 3
+	partSpan       = 250 * time.Millisecond
 	// provenThreshold is the same for a trait with which requests had succeeded before: it
-	// is more likely to have been in flight by chance. The crashes must then also be
-	// spread over provenSpan, since upstreams of a failure domain may be lost together.
+	// is more likely to have been in flight by chance. The crashes must then be spread over
+	// provenSpan.
 	provenThreshold = 5
 	provenSpan      = 2 * time.Second
 	// BlockTime is how long a trait is blocked, and CrashTTL how long a crash counts.
@@ -45,20 +48,30 @@
 // Kind says what a Trait's ID identifies.
 type Kind uint8
 
-// KindRequest means that the ID is a request's fingerprint, which its repetitions share.
-const KindRequest Kind = 1
+const (
+	// KindRequest means that the ID is a request's fingerprint, which its repetitions share.
+	KindRequest Kind = iota + 1
+	// KindPart means that it is the id of a part of prompts.
+	KindPart
+)
 
 // Request names the traits of a request.
 type Request struct {
 	// Fingerprint is the same for each repetition of the request, 0 if not known.
 	Fingerprint uint64
+	// Parts are the ids of the parts of its prompt that other requests may share.
+	Parts []uint64
 }
 
 // traits lists the traits of a request.
-func (r Request) traits() (list []Trait) {
+func (r Request) traits() []Trait {
+	list := make([]Trait, 0, 1+len(r.Parts))
 	if r.Fingerprint != 0 {
 		list = append(list, Trait{KindRequest, r.Fingerprint})
 	}
+	for _, id := range r.Parts {
+		list = append(list, Trait{KindPart, id})
+	}
 	return list
 }
 
@@ -67,6 +80,8 @@
 	switch k {
 	case KindRequest:
 		return "request"
+	case KindPart:
+		return "part"
 	}
 	return "unknown"
 }
@@ -364,7 +379,7 @@
 			continue
 		}
 		crashes := s.unexplained(now, t, p)
-		if !enough(crashes, p.proven) || len(crashes) <= len(most) {
+		if !enough(t.Kind, crashes, p.proven) || len(crashes) <= len(most) || s.sameRequest(t, crashes) {
 			continue
 		}
 		if len(crashes) >= provenThreshold || len(s.rivals(now, t, crashes)) == 0 {
@@ -375,20 +390,25 @@
 }
 
 // enough reports whether crashes, oldest first, suffice to block a trait.
-func enough(crashes []suspectedCrash, proven bool) bool {
-	if !proven {
-		return len(crashes) >= crashThreshold
+func enough(kind Kind, crashes []suspectedCrash, proven bool) bool {
+	threshold, span := crashThreshold, time.Duration(0)
+	switch {
+	case proven:
+		threshold, span = provenThreshold, provenSpan
+	case kind == KindPart:
+		span = partSpan
 	}
-	return len(crashes) >= provenThreshold && crashes[len(crashes)-1].at.Sub(crashes[0].at) >= provenSpan
+	return len(crashes) >= threshold && crashes[len(crashes)-1].at.Sub(crashes[0].at) >= span
 }
 
-// unexplained lists the crashes of a trait that no blocked trait explains.
+// unexplained lists the crashes of a trait that no blocked trait explains. A request that
+// is blocked does not explain those of a part: the part may be what is wrong with it.
 func (s *State) unexplained(now time.Time, t Trait, p *suspicion) (list []suspectedCrash) {
 	for _, c := range p.crashes {
 		u := s.runs[c.run]
 		explained := u != nil && slices.ContainsFunc(u.traits, func(other Trait) bool {
 			q := s.suspicions[other]
-			return other != t && q != nil && now.Before(q.blockedUntil)
+			return other != t && other.Kind >= t.Kind && q != nil && now.Before(q.blockedUntil)
 		})
 		if !explained && now.Sub(c.at) <= CrashTTL {
 			list = append(list, c)
@@ -397,12 +417,20 @@
 	return list
 }
 
-// rivals lists the other traits that were in flight at all crashes of a trait and that as
-// many crashes speak against.
+// sameRequest reports whether one request was in flight at all crashes of a part, so that
+// it may be that request that crashes upstreams, and not the part.
+func (s *State) sameRequest(t Trait, crashes []suspectedCrash) bool {
+	return t.Kind == KindPart && slices.ContainsFunc(s.sharedTraits(crashes), func(other Trait) bool {
+		return other.Kind == KindRequest
+	})
+}
+
+// rivals lists the other traits of the same kind that were in flight at all crashes of a
+// trait and that as many crashes speak against.
 func (s *State) rivals(now time.Time, t Trait, crashes []suspectedCrash) (list []Trait) {
 	for _, other := range s.sharedTraits(crashes) {
 		p := s.suspicions[other]
-		if other != t && p != nil && !p.proven && !now.Before(p.blockedUntil) && len(s.unexplained(now, other, p)) >= len(crashes) {
+		if other != t && other.Kind == t.Kind && p != nil && !p.proven && !now.Before(p.blockedUntil) && len(s.unexplained(now, other, p)) >= len(crashes) {
 			list = append(list, other)
 		}
 	}
