Judge crashes once peers have told of them, and parts by what stands before them

Cause, three times the same: a decision before what it depends on is known. - Each router judged when its own view reached three crashes; a part that two routers had in flight differently was blocked at one before the facts of the other came. Crashes now count for parts once the peers have had time to tell of them (100 ms, by relays 500). - Parts that always come together cannot be told apart by crashes, and at five all of them were blocked. A part's facts name the part before it; those before it are no rivals, so that the last one, which concerns the fewest requests, is blocked, and blocked at three. - A router knew only of its own successes before the first crash, so that what a peer had served was unproven to it. Facts now say so. Test: rows of TestPartsAreBlocked. Mutations, each seen by a row: parts before a part as rivals, successes of peers not told, the one without rivals not preferred, crashes judged at once.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -13,6 +13,21 @@
 // count as one that does not crash upstreams.
 const survivalTime = time.Second
 
+// directReportTime and relayedReportTime are how long peers take to report a crash, directly
+// or by relays: a few intervals of the reports.
+const (
+	directReportTime  = 100 * time.Millisecond
+	relayedReportTime = 500 * time.Millisecond
+)
+
+// crashReportTime returns how long peers take to report a crash.
+func crashReportTime(aggregatedByDomain bool) time.Duration {
+	if aggregatedByDomain {
+		return relayedReportTime
+	}
+	return directReportTime
+}
+
 // traitsOf names the properties of a request by which it may crash upstreams.
 func traitsOf(r *Request) poison.Request {
 	traits := poison.Request{Fingerprint: r.Fingerprint}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -159,6 +159,7 @@
 	case FleetChanged:
 		s.setRetryBudget(e.Routers)
 		s.aggregatedByDomain = e.AggregatedByDomain
+		s.poison.SetSettleTime(crashReportTime(e.AggregatedByDomain))
 	case PeerLost:
 		s.dropPeer(now, e.Peer)
 	}
@@ -298,7 +299,7 @@
 			u.samplePrefill(now, s.options.PrefillRate)
 		}
 		s.recordSurvivors(now)
-		s.poison.Expire(now)
+		s.poison.Tick(now)
 	}
 	if now.Sub(s.partitionedAt) >= partitionInterval {
 		s.partitionedAt = now
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -147,6 +147,7 @@
 	for _, f := range r.Crashes {
 		section = binary.LittleEndian.AppendUint64(section, f.Trait.ID)
 		section = binary.LittleEndian.AppendUint64(section, uint64(f.Run))
+		section = binary.LittleEndian.AppendUint64(section, f.Before)
 		section = appendVarints(section, uint64(f.Kind)<<1|boolToUint(f.Proven), uint64(f.Trait.Kind), uint64(f.Left/time.Second))
 	}
 	return appendSection(b, fieldCrashes, section)
@@ -295,7 +296,7 @@
 	failed = failed || in.failed
 	in = sectionReader{b: e.crashes}
 	for in.more() {
-		f := poison.Fact{Trait: poison.Trait{ID: in.id()}, Run: poison.RunID(in.id())}
+		f := poison.Fact{Trait: poison.Trait{ID: in.id()}, Run: poison.RunID(in.id()), Before: in.id()}
 		kind := in.number()
 		f.Kind, f.Proven = poison.FactKind(kind>>1), kind&1 != 0
 		f.Trait.Kind = poison.Kind(in.number())
--- a/internal/gateway/datagram_test.go
+++ b/internal/gateway/datagram_test.go
@@ -26,7 +26,7 @@
 	}
 	r.Contended = []uint32{5, 1 << 31}
 	r.Crashes = []poison.Fact{
-		{Kind: poison.FactSuspect, Trait: poison.Trait{Kind: poison.KindRequest, ID: 1 << 63}, Run: 1<<63 + 1},
+		{Kind: poison.FactSuspect, Trait: poison.Trait{Kind: poison.KindRequest, ID: 1 << 63}, Run: 1<<63 + 1, Before: 1 << 62, Proven: true},
 		{Kind: poison.FactBlocked, Trait: poison.Trait{Kind: poison.KindRequest, ID: 7}, Proven: true, Left: poison.BlockTime},
 	}
 	return r
--- a/internal/poison/facts.go
+++ b/internal/poison/facts.go
@@ -7,12 +7,14 @@
 type Fact struct {
 	Kind  FactKind
 	Trait Trait
-	// Run is the crash that a FactSuspect is about.
-	Run RunID
-	// Proven and Left qualify a FactBlocked: requests with the trait had succeeded before
-	// the crashes, and the time for which it is still blocked, in whole tens of seconds.
+	// Run is the crash that a FactSuspect is about, and Before the part before a part in the
+	// prompt of the request, 0 if it is the first.
+	Run    RunID
+	Before uint64
+	// Proven means that requests with the trait had succeeded before the crashes.
 	Proven bool
-	Left   time.Duration
+	// Left is the time for which a trait is still blocked, in whole units of leftUnit.
+	Left time.Duration
 }
 
 // FactKind says what a Fact states.
@@ -63,7 +65,7 @@
 	for _, f := range facts {
 		switch f.Kind {
 		case FactSuspect:
-			if s.suspect(now, f.Run, f.Trait) {
+			if s.suspect(now, f) {
 				if p := s.suspicions[f.Trait]; p.cleared {
 					s.announceCleared(now, f.Trait, p)
 				}
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -59,6 +59,45 @@
 				crash(s, at(1+float64(i)), RunID(i), Request{Fingerprint: 1, Parts: []uint64{1}}, numbered(i, 1, deadlyPart))
 			}
 		}, false, false},
+		{"parts that nobody has served and that come together", func(s *State) {
+			for i := range 3 {
+				crash(s, at(1+float64(i)), RunID(i), numbered(i, 1, deadlyPart))
+			}
+		}, true, false},
+		{"parts that come together, judged late", func(s *State) {
+			s.SetSettleTime(6 * time.Second)
+			for i := range 5 {
+				crash(s, at(float64(i)/2), RunID(i), numbered(i, 1, deadlyPart))
+			}
+		}, true, false},
+		{"the deadly one is told of later than what was in flight beside it", func(s *State) {
+			s.SetSettleTime(100 * time.Millisecond)
+			for i := range 3 {
+				crash(s, at(1+float64(i)), RunID(i), numbered(i, 1))
+				s.Learn(at(1.03+float64(i)), []Fact{{Kind: FactSuspect, Trait: Trait{KindPart, deadlyPart}, Run: RunID(i)}})
+				s.Tick(at(1.5 + float64(i)))
+			}
+			crash(s, at(4), 3, numbered(3, deadlyPart))
+		}, true, false},
+		{"the first part is the deadly one", func(s *State) {
+			for i := range 6 {
+				crash(s, at(1+float64(i)), RunID(i), numbered(i, deadlyPart, uint64(2+i/3)))
+			}
+			for i := range 3 {
+				crash(s, at(7+float64(i)/2), RunID(10+i), numbered(10+i, deadlyPart, uint64(10+i)))
+			}
+		}, true, false},
+		{"served elsewhere before, in flight beside the deadly one", func(s *State) {
+			peer := New()
+			peer.Succeeded(at(0), numbered(0, 1))
+			for i := range 3 {
+				crash(peer, at(1+float64(i)), RunID(i), numbered(i, 1))
+				s.Learn(at(1+float64(i)), peer.News(at(1+float64(i))))
+			}
+			for i := range 2 {
+				crash(s, at(4+float64(i)), RunID(3+i), numbered(3+i, deadlyPart))
+			}
+		}, false, false},
 		{"upstreams lost together", func(s *State) {
 			for i := range 6 {
 				crash(s, at(1), RunID(i), numbered(i, 1, deadlyPart))
@@ -69,6 +108,7 @@
 			g := NewWithT(t)
 			s := New()
 			row.play(s)
+			s.Tick(at(10))
 			g.Expect(blocked(s, at(10), numbered(200, deadlyPart))).To(Equal(row.part))
 			g.Expect(blocked(s, at(10), numbered(201, 1))).To(Equal(row.shared))
 		})
@@ -131,6 +171,7 @@
 	p := &simulation{now: epoch, rng: rand.New(rand.NewPCG(seed, 1))}
 	for range playRouters {
 		p.routers = append(p.routers, New())
+		p.routers[len(p.routers)-1].SetSettleTime(100 * time.Millisecond)
 	}
 	return p
 }
@@ -146,6 +187,9 @@
 		}
 		if step%5 == 0 {
 			p.exchange()
+			for _, s := range p.routers {
+				s.Tick(p.now)
+			}
 		}
 	}
 }
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -94,8 +94,10 @@
 	runs       map[RunID]*run
 	suspicions map[Trait]*suspicion
 	succeeded  recentTraits
-	// changed holds the traits whose suspicion has grown since the last judgement.
-	changed []Trait
+	// settleTime is how long the other routers may take to tell of a crash.
+	settleTime time.Duration
+	// pending holds the traits whose suspicion has grown since they were last judged.
+	pending []Trait
 	news    []Fact
 	changes []Change
 	// announcedAt is when the blocked traits were last announced.
@@ -116,6 +118,8 @@
 
 // suspicion is what speaks against a trait.
 type suspicion struct {
+	// before is the part before it in the latest prompt with a part, 0 if it is the first.
+	before uint64
 	// crashes are those since the last success, oldest first.
 	crashes []suspectedCrash
 	// recent counts the crashes regardless of successes.
@@ -254,16 +258,22 @@
 
 // suspectRequest records that a request was in flight at a crash, and tells the peers.
 func (s *State) suspectRequest(now time.Time, id RunID, r Request) {
+	var before uint64
 	for _, t := range r.traits() {
-		if s.suspect(now, id, t) {
-			s.news = append(s.news, Fact{Kind: FactSuspect, Trait: t, Run: id})
+		f := Fact{Kind: FactSuspect, Trait: t, Run: id, Proven: s.succeeded.has(now, t)}
+		if t.Kind == KindPart {
+			f.Before, before = before, t.ID
+		}
+		if s.suspect(now, f) {
+			s.news = append(s.news, f)
 		}
 	}
 }
 
 // suspect records that a request with a trait was in flight at a crash. It reports whether
 // that was news.
-func (s *State) suspect(now time.Time, id RunID, t Trait) bool {
+func (s *State) suspect(now time.Time, f Fact) bool {
+	id, t := f.Run, f.Trait
 	u := s.runOf(now, id)
 	if u == nil || slices.Contains(u.traits, t) {
 		return false
@@ -273,16 +283,20 @@
 		s.markCrashed(now, id, u)
 	}
 	p := s.suspicionOf(now, t)
-	if len(p.crashes) == 0 && p.recent == 0 {
+	if p.recent == 0 {
 		p.proven = s.succeeded.has(now, t)
 	}
+	p.proven = p.proven || f.Proven
 	p.crashes = append(p.crashes, suspectedCrash{run: id, at: now})
 	if len(p.crashes) > maxCrashes {
 		p.crashes = slices.Delete(p.crashes, 0, 1)
 	}
 	p.recent++
+	p.before = f.Before
 	p.lastCrash = now
-	s.changed = append(s.changed, t)
+	if !slices.Contains(s.pending, t) {
+		s.pending = append(s.pending, t)
+	}
 	return true
 }
 
@@ -342,14 +356,13 @@
 	s.news = append(s.news, Fact{Kind: FactCleared, Trait: t})
 }
 
-// judge blocks those of the changed traits that enough crashes speak against, the most
+// judge blocks those of the pending traits that enough crashes speak against, the most
 // suspect one first.
 func (s *State) judge(now time.Time) {
-	for len(s.changed) > 0 {
+	for {
 		worst, crashes := s.worst(now)
 		if len(crashes) == 0 {
-			s.changed = s.changed[:0]
-			return
+			break
 		}
 		for _, t := range append(s.rivals(now, worst, crashes), worst) {
 			p := s.suspicions[t]
@@ -357,6 +370,34 @@
 			s.news = append(s.news, Fact{Kind: FactBlocked, Trait: t, Proven: p.proven, Left: BlockTime - leftUnit})
 		}
 	}
+	s.pending = slices.DeleteFunc(s.pending, func(t Trait) bool {
+		p := s.suspicions[t]
+		return p == nil || len(p.crashes) == 0 || s.settled(now, t.Kind, p.crashes[len(p.crashes)-1])
+	})
+}
+
+// settled reports whether all routers have had time to tell which requests were in flight
+// at a crash. For requests that is not waited for: refusing one by mistake does little
+// harm, while its caller may repeat it at once.
+func (s *State) settled(now time.Time, kind Kind, c suspectedCrash) bool {
+	return kind == KindRequest || now.Sub(c.at) >= s.settleTime
+}
+
+// maxPrefix bounds the number of parts before a part that are looked at.
+const maxPrefix = 16
+
+// precedes reports whether a part stands before another one in its prompts.
+func (s *State) precedes(first, second Trait) bool {
+	for range maxPrefix {
+		p := s.suspicions[second]
+		if p == nil || p.before == 0 {
+			return false
+		}
+		if second = (Trait{KindPart, p.before}); second == first {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *State) block(now time.Time, t Trait, p *suspicion, c Change, until time.Time) {
@@ -369,21 +410,24 @@
 	s.changes = append(s.changes, c)
 }
 
-// worst returns the changed trait that most crashes speak against and these crashes, none
-// if no trait is to be blocked. While another trait was in flight at all of them, the next
-// crash is waited for, which only one of the two is likely to share.
+// worst returns the pending trait that most crashes speak against and these crashes, none
+// if no trait is to be blocked. While a trait has rivals, the next crash is waited for,
+// which only one of them is likely to share, until there are provenThreshold crashes.
 func (s *State) worst(now time.Time) (worst Trait, most []suspectedCrash) {
-	for _, t := range s.changed {
+	alone := false
+	for _, t := range s.pending {
 		p := s.suspicions[t]
 		if p == nil || now.Before(p.blockedUntil) {
 			continue
 		}
 		crashes := s.unexplained(now, t, p)
-		if !enough(t.Kind, crashes, p.proven) || len(crashes) <= len(most) || s.sameRequest(t, crashes) {
+		if len(crashes) < len(most) || !enough(t.Kind, crashes, p.proven) || s.sameRequest(t, crashes) {
 			continue
 		}
-		if len(crashes) >= provenThreshold || len(s.rivals(now, t, crashes)) == 0 {
-			worst, most = t, crashes
+		switch hasRivals := len(s.rivals(now, t, crashes)) > 0; {
+		case hasRivals && len(crashes) < provenThreshold:
+		case len(crashes) > len(most) || !hasRivals && !alone:
+			worst, most, alone = t, crashes, !hasRivals
 		}
 	}
 	return worst, most
@@ -410,7 +454,7 @@
 			q := s.suspicions[other]
 			return other != t && other.Kind >= t.Kind && q != nil && now.Before(q.blockedUntil)
 		})
-		if !explained && now.Sub(c.at) <= CrashTTL {
+		if !explained && now.Sub(c.at) <= CrashTTL && s.settled(now, t.Kind, c) {
 			list = append(list, c)
 		}
 	}
@@ -426,11 +470,13 @@
 }
 
 // rivals lists the other traits of the same kind that were in flight at all crashes of a
-// trait and that as many crashes speak against.
+// trait and that as many crashes speak against. The parts before a part are none: crashes
+// cannot tell them apart while they come together, and the last of them concerns the
+// fewest requests.
 func (s *State) rivals(now time.Time, t Trait, crashes []suspectedCrash) (list []Trait) {
 	for _, other := range s.sharedTraits(crashes) {
 		p := s.suspicions[other]
-		if other != t && other.Kind == t.Kind && p != nil && !p.proven && !now.Before(p.blockedUntil) && len(s.unexplained(now, other, p)) >= len(crashes) {
+		if other != t && other.Kind == t.Kind && p != nil && !p.proven && !s.precedes(other, t) && !now.Before(p.blockedUntil) && len(s.unexplained(now, other, p)) >= len(crashes) {
 			list = append(list, other)
 		}
 	}
@@ -455,8 +501,13 @@
 	return list
 }
 
-// Expire drops what no longer counts.
-func (s *State) Expire(now time.Time) {
+// SetSettleTime sets how long the other routers may take to tell of a crash.
+func (s *State) SetSettleTime(d time.Duration) { s.settleTime = d }
+
+// Tick judges the crashes of which all routers should have told by now, and drops what no
+// longer counts.
+func (s *State) Tick(now time.Time) {
+	s.judge(now)
 	s.expireRuns(now)
 	for t, p := range s.suspicions {
 		if now.Sub(p.lastCrash) > CrashTTL && !now.Before(p.blockedUntil) {
--- a/internal/poison/state_test.go
+++ b/internal/poison/state_test.go
@@ -131,7 +131,7 @@
 	_, until, _ := s.Blocked(at(3), deadly)
 	g.Expect(until).To(Equal(at(2).Add(BlockTime)))
 	g.Expect(blocked(s, until, deadly)).To(BeFalse())
-	s.Expire(until.Add(CrashTTL))
+	s.Tick(until.Add(CrashTTL))
 	g.Expect(s.suspicions).To(BeEmpty())
 	g.Expect(s.runs).To(BeEmpty())
 }
