Do not repeat requests that may have crashed an upstream

Callers saw: on routes that may be repeated each request with a deadly part ended two upstreams, and its caller's repeat two more. Cause: a broken connection is followed by a repeat on another upstream whatever is known of the request. Change: a request that breaks fails at once with 502 if one of its traits was in flight at a crash before and no request is known to have survived with it. One whose parts are known to be sound and that was in flight by chance is repeated as before. Ruled out: no repeats while anything is suspected; the many that are in flight beside a deadly request would all be lost.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -90,6 +90,43 @@
 	f.g.Expect(peer.last[id]).To(BeAssignableToTypeOf(Refuse{}))
 }
 
+// A request that may be what crashed an upstream is not sent to another one after it broke;
+// one whose parts others have survived with is.
+func TestSuspectedRequestIsNotRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		survived bool
+	}{{"suspected", false}, {"survived by others", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 4)
+			send := func() string {
+				f.seq++
+				id := fmt.Sprint("r", f.seq)
+				f.step(Arrive{&Request{
+					ID: id, Organisation: "org", Route: chat, Service: model, Deadline: f.now.Add(15 * time.Second), Fingerprint: uint64(f.seq),
+					Prompt: Prompt{Tokens: 600, MaxOutput: 300, Parts: []Part{{ID: 7, Tokens: 300}, {ID: uint64(f.seq) << 32, Tokens: 300}}},
+				}})
+				return id
+			}
+			first := send()
+			upstream := f.lastSend(first).Upstream
+			f.fail(first, Failed{Kind: core.FailTruncated, MayHaveRun: true})
+			f.step(Probed{Upstream: upstream, Refused: true})
+			f.g.Expect(f.lastSend(first).Attempt).To(Equal(2))
+			if c.survived {
+				f.step(Done{ID: first, Attempt: 2})
+			}
+			second := send()
+			f.fail(second, Failed{Kind: core.FailTruncated, MayHaveRun: true})
+			if c.survived {
+				f.g.Expect(f.lastSend(second).Attempt).To(Equal(2))
+			} else {
+				f.g.Expect(f.last[second]).To(Equal(Fail{ID: second, Reason: ReasonCrashes}))
+			}
+		})
+	}
+}
+
 // A request that waits when a peer tells that its repetitions crash upstreams is not sent.
 func TestWaitingRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
 	f := newFixture(t, 4)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -291,6 +291,9 @@
 	switch {
 	case r.responseStarted && !s.mayResume(r):
 		s.fail(now, r, Fail{ID: r.ID, Reason: ReasonBroken})
+	case brokenConnection(e) && s.poison.Suspected(r.traits):
+		// Another upstream might crash as well.
+		s.fail(now, r, Fail{ID: r.ID, Reason: ReasonCrashes})
 	case r.possibleRuns > 0 && !s.mayRetry(r):
 		s.fail(now, r, Fail{ID: r.ID, Reason: s.noRetryReason(r)})
 	case e.Local:
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -215,6 +215,17 @@
 	return Trait{}, time.Time{}, false
 }
 
+// Suspected reports whether a request has a trait that was in flight at a crash and that
+// no request is known to have survived with.
+func (s *State) Suspected(r Request) bool {
+	for _, t := range r.traits() {
+		if p := s.suspicions[t]; p != nil && !p.proven && len(p.crashes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Changes returns what has been blocked or released since the last call.
 func (s *State) Changes() []Change {
 	list := s.changes
