--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -38,9 +38,10 @@
 					return
 				}
 			case dispatch.Refuse:
-				g.logEnd(c, "refused", string(e.Reason), http.StatusServiceUnavailable, "retryAfter", e.RetryAfter, "share", e.Share)
+				status := refusalStatus(e.Reason)
+				g.logEnd(c, "refused", string(e.Reason), status, "retryAfter", e.RetryAfter, "share", e.Share)
 				g.metrics.recordRetryAfter(string(e.Reason), e.RetryAfter)
-				writeStatus(w, http.StatusServiceUnavailable, e.RetryAfter)
+				writeStatus(w, status, e.RetryAfter)
 				return
 			case dispatch.Fail:
 				g.fail(w, c, e)
@@ -50,6 +51,15 @@
 	}
 }
 
+// refusalStatus returns the status of a refusal: 429 tells an organisation that it asks
+// for more than its share, 503 that the service has no room.
+func refusalStatus(reason dispatch.Reason) int {
+	if reason == dispatch.ReasonOverShare {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
 // fail writes the final answer of a request that may have run.
 func (g *Gateway) fail(w http.ResponseWriter, c *call, e dispatch.Fail) {
 	status := http.StatusBadGateway
--- a/internal/gateway/effects_test.go
+++ b/internal/gateway/effects_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -54,6 +55,30 @@
 	}
 }
 
+// An organisation over its share is told so; other refusals say that there is no room.
+func TestRefusalStatus(t *testing.T) {
+	g := NewWithT(t)
+	for reason, want := range map[dispatch.Reason]int{
+		dispatch.ReasonOverShare: 429, dispatch.ReasonOverloaded: 503, dispatch.ReasonNoUpstream: 503, dispatch.ReasonCrashes: 503,
+	} {
+		near, _ := tcpPair(t)
+		gateway := &Gateway{dispatcher: dispatch.New(dispatch.DefaultOptions()), calls: make(map[string]*call)}
+		var err error
+		gateway.metrics, err = newMetrics(gateway)
+		g.Expect(err).NotTo(HaveOccurred())
+		c := &call{
+			key: "id", request: &dispatch.Request{ID: "id", Route: &routing.Route{Name: "draft"}},
+			effects: make(chan dispatch.Effect, effectQueueSize),
+		}
+		c.deliver(dispatch.Refuse{ID: "id", Reason: reason, RetryAfter: time.Second})
+		r := httptest.NewRequest("POST", "/", nil)
+		w := httptest.NewRecorder()
+		gateway.executeEffects(w, r.WithContext(withConn(r.Context(), near)), c)
+		g.Expect(w.Code).To(Equal(want), string(reason))
+		g.Expect(w.Header().Get("Retry-After")).To(Equal("1.000"))
+	}
+}
+
 // tcpPair returns both ends of a TCP connection over loopback.
 func tcpPair(t *testing.T) (near, far net.Conn) {
 	t.Helper()
