Clear what counts against a request of the product's interface by a success

A request that its organisation sends often (one without a body: all repetitions are alike) is in flight at two crashes within half an hour by chance, and was then refused for the rest of it with 422. Change: an upstream that completes a request clears its crashes, at all routers, as an operator's release does. Ruled out: the platform's reducer (internal/poison) in its place: it has no release by operators and no notices over the peers' connections; one of the two should go, which is not done here.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -114,6 +114,7 @@
 	}
 	s.releaseSlot(a, ev.Cost)
 	effects := s.notifyLeaving(a, ev.Leaving, now)
+	effects = append(effects, s.hooks.ReportSuccess(now, r.Organisation, r.Fingerprint)...)
 	if r.committed != a {
 		return effects
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,6 +38,7 @@
 func (f *fakeHooks) FailClaim(time.Time, core.RequestID, bool) []core.Effect          { return nil }
 func (f *fakeHooks) AbandonClaim(time.Time, core.RequestID) []core.Effect             { return nil }
 func (f *fakeHooks) ReportCrash(time.Time, string, [32]byte, string) []core.Effect    { return nil }
+func (f *fakeHooks) ReportSuccess(time.Time, string, [32]byte) []core.Effect          { return nil }
 func (f *fakeHooks) RecordFirstByte(time.Time, string, string, time.Duration)         {}
 func (f *fakeHooks) RecordFirstSend(string)                                           {}
 func (f *fakeHooks) TakeRetry(string) bool                                            { f.retries--; return f.retries >= 0 }
--- a/internal/entry/hooks.go
+++ b/internal/entry/hooks.go
@@ -25,6 +25,8 @@
 	// ReportCrash records that a request was in flight when an upstream
 	// crashed.
 	ReportCrash(now time.Time, org string, fingerprint [32]byte, upstream string) []core.Effect
+	// ReportSuccess records that an upstream completed a request.
+	ReportSuccess(now time.Time, org string, fingerprint [32]byte) []core.Effect
 	// RecordFirstByte records an upstream's time to the first byte of an
 	// answer.
 	RecordFirstByte(now time.Time, service, upstream string, latency time.Duration)
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -83,6 +83,19 @@
 	return s.broadcast(crashNotice(organisation, fingerprint, c))
 }
 
+// RecordSuccess records that an upstream has completed a request: what crashed the others
+// was another one. It returns the effects that notify the peers if crashes counted against
+// the request.
+func (s *State) RecordSuccess(now time.Time, organisation string, fingerprint Fingerprint) []core.Effect {
+	e := s.organisations[organisation][fingerprint]
+	if e == nil || len(e.crashes) == 0 {
+		return nil
+	}
+	at := now.Truncate(time.Millisecond)
+	s.applyRelease(now, organisation, fingerprint, at)
+	return s.broadcast(releaseNotice(organisation, fingerprint, at))
+}
+
 // Step handles an event and returns the resulting effects. Events that do not
 // concern quarantine are ignored.
 func (s *State) Step(now time.Time, ev core.Event) []core.Effect {
--- a/internal/quarantine/state_test.go
+++ b/internal/quarantine/state_test.go
@@ -107,6 +107,25 @@
 	g.Expect(blocked).To(BeFalse())
 }
 
+// A request that was in flight at crashes by chance is not refused: it succeeds between
+// them, at this router or another one.
+func TestSuccessClearsCrashes(t *testing.T) {
+	g := NewWithT(t)
+	a, b := New(), New()
+	a.SetPeers([]core.RouterID{"b.1"})
+	g.Expect(a.RecordSuccess(at(0), org, testFingerprint)).To(BeEmpty())
+	deliver(b, at(0), a.RecordCrash(at(0), org, testFingerprint, "u1"))
+	deliver(b, at(1), a.RecordSuccess(at(1), org, testFingerprint))
+	deliver(b, at(2), a.RecordCrash(at(2), org, testFingerprint, "u2"))
+	for _, s := range []*State{a, b} {
+		_, blocked := s.Blocked(at(3), org, testFingerprint)
+		g.Expect(blocked).To(BeFalse())
+	}
+	deliver(b, at(4), a.RecordCrash(at(4), org, testFingerprint, "u3"))
+	_, blocked := b.Blocked(at(4), org, testFingerprint)
+	g.Expect(blocked).To(BeTrue())
+}
+
 func TestBounds(t *testing.T) {
 	g := NewWithT(t)
 	s := New()
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -174,6 +174,10 @@
 	return h.s.quarantine.RecordCrash(now, org, fingerprint, upstream)
 }
 
+func (h *entryHooks) ReportSuccess(now time.Time, org string, fingerprint [32]byte) []core.Effect {
+	return h.s.quarantine.RecordSuccess(now, org, fingerprint)
+}
+
 func (h *entryHooks) RecordFirstByte(now time.Time, service, upstream string, latency time.Duration) {
 	h.s.health.RecordFirstByte(upstream, service, now, latency)
 }
