Rank what is suspected of crashes by all that is known

Cause: crashes counted only once peers had had time to tell of them, also for comparing traits. In a storm each moment then shows a few crashes at which several are equally suspect, though those known by then tell them apart. Change: only the crashes that block have to be settled; the order and the rivals are by all that is known. A trait that another one surpasses, in flight at all its crashes and at more, is never blocked. 64 crashes are remembered of a trait, for 16. Ruled out: a longer wait; it only delays the block of the deadly part. Test: TestPartsAreBlocked, 'beside the deadly one at many crashes', failed before.

--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -79,6 +79,16 @@
 			}
 			crash(s, at(4), 3, numbered(3, deadlyPart))
 		}, true, false},
+		{"beside the deadly one at many crashes", func(s *State) {
+			s.SetSettleTime(500 * time.Millisecond)
+			for i := range 30 {
+				requests := []Request{numbered(2*i, 2, deadlyPart)}
+				if i < 6 {
+					requests = append(requests, numbered(2*i+1, 1))
+				}
+				crash(s, at(1+float64(i)/20), RunID(i), requests...)
+			}
+		}, true, false},
 		{"the first part is the deadly one", func(s *State) {
 			for i := range 6 {
 				crash(s, at(1+float64(i)), RunID(i), numbered(i, deadlyPart, uint64(2+i/3)))
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -21,7 +21,7 @@
 	BlockTime = 10 * time.Minute
 	CrashTTL  = 10 * time.Minute
 	// maxCrashes bounds the crashes remembered for one trait.
-	maxCrashes = 16
+	maxCrashes = 64
 	// maxSuspicions bounds the traits under suspicion, and maxBlocked those that are
 	// blocked. The one whose last crash is oldest is dropped.
 	maxSuspicions = 4096
@@ -422,8 +422,9 @@
 }
 
 // worst returns the pending trait that most crashes speak against and these crashes, none
-// if no trait is to be blocked. While a trait has rivals, the next crash is waited for,
-// which only one of them is likely to share, until there are provenThreshold crashes.
+// if no trait is to be blocked. A trait with a rival against which more crashes speak is
+// not blocked. While it has one with as many, the next crash is waited for, which only one
+// of them is likely to share, until there are provenThreshold crashes.
 func (s *State) worst(now time.Time) (worst Trait, most []suspectedCrash) {
 	alone := false
 	for _, t := range s.pending {
@@ -432,11 +433,16 @@
 			continue
 		}
 		crashes := s.unexplained(now, t, p)
-		if len(crashes) < len(most) || !enough(t.Kind, crashes, p.proven) || s.sameRequest(t, crashes) {
+		if len(crashes) < len(most) || !s.enough(now, t.Kind, crashes, p.proven) || s.sameRequest(t, crashes) {
 			continue
 		}
-		switch hasRivals := len(s.rivals(now, t, crashes)) > 0; {
-		case hasRivals && len(crashes) < provenThreshold:
+		hasRivals, surpassed := false, false
+		for _, other := range s.rivals(now, t, crashes) {
+			hasRivals = true
+			surpassed = surpassed || len(s.unexplained(now, other, s.suspicions[other])) > len(crashes)
+		}
+		switch {
+		case surpassed, hasRivals && len(crashes) < provenThreshold:
 		case len(crashes) > len(most) || !hasRivals && !alone:
 			worst, most, alone = t, crashes, !hasRivals
 		}
@@ -444,8 +450,9 @@
 	return worst, most
 }
 
-// enough reports whether crashes, oldest first, suffice to block a trait.
-func enough(kind Kind, crashes []suspectedCrash, proven bool) bool {
+// enough reports whether crashes, oldest first, suffice to block a trait. Only those count
+// of which all routers have had time to tell.
+func (s *State) enough(now time.Time, kind Kind, crashes []suspectedCrash, proven bool) bool {
 	threshold, span := crashThreshold, time.Duration(0)
 	switch {
 	case proven:
@@ -453,7 +460,11 @@
 	case kind == KindPart:
 		span = partSpan
 	}
-	return len(crashes) >= threshold && crashes[len(crashes)-1].at.Sub(crashes[0].at) >= span
+	settled := len(crashes)
+	for settled > 0 && !s.settled(now, kind, crashes[settled-1]) {
+		settled--
+	}
+	return settled >= threshold && crashes[settled-1].at.Sub(crashes[0].at) >= span
 }
 
 // unexplained lists the crashes of a trait that no blocked trait explains. A request that
@@ -465,7 +476,7 @@
 			q := s.suspicions[other]
 			return other != t && other.Kind >= t.Kind && q != nil && now.Before(q.blockedUntil)
 		})
-		if !explained && now.Sub(c.at) <= CrashTTL && s.settled(now, t.Kind, c) {
+		if !explained && now.Sub(c.at) <= CrashTTL {
 			list = append(list, c)
 		}
 	}
