Release requests whose crashes a blocked part explains

Change: when a part is blocked, requests at all of whose crashes it was in flight are released, and a peer's block of one is not taken over; those that hold the part are refused for it. Test: TestBlockOfThePartReleasesRequests, failed before.

--- a/internal/poison/facts.go
+++ b/internal/poison/facts.go
@@ -83,11 +83,11 @@
 }
 
 // learnBlock blocks a trait that another router has blocked, unless requests with it
-// succeed here.
+// succeed here, or a blocked part explains its crashes.
 func (s *State) learnBlock(now time.Time, f Fact) {
 	left := min(f.Left, BlockTime)
 	p := s.suspicionOf(now, f.Trait)
-	if now.Before(p.blockedUntil) || left < leftUnit {
+	if now.Before(p.blockedUntil) || left < leftUnit || s.explainedByPart(now, f.Trait, p) {
 		return
 	}
 	if s.succeeded.has(now, f.Trait) && !f.Proven {
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -279,3 +279,22 @@
 		}
 	}
 }
+
+// A request that was in flight at crashes by chance and was blocked before the deadly part
+// was known is released once it is, and not blocked again by a peer that has not seen that.
+func TestBlockOfThePartReleasesRequests(t *testing.T) {
+	g := NewWithT(t)
+	s, peer := New(), New()
+	s.SetSettleTime(100 * time.Millisecond)
+	peer.Learn(at(3), []Fact{{Kind: FactBlocked, Trait: Trait{KindRequest, sound.Fingerprint}, Left: BlockTime}})
+	for i := range 3 {
+		crash(s, at(1+float64(i)), RunID(i), sound, numbered(i, deadlyPart))
+	}
+	g.Expect(blocked(s, at(3), sound)).To(BeTrue())
+	crash(s, at(3.5), 3, numbered(3, deadlyPart))
+	s.Tick(at(3.7))
+	g.Expect(blocked(s, at(3.7), numbered(9, deadlyPart))).To(BeTrue())
+	g.Expect(blocked(s, at(3.7), sound)).To(BeFalse())
+	s.Learn(at(4), peer.News(at(4)))
+	g.Expect(blocked(s, at(4), sound)).To(BeFalse())
+}
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -411,6 +411,8 @@
 	return false
 }
 
+// block blocks a trait. Requests that were blocked before and whose crashes a part explains
+// are released: those that hold the part are refused for it.
 func (s *State) block(now time.Time, t Trait, p *suspicion, c Change, until time.Time) {
 	if s.BlockedTraits(now) >= maxBlocked {
 		s.dropOldest(func(p *suspicion) bool { return now.Before(p.blockedUntil) })
@@ -419,6 +421,26 @@
 	s.suspicions[t] = p
 	s.succeeded.remove(t)
 	s.changes = append(s.changes, c)
+	for other, q := range s.suspicions {
+		if t.Kind == KindPart && now.Before(q.blockedUntil) && s.explainedByPart(now, other, q) {
+			q.blockedUntil = time.Time{}
+			s.changes = append(s.changes, Change{Trait: other, Crashes: len(q.crashes)})
+		}
+	}
+}
+
+// explainedByPart reports whether a blocked part was in flight at each crash of a request.
+func (s *State) explainedByPart(now time.Time, t Trait, p *suspicion) bool {
+	if t.Kind != KindRequest || len(p.crashes) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(p.crashes, func(c suspectedCrash) bool {
+		u := s.runs[c.run]
+		return u == nil || !slices.ContainsFunc(u.traits, func(other Trait) bool {
+			q := s.suspicions[other]
+			return other.Kind == KindPart && q != nil && now.Before(q.blockedUntil)
+		})
+	})
 }
 
 // worst returns the pending trait that most crashes speak against and these crashes, none
