Judge parts at ticks, and none before a part behind it

Test: rows of TestPartsAreBlocked (a part before the deadly one, once in flight without it; parts that come together, and another one, at five crashes), each seen to fail without its change; BenchmarkStorm.

--- a/internal/poison/facts.go
+++ b/internal/poison/facts.go
@@ -79,7 +79,7 @@
 			s.learnBlock(now, f)
 		}
 	}
-	s.judge(now)
+	s.judgeRequests(now)
 }
 
 // learnBlock blocks a trait that another router has blocked, unless requests with it
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -89,6 +89,17 @@
 				crash(s, at(1+float64(i)/20), RunID(i), requests...)
 			}
 		}, true, false},
+		{"a part before the deadly one, once in flight without it", func(s *State) {
+			crash(s, at(1), 1, numbered(1, 1))
+			crash(s, at(2), 2, numbered(2, 1, deadlyPart))
+			crash(s, at(3), 3, numbered(3, 1, deadlyPart))
+		}, false, false},
+		{"parts that come together, and another one, at five crashes", func(s *State) {
+			s.SetSettleTime(6 * time.Second)
+			for i := range 5 {
+				crash(s, at(float64(i)/2), RunID(i), numbered(i, 1, deadlyPart), numbered(10+i, 2))
+			}
+		}, true, false},
 		{"the first part is the deadly one", func(s *State) {
 			for i := range 6 {
 				crash(s, at(1+float64(i)), RunID(i), numbered(i, deadlyPart, uint64(2+i/3)))
--- a/internal/poison/state.go
+++ b/internal/poison/state.go
@@ -96,6 +96,8 @@
 	succeeded  recentTraits
 	// settleTime is how long the other routers may take to tell of a crash.
 	settleTime time.Duration
+	// blocked holds the traits that are blocked, and some that no longer are.
+	blocked []Trait
 	// pending holds the traits whose suspicion has grown since they were last judged.
 	pending []Trait
 	news    []Fact
@@ -113,7 +115,16 @@
 	crashedAt time.Time
 	broken    []Request
 	// traits are those of the requests that were in flight at the crash.
-	traits []Trait
+	traits map[Trait]struct{}
+}
+
+// has reports whether a request with a trait was in flight at the crash.
+func (u *run) has(t Trait) bool {
+	if u == nil {
+		return false
+	}
+	_, ok := u.traits[t]
+	return ok
 }
 
 // suspicion is what speaks against a trait.
@@ -127,6 +138,8 @@
 	// proven means that a request with the trait had succeeded before the first crash, and
 	// cleared that one has since.
 	proven, cleared bool
+	// pending means that the trait is in State.pending.
+	pending bool
 	// contested means that another router has blocked the trait, while requests with it
 	// succeed here.
 	contested    bool
@@ -163,7 +176,7 @@
 	case u == nil:
 	case u.crashed:
 		s.suspectRequest(now, id, r)
-		s.judge(now)
+		s.judgeRequests(now)
 	case len(u.broken) < maxBroken:
 		u.broken = append(u.broken, r)
 	}
@@ -176,7 +189,7 @@
 		return
 	}
 	s.markCrashed(now, id, u)
-	s.judge(now)
+	s.judgeRequests(now)
 }
 
 // markCrashed brings the requests whose connections broke in a run under suspicion.
@@ -234,13 +247,17 @@
 }
 
 // BlockedTraits returns the number of traits that are blocked.
-func (s *State) BlockedTraits(now time.Time) (n int) {
-	for _, p := range s.suspicions {
-		if now.Before(p.blockedUntil) {
-			n++
-		}
-	}
-	return n
+func (s *State) BlockedTraits(now time.Time) int { return len(s.blockedNow(now)) }
+
+// blockedNow lists the traits that are blocked.
+func (s *State) blockedNow(now time.Time) []Trait {
+	s.blocked = slices.DeleteFunc(s.blocked, func(t Trait) bool { return !s.isBlocked(now, t) })
+	return s.blocked
+}
+
+func (s *State) isBlocked(now time.Time, t Trait) bool {
+	p := s.suspicions[t]
+	return p != nil && now.Before(p.blockedUntil)
 }
 
 // runOf returns a run of an upstream and creates it if needed; nil if there are too many.
@@ -254,7 +271,7 @@
 			return nil
 		}
 	}
-	u = &run{at: now}
+	u = &run{at: now, traits: make(map[Trait]struct{})}
 	s.runs[id] = u
 	return u
 }
@@ -286,10 +303,10 @@
 func (s *State) suspect(now time.Time, f Fact) bool {
 	id, t := f.Run, f.Trait
 	u := s.runOf(now, id)
-	if u == nil || slices.Contains(u.traits, t) {
+	if u == nil || u.has(t) {
 		return false
 	}
-	u.traits = append(u.traits, t)
+	u.traits[t] = struct{}{}
 	if !u.crashed {
 		s.markCrashed(now, id, u)
 	}
@@ -305,7 +322,8 @@
 	p.recent++
 	p.before = f.Before
 	p.lastCrash = now
-	if !slices.Contains(s.pending, t) {
+	if !p.pending {
+		p.pending = true
 		s.pending = append(s.pending, t)
 	}
 	return true
@@ -367,184 +385,6 @@
 	s.news = append(s.news, Fact{Kind: FactCleared, Trait: t})
 }
 
-// judge blocks those of the pending traits that enough crashes speak against, the most
-// suspect one first.
-func (s *State) judge(now time.Time) {
-	for {
-		worst, crashes := s.worst(now)
-		if len(crashes) == 0 {
-			break
-		}
-		for _, t := range append(s.rivals(now, worst, crashes), worst) {
-			p := s.suspicions[t]
-			s.block(now, t, p, Change{Trait: t, Blocked: true, Crashes: len(crashes)}, now.Add(BlockTime))
-			s.news = append(s.news, Fact{Kind: FactBlocked, Trait: t, Proven: p.proven, Left: BlockTime - leftUnit})
-		}
-	}
-	s.pending = slices.DeleteFunc(s.pending, func(t Trait) bool {
-		p := s.suspicions[t]
-		return p == nil || len(p.crashes) == 0 || s.settled(now, t.Kind, p.crashes[len(p.crashes)-1])
-	})
-}
-
-// settled reports whether all routers have had time to tell which requests were in flight
-// at a crash. For requests that is not waited for: refusing one by mistake does little
-// harm, while its caller may repeat it at once.
-func (s *State) settled(now time.Time, kind Kind, c suspectedCrash) bool {
-	return kind == KindRequest || now.Sub(c.at) >= s.settleTime
-}
-
-// maxPrefix bounds the number of parts before a part that are looked at.
-const maxPrefix = 16
-
-// precedes reports whether a part stands before another one in its prompts.
-func (s *State) precedes(first, second Trait) bool {
-	for range maxPrefix {
-		p := s.suspicions[second]
-		if p == nil || p.before == 0 {
-			return false
-		}
-		if second = (Trait{KindPart, p.before}); second == first {
-			return true
-		}
-	}
-	return false
-}
-
-// block blocks a trait. Requests that were blocked before and whose crashes a part explains
-// are released: those that hold the part are refused for it.
-func (s *State) block(now time.Time, t Trait, p *suspicion, c Change, until time.Time) {
-	if s.BlockedTraits(now) >= maxBlocked {
-		s.dropOldest(func(p *suspicion) bool { return now.Before(p.blockedUntil) })
-	}
-	p.blockedUntil = until
-	s.suspicions[t] = p
-	s.succeeded.remove(t)
-	s.changes = append(s.changes, c)
-	for other, q := range s.suspicions {
-		if t.Kind == KindPart && now.Before(q.blockedUntil) && s.explainedByPart(now, other, q) {
-			q.blockedUntil = time.Time{}
-			s.changes = append(s.changes, Change{Trait: other, Crashes: len(q.crashes)})
-		}
-	}
-}
-
-// explainedByPart reports whether a blocked part was in flight at each crash of a request.
-func (s *State) explainedByPart(now time.Time, t Trait, p *suspicion) bool {
-	if t.Kind != KindRequest || len(p.crashes) == 0 {
-		return false
-	}
-	return !slices.ContainsFunc(p.crashes, func(c suspectedCrash) bool {
-		u := s.runs[c.run]
-		return u == nil || !slices.ContainsFunc(u.traits, func(other Trait) bool {
-			q := s.suspicions[other]
-			return other.Kind == KindPart && q != nil && now.Before(q.blockedUntil)
-		})
-	})
-}
-
-// worst returns the pending trait that most crashes speak against and these crashes, none
-// if no trait is to be blocked. A trait with a rival against which more crashes speak is
-// not blocked. While it has one with as many, the next crash is waited for, which only one
-// of them is likely to share, until there are provenThreshold crashes.
-func (s *State) worst(now time.Time) (worst Trait, most []suspectedCrash) {
-	alone := false
-	for _, t := range s.pending {
-		p := s.suspicions[t]
-		if p == nil || now.Before(p.blockedUntil) {
-			continue
-		}
-		crashes := s.unexplained(now, t, p)
-		if len(crashes) < len(most) || !s.enough(now, t.Kind, crashes, p.proven) || s.sameRequest(t, crashes) {
-			continue
-		}
-		hasRivals, surpassed := false, false
-		for _, other := range s.rivals(now, t, crashes) {
-			hasRivals = true
-			surpassed = surpassed || len(s.unexplained(now, other, s.suspicions[other])) > len(crashes)
-		}
-		switch {
-		case surpassed, hasRivals && len(crashes) < provenThreshold:
-		case len(crashes) > len(most) || !hasRivals && !alone:
-			worst, most, alone = t, crashes, !hasRivals
-		}
-	}
-	return worst, most
-}
-
-// enough reports whether crashes, oldest first, suffice to block a trait. Only those count
-// of which all routers have had time to tell.
-func (s *State) enough(now time.Time, kind Kind, crashes []suspectedCrash, proven bool) bool {
-	threshold, span := crashThreshold, time.Duration(0)
-	switch {
-	case proven:
-		threshold, span = provenThreshold, provenSpan
-	case kind == KindPart:
-		span = partSpan
-	}
-	settled := len(crashes)
-	for settled > 0 && !s.settled(now, kind, crashes[settled-1]) {
-		settled--
-	}
-	return settled >= threshold && crashes[settled-1].at.Sub(crashes[0].at) >= span
-}
-
-// unexplained lists the crashes of a trait that no blocked trait explains. A request that
-// is blocked does not explain those of a part: the part may be what is wrong with it.
-func (s *State) unexplained(now time.Time, t Trait, p *suspicion) (list []suspectedCrash) {
-	for _, c := range p.crashes {
-		u := s.runs[c.run]
-		explained := u != nil && slices.ContainsFunc(u.traits, func(other Trait) bool {
-			q := s.suspicions[other]
-			return other != t && other.Kind >= t.Kind && q != nil && now.Before(q.blockedUntil)
-		})
-		if !explained && now.Sub(c.at) <= CrashTTL {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
-// sameRequest reports whether one request was in flight at all crashes of a part, so that
-// it may be that request that crashes upstreams, and not the part.
-func (s *State) sameRequest(t Trait, crashes []suspectedCrash) bool {
-	return t.Kind == KindPart && slices.ContainsFunc(s.sharedTraits(crashes), func(other Trait) bool {
-		return other.Kind == KindRequest
-	})
-}
-
-// rivals lists the other traits of the same kind that were in flight at all crashes of a
-// trait and that as many crashes speak against. The parts before a part are none: crashes
-// cannot tell them apart while they come together, and the last of them concerns the
-// fewest requests.
-func (s *State) rivals(now time.Time, t Trait, crashes []suspectedCrash) (list []Trait) {
-	for _, other := range s.sharedTraits(crashes) {
-		p := s.suspicions[other]
-		if other != t && other.Kind == t.Kind && p != nil && !p.proven && !s.precedes(other, t) && !now.Before(p.blockedUntil) && len(s.unexplained(now, other, p)) >= len(crashes) {
-			list = append(list, other)
-		}
-	}
-	return list
-}
-
-// sharedTraits lists the traits that were in flight at each of the crashes.
-func (s *State) sharedTraits(crashes []suspectedCrash) (list []Trait) {
-	first := s.runs[crashes[0].run]
-	if first == nil {
-		return nil
-	}
-	for _, t := range first.traits {
-		inAll := !slices.ContainsFunc(crashes, func(c suspectedCrash) bool {
-			u := s.runs[c.run]
-			return u == nil || !slices.Contains(u.traits, t)
-		})
-		if inAll {
-			list = append(list, t)
-		}
-	}
-	return list
-}
-
 // SetSettleTime sets how long the other routers may take to tell of a crash.
 func (s *State) SetSettleTime(d time.Duration) { s.settleTime = d }
 
--- a/internal/poison/state_test.go
+++ b/internal/poison/state_test.go
@@ -25,6 +25,7 @@
 		s.Broken(now, id, r)
 	}
 	s.Crashed(now, id)
+	s.Tick(now)
 }
 
 func blocked(s *State, now time.Time, r Request) bool {
