Go on watching the store while no router reaches it

Cause: the relays of a failure domain name the routers that watch the store, of those that reach it. A router that is named and finds the store away says so, and another one is named. Once all have tried, none was named, so that none asked again and none noticed that the store was back. Change: if too few routers reach the store, the first of the others are named as well. Ruled out: all of them, each a second: 300 calls a second on the largest fleet during an outage. Test: TestStoreIsWatchedWhileNobodyReachesIt, 0 watchers in each failure domain before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -252,6 +252,28 @@
 	})
 }
 
+// TestStoreIsWatchedWhileNobodyReachesIt: once no router of a failure domain reaches the
+// store, some of them go on trying. Otherwise none would notice that it is back.
+func TestStoreIsWatchedWhileNobodyReachesIt(t *testing.T) {
+	forBothSizes(t, "", func(t *testing.T, n int) {
+		g := NewWithT(t)
+		f := loaded(n, 4)
+		for _, r := range f.routers {
+			r.state.SetStatus(Status{StoreLost: true})
+		}
+		f.run(2 * time.Second)
+		watching := map[string]int{}
+		for _, r := range f.routers {
+			if r.state.Watches(f.now) {
+				watching[r.router.Domain]++
+			}
+		}
+		for _, domain := range []string{"d0", "d1", "d2", "d3"} {
+			g.Expect(watching[domain]).To(Equal(WatchersPerDomain), domain)
+		}
+	})
+}
+
 // TestLeavingRelayIsLeftAtOnce: a relay that stops says so, and another one is used
 // without waiting for its silence.
 func TestLeavingRelayIsLeftAtOnce(t *testing.T) {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -251,23 +251,23 @@
 }
 
 // watchers returns the routers that have to watch the store: the first in order of rank
-// that report, are not stopping and reach it.
+// that report, are not stopping and reach it. If there are too few, others go on trying, so
+// that it is noticed when the store is back.
 func (s *State) watchers() map[string]bool {
 	list := make(map[string]bool, WatchersPerDomain)
-	for _, addr := range s.ranked[s.self.Domain] {
-		status := s.status
-		if addr != s.self.Addr {
-			m := s.members[addr]
-			if m == nil {
-				continue
+	for _, reaches := range []bool{true, false} {
+		for _, addr := range s.ranked[s.self.Domain] {
+			status := s.status
+			if addr != s.self.Addr {
+				m := s.members[addr]
+				if m == nil {
+					continue
+				}
+				status = m.status
+			}
+			if !status.Leaving && status.StoreLost != reaches && len(list) < WatchersPerDomain {
+				list[addr] = true
 			}
-			status = m.status
-		}
-		if status.StoreLost || status.Leaving {
-			continue
-		}
-		if list[addr] = true; len(list) == WatchersPerDomain {
-			break
 		}
 	}
 	return list
