--- a/internal/poison/bench_test.go
+++ b/internal/poison/bench_test.go
@@ -19,7 +19,7 @@
 				n++
 				parts := []uint64{1, 2 + uint64(i%16), uint64(100 + n%300)}
 				if i == 0 {
-					parts[2] = deadlyPart
+					parts[2] = poisonPart
 				}
 				var before uint64
 				for _, t := range numbered(n, parts...).traits() {
@@ -38,8 +38,8 @@
 			s.Tick(now)
 		}
 		s.Tick(at(3))
-		if !blocked(s, at(3), numbered(0, deadlyPart)) {
-			b.Fatal("the deadly part is not blocked")
+		if !blocked(s, at(3), numbered(0, poisonPart)) {
+			b.Fatal("the poison part is not blocked")
 		}
 	}
 }
--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -196,7 +196,10 @@
 func (s *State) rivals(now time.Time, t Trait, crashes []suspectedCrash) (list []Trait) {
 	for _, other := range s.sharedTraits(crashes) {
 		p := s.suspicions[other]
-		if other != t && other.Kind == t.Kind && p != nil && !p.proven && !s.precedes(other, t) && !now.Before(p.blockedUntil) && len(s.unexplained(now, other, p)) >= len(crashes) {
+		if other == t || other.Kind != t.Kind || s.precedes(other, t) || p == nil || p.proven || now.Before(p.blockedUntil) {
+			continue
+		}
+		if len(s.unexplained(now, other, p)) >= len(crashes) {
 			list = append(list, other)
 		}
 	}
