--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -22,6 +22,14 @@
 	classCount
 )
 
+// String returns the name of the class in logs.
+func (c workloadClass) String() string {
+	if c == classDecode {
+		return "decode"
+	}
+	return "prefill"
+}
+
 // other returns the other class.
 func (c workloadClass) other() workloadClass { return classCount - 1 - c }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -245,14 +245,16 @@
 		Waited, Predicted, Backlog time.Duration
 		Cached                     int
 		Share                      Share
+		Size                       Size
 	}
 	// Refuse ends a request that has not run and will not run.
 	Refuse struct {
 		ID         string
 		Reason     Reason
 		RetryAfter time.Duration
-		// Share is an input of the decision, for logs.
+		// Share and Size are inputs of the decision, for logs.
 		Share Share
+		Size  Size
 	}
 	// Fail ends a request that may have run, and aborts its attempt.
 	Fail struct {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/core"
@@ -52,6 +53,19 @@
 	return float64(r.Prompt.Tokens + 2*r.Prompt.ExpectedOutput())
 }
 
+// Size is what a request counts for its organisation's share, in tokens, and the
+// workload class that it belongs to.
+type Size struct {
+	Cost  float64
+	class workloadClass
+}
+
+// String formats the size for logs.
+func (s Size) String() string { return fmt.Sprintf("%.0f %s", s.Cost, s.class) }
+
+// sizeOf returns the size of a request.
+func (s *State) sizeOf(r *request) Size { return Size{Cost: s.shareCost(r), class: r.class} }
+
 // admit sends a request, queues it, or refuses it if waiting cannot help.
 func (s *State) admit(now time.Time, r *request) {
 	if readyAt, ok := s.availableAt(now, r.Service); !ok || readyAt.After(now) && readyAt.After(r.queueDeadline) {
@@ -163,7 +177,7 @@
 	s.recordPlacements(choice.upstream, choice.upstream.cache.recordUse(now, r.Prompt.shared(), false))
 	e := Send{
 		ID: r.ID, Attempt: r.attempt, Upstream: choice.upstream.Instance, ResumeAfter: r.lastEventID, ExpiresAt: r.expiresAt,
-		Waited: now.Sub(r.arrivedAt), Predicted: choice.firstByte, Backlog: choice.backlog, Cached: choice.cachedTokens, Share: r.share,
+		Waited: now.Sub(r.arrivedAt), Predicted: choice.firstByte, Backlog: choice.backlog, Cached: choice.cachedTokens, Share: r.share, Size: s.sizeOf(r),
 	}
 	if choice.fetchFrom != nil {
 		e.FetchFrom = choice.fetchFrom.Addr
@@ -359,7 +373,7 @@
 		return
 	}
 	delete(s.requests, r.ID)
-	s.emit(Refuse{ID: r.ID, Reason: reason, RetryAfter: s.retryAfter(now, r), Share: r.share})
+	s.emit(Refuse{ID: r.ID, Reason: reason, RetryAfter: s.retryAfter(now, r), Share: r.share, Size: s.sizeOf(r)})
 }
 
 // fail ends a request that may have run.
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -44,14 +44,17 @@
 	// Level is its max-min fair share; infinite while all demand fits, 0 if the
 	// capacity is not known.
 	Level float64
-	// Excess is the organisation's charge, as a multiple of its maximum share.
-	Excess float64
+	// Capacity is the throughput from which the level was computed.
+	Capacity float64
+	// Charge is the organisation's charge at the measured throughput of the engines, and
+	// Excess its charge as a multiple of its maximum share at the level.
+	Charge, Excess float64
 }
 
-// String formats the share for logs: received and fair rates in thousands of tokens
-// per second, and the excess.
+// String formats the share for logs: received and fair rates and the capacity in
+// thousands of tokens per second, the excess and the charge.
 func (s Share) String() string {
-	return fmt.Sprintf("%.1f/%.1f x%.2f", s.Received/1000, s.Level/1000, s.Excess)
+	return fmt.Sprintf("%.1f/%.1f x%.2f of %.0f charge %.2f", s.Received/1000, s.Level/1000, s.Excess, s.Capacity/1000, s.Charge)
 }
 
 // usageMeter measures the usage of one organisation as exponentially decaying rates.
@@ -191,9 +194,9 @@
 
 // shareAt returns the share of an organisation at a level.
 func (s *shareTracker) shareAt(now time.Time, org string, l *level) Share {
-	share := Share{Received: s.startedRate(now, org), Level: l.rate}
+	share := Share{Received: s.startedRate(now, org), Level: l.rate, Capacity: l.capacity, Charge: s.charged(now, org)}
 	if maxShare := l.maxShare(); maxShare > 0 {
-		share.Excess = s.charged(now, org) * s.measuredLevel.maxShare() / maxShare
+		share.Excess = share.Charge * s.measuredLevel.maxShare() / maxShare
 	}
 	return share
 }
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -39,7 +39,7 @@
 				}
 			case dispatch.Refuse:
 				status := refusalStatus(e.Reason)
-				g.logEnd(c, "refused", string(e.Reason), status, "retryAfter", e.RetryAfter, "share", e.Share)
+				g.logEnd(c, "refused", string(e.Reason), status, "retryAfter", e.RetryAfter, "size", e.Size, "share", e.Share)
 				g.metrics.recordRetryAfter(string(e.Reason), e.RetryAfter)
 				writeStatus(w, status, e.RetryAfter)
 				return
@@ -93,7 +93,7 @@
 	c.upstream = e.Upstream.ID
 	logs.Info("sent", "Gateway: request sent.", "id", c.caller.ID, "org", c.request.Organisation,
 		"route", c.request.Route.Name, "attempt", e.Attempt, "upstream", e.Upstream.ID, "addr", e.Upstream.Addr,
-		"waited", e.Waited, "predicted", e.Predicted, "backlog", e.Backlog, "cached", e.Cached, "share", e.Share, "fetchFrom", e.FetchFrom,
+		"waited", e.Waited, "predicted", e.Predicted, "backlog", e.Backlog, "cached", e.Cached, "size", e.Size, "share", e.Share, "fetchFrom", e.FetchFrom,
 		"resumeAfter", e.ResumeAfter, "continue", e.ContinueFrom, "left", remaining, "config", g.configVersion())
 	g.metrics.recordAttempt(c.request.Route.Kind.String(), e)
 	x := g.client.Begin(&exchange.Request{
