Take averages of usage from the start of a load

Callers saw: in the first seconds of a crest whoever asked for most got most, and the next organisation less than half of that over six seconds (the record: 0.32 of 1.21 million tokens asked, another 1.05). Cause: usage decayed over 4 s from nothing. Half a second after a load began, an organisation's demand and charge stood at an eighth of what they were; no organisation was over its share, and what it had was charged by a share that was four times too large. Change: rates are divided by the weight of the time since the load began, at least of half of the window. A router that starts anew does the same, so that what it forgot weighs less.

TestIsolatedRouterUsesMinimumCapacity counted a window's worth of requests at one moment as a rate over the window; its load is now older than the window, its bounds are the same.

--- a/internal/dispatch/class_test.go
+++ b/internal/dispatch/class_test.go
@@ -174,8 +174,10 @@
 	f := newFixture(t, 4)
 	services := []routing.Service{{Name: model, Engine: &routing.Engine{Slots: 64, CacheTokens: 600_000, EventTokens: 5}}}
 	f.step(TableChanged{Table: routing.NewTable(2, routing.Limits{TokenRate: 200_000}, nil, services, nil)})
-	// The router has started 60,000 tokens per second, less than a third of the
-	// configured throughput, for an organisation that asked for more.
+	// The router has started 60,000 tokens per second over the window, less than a third
+	// of the configured throughput, for an organisation that asked for more. Its load is
+	// older than the window.
+	f.shares.since = f.now.Add(-time.Minute)
 	f.shares.recordDemand(f.now, "org", 1_000_000)
 	f.shares.recordDemand(f.now, "other", 100_000)
 	f.shareOf(f.now, "org", model, classPrefill)
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -69,7 +69,7 @@
 	for org, m := range s.shares.local {
 		m.decay(now, s.shares.window)
 		if m.usage.significant() {
-			r.Usage[Key(org)] = m.usage
+			r.Usage[Key(org)] = s.shares.normalise(now, m.usage)
 		}
 	}
 	for key, q := range s.queues {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -57,7 +57,8 @@
 	return fmt.Sprintf("%.1f/%.1f x%.2f of %.0f charge %.2f", s.Received/1000, s.Level/1000, s.Excess, s.Capacity/1000, s.Charge)
 }
 
-// usageMeter measures the usage of one organisation as exponentially decaying rates.
+// usageMeter measures the usage of one organisation as exponentially decaying rates. They
+// start from nothing: normalise makes averages of them.
 type usageMeter struct {
 	usage Usage
 	at    time.Time
@@ -78,8 +79,10 @@
 // their max-min fair shares of the engines' throughput.
 type shareTracker struct {
 	window time.Duration
-	local  map[string]*usageMeter
-	peers  map[string]map[uint32]Usage
+	// since is when the first request of the present load arrived, zero without load.
+	since time.Time
+	local map[string]*usageMeter
+	peers map[string]map[uint32]Usage
 	// peerTotal is the sum over the other routers, by the Key of the organisation.
 	peerTotal map[uint32]Usage
 	// classLevels holds the level for the requests of each workload class.
@@ -110,6 +113,27 @@
 	}
 }
 
+// minSpanFraction is the span, as a fraction of the share window, below which averages
+// are not extrapolated: single requests would decide them.
+const minSpanFraction = 0.5
+
+// normalise returns the averages that rates decayed to now stand for, given that nothing
+// was counted before the load began. Rates that rise from nothing over the window
+// would let whoever asks for most have it all at the beginning of a load.
+func (s *shareTracker) normalise(now time.Time, u Usage) Usage {
+	if s.since.IsZero() {
+		return u
+	}
+	span := max(now.Sub(s.since).Seconds()/s.window.Seconds(), minSpanFraction)
+	f := 1 / (1 - math.Exp(-span))
+	return Usage{Demand: f * u.Demand, Started: f * u.Started, Charged: f * u.Charged}
+}
+
+// averages returns the usage of an organisation at this router.
+func (s *shareTracker) averages(now time.Time, org string) Usage {
+	return s.normalise(now, s.meter(org, now).usage)
+}
+
 // meter returns the meter of an organisation at this router, decayed to now.
 func (s *shareTracker) meter(org string, now time.Time) *usageMeter {
 	m := s.local[org]
@@ -123,6 +147,9 @@
 
 // recordDemand counts a request that arrived.
 func (s *shareTracker) recordDemand(now time.Time, org string, tokens float64) {
+	if s.since.IsZero() {
+		s.since = now
+	}
 	s.meter(org, now).usage.Demand += tokens / s.window.Seconds()
 }
 
@@ -160,19 +187,18 @@
 
 // startedRate returns the rate at which all routers serve an organisation.
 func (s *shareTracker) startedRate(now time.Time, org string) float64 {
-	return s.meter(org, now).usage.Started + s.peerTotal[Key(org)].Started
+	return s.averages(now, org).Started + s.peerTotal[Key(org)].Started
 }
 
 // charged returns the charge of an organisation over all routers.
 func (s *shareTracker) charged(now time.Time, org string) float64 {
-	return s.meter(org, now).usage.Charged + s.peerTotal[Key(org)].Charged
+	return s.averages(now, org).Charged + s.peerTotal[Key(org)].Charged
 }
 
 // totalStartedRate returns the rate at which all routers serve all organisations.
 func (s *shareTracker) totalStartedRate(now time.Time) (sum float64) {
-	for _, m := range s.local {
-		m.decay(now, s.window)
-		sum += m.usage.Started
+	for org := range s.local {
+		sum += s.averages(now, org).Started
 	}
 	for _, u := range s.peerTotal {
 		sum += u.Started
@@ -213,7 +239,10 @@
 			delete(s.local, org)
 			continue
 		}
-		demand[Key(org)] += m.usage.Demand
+		demand[Key(org)] += s.normalise(now, m.usage).Demand
+	}
+	if len(s.local) == 0 {
+		s.since = time.Time{}
 	}
 	list := make([]float64, 0, len(demand))
 	for _, d := range demand {
