Let a class short of room keep most of each organisation's share

Callers saw: an organisation's long prompts were all refused as over its share for seconds, while others were served far more (the record's crest: 60 of 80 lookups refused, 27 of 112 chats). Cause: an organisation's charge for all its work was compared with a level of the class of the request. The level of the class that is short of room fell without bound below the common one (a capacity of 0.7, less what small organisations have first), while in the other class up to 1.5 times the share was allowed. What an organisation got so depended on what it sent: the two bounds differed by more than the factor of two at which the users compare. Change: requests of a class are not refused as over the share below 0.8 of it (minClassShare).

--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -47,7 +47,8 @@
 	// Capacity is the throughput from which the level was computed.
 	Capacity float64
 	// Charge is the organisation's charge at the measured throughput of the engines, and
-	// Excess its charge as a multiple of its maximum share at the level.
+	// Excess its charge as a multiple of its maximum share at the level, but at least of
+	// minClassShare.
 	Charge, Excess float64
 }
 
@@ -218,10 +219,16 @@
 	}
 }
 
-// shareAt returns the share of an organisation at a level.
+// minClassShare is the least share that an organisation may have before requests of one
+// class are refused, as a fraction of its share of all engines. One that sends only
+// requests of the class that is short of room gets this much, while another gets up to
+// maxExcess in the other class; the users compare organisations at a factor of two.
+const minClassShare = 0.8
+
+// shareAt returns the share of an organisation at the level of a class.
 func (s *shareTracker) shareAt(now time.Time, org string, l *level) Share {
 	share := Share{Received: s.startedRate(now, org), Level: l.rate, Capacity: l.capacity, Charge: s.charged(now, org)}
-	if maxShare := l.maxShare(); maxShare > 0 {
+	if maxShare := max(l.maxShare(), minClassShare*s.measuredLevel.maxShare()); maxShare > 0 {
 		share.Excess = share.Charge * s.measuredLevel.maxShare() / maxShare
 	}
 	return share
--- a/internal/dispatch/share_test.go
+++ b/internal/dispatch/share_test.go
@@ -31,3 +31,30 @@
 	load(window / 2)
 	g.Expect(s.demands(now)).To(HaveExactElements(isLoad), "a second load after a pause")
 }
+
+// What organisations may have in the two classes differs by less than the factor of two at
+// which the users compare them.
+func TestClassShortOfRoomKeepsMostOfTheShare(t *testing.T) {
+	g, window := NewWithT(t), 4*time.Second
+	const share = 100_000.0
+	for _, x := range []struct {
+		name   string
+		level  float64
+		charge float64
+		over   bool
+	}{
+		{"short of room, below its share", 0.3 * share, 0.79, false},
+		{"short of room, near its share", 0.3 * share, 0.81, true},
+		{"room to spare, over its share", 2 * share, 1.5, false},
+		{"room to spare, far over its share", 2 * share, 2.1, true},
+	} {
+		s := newShareTracker(window)
+		s.since = start.Add(-time.Minute)
+		s.measuredLevel = level{rate: share, capacity: 4 * share}
+		s.recordStart(start, "a", x.charge*share*window.Seconds())
+		got := s.shareAt(start, "a", &level{rate: x.level, capacity: 3 * share})
+		g.Expect(got.Charge).To(BeNumerically("~", x.charge, 1e-6))
+		g.Expect(got.Excess > 1).To(Equal(x.over), "%s: %s", x.name, got)
+	}
+	g.Expect(maxExcess / minClassShare).To(BeNumerically("<", 2))
+}
