Keep to the limit that an upstream names, over all routers together

Callers saw: nothing yet; upstreams that named a limit got up to twice what it allows. Cause: nothing read Server-Limit: the header was in no table of the adapter, and no report carried a limit. Class: a promise that concerns the whole fleet needs a bound that the routers share; what each router knows of an upstream's wishes so far (leaving, Retry-After) was its own. As many registered routers as the upstream takes requests in a second may send to it, chosen by a hash that is the same at each router, each at an equal rate and one request at once: in 4 s at most five times the limit, without an exchange of counts, in any size of fleet. Reports carry limits and the ends of limits with the age of the statement, also through relays; the latest statement holds. A limit outlasts the entry of its upstream, not a restart of it. Placing takes an upstream without a token as full. An answer that names no limit lifts it at once; an unreadable one changes nothing.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -16,11 +16,13 @@
 	Instance
 	leaving          bool
 	unavailableUntil time.Time
+	limit            rateLimit
 	removedAt        time.Time
 }
 
 // handleInstanceReport records what an instance stated about its availability. Leaving
-// holds until the instance restarts, HoldOff until its time is over.
+// holds until the instance restarts, HoldOff until its time is over, and Limit until an
+// answer names another or none.
 func (s *State) handleInstanceReport(now time.Time, e InstanceReported) {
 	until := now.Add(min(e.HoldOff, maxHoldOff))
 	u := s.upstreams[e.Instance.ID]
@@ -29,12 +31,16 @@
 		l := delisted{Instance: e.Instance, leaving: e.Leaving, unavailableUntil: until, removedAt: now}
 		if old, ok := s.delisted[e.Instance.ID]; ok && sameStart(old.Instance, e.Instance) {
 			l.leaving, l.unavailableUntil = l.leaving || old.leaving, laterOf(l.unavailableUntil, old.unavailableUntil)
+			l.limit = old.limit
 		}
 		s.delisted[e.Instance.ID] = l
 		return
 	}
 	u.leaving = u.leaving || e.Leaving
 	u.unavailableUntil = laterOf(u.unavailableUntil, until)
+	if !e.LimitUnknown {
+		s.setLimit(now, u, e.Limit, now)
+	}
 }
 
 // laterOf returns the later of two times.
@@ -52,8 +58,8 @@
 
 // rememberAdvice keeps the advice of an upstream that leaves the list.
 func (s *State) rememberAdvice(now time.Time, u *upstream) {
-	if u.leaving || now.Before(u.unavailableUntil) {
-		s.delisted[u.ID] = delisted{Instance: u.Instance, leaving: u.leaving, unavailableUntil: u.unavailableUntil, removedAt: now}
+	if u.leaving || now.Before(u.unavailableUntil) || u.limit.perSecond > 0 {
+		s.delisted[u.ID] = delisted{Instance: u.Instance, leaving: u.leaving, unavailableUntil: u.unavailableUntil, limit: u.limit, removedAt: now}
 	}
 }
 
@@ -65,7 +71,7 @@
 	}
 	delete(s.delisted, in.ID)
 	if sameStart(old.Instance, in) {
-		u.leaving, u.unavailableUntil = old.leaving, old.unavailableUntil
+		u.leaving, u.unavailableUntil, u.limit = old.leaving, old.unavailableUntil, old.limit
 	}
 }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -119,6 +119,10 @@
 		// HoldOff is how long this router should send no requests to the instance, 0
 		// if not stated.
 		HoldOff time.Duration
+		// Limit is the number of requests a second that the instance takes from all routers
+		// together, 0 if it names no limit. LimitUnknown means that it could not be read.
+		Limit        float64
+		LimitUnknown bool
 	}
 	// Probed reports the result of a Probe.
 	Probed struct {
@@ -164,6 +168,10 @@
 		// AggregatedByDomain means that the reports of other failure domains arrive
 		// aggregated per domain, so that they are a few reports old.
 		AggregatedByDomain bool
+		// Self names this router, and Registered all that are registered, this one
+		// included, the same at each router.
+		Self       string
+		Registered []string
 	}
 	// PeerLost reports that a router no longer sends reports.
 	PeerLost struct{ Peer string }
@@ -246,6 +254,8 @@
 		Cached                     int
 		Share                      Share
 		Size                       Size
+		// Limited means that the upstream had named a limit.
+		Limited bool
 	}
 	// Refuse ends a request that has not run and will not run.
 	Refuse struct {
@@ -272,6 +282,15 @@
 	// BlockChanged tells that requests with a trait are refused from now on, or no longer,
 	// because of crashes.
 	BlockChanged struct{ poison.Change }
+	// LimitChanged tells that another limit of an upstream is in force, in requests per
+	// second, 0 for none. Part is the rate at which this router may send, Age the time since an
+	// answer named the limit, and Routers the number that it is divided for.
+	LimitChanged struct {
+		Upstream                Instance
+		PerSecond, Before, Part float64
+		Age                     time.Duration
+		Routers                 int
+	}
 	// Probe connects to an upstream whose connections broke, to tell a crash from the
 	// loss of connections. It is followed by Probed. ID is the first request that broke.
 	Probe struct {
@@ -301,6 +320,9 @@
 // RequestID implements Effect. The effect concerns no single request.
 func (e BlockChanged) RequestID() string { return "" }
 
+// RequestID implements Effect. The effect concerns no single request.
+func (e LimitChanged) RequestID() string { return "" }
+
 // RequestID implements Effect.
 func (e Probe) RequestID() string { return e.ID }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -25,6 +25,8 @@
 	// Contended lists the queues, by wire key, in which requests wait or recently found
 	// no room.
 	Contended []uint32
+	// Limits holds the limits that upstreams name, and those that ended lately.
+	Limits map[uint32]Limit
 	// Crashes is what the router has seen of requests that crash upstreams since the
 	// previous report.
 	Crashes []poison.Fact
@@ -65,6 +67,9 @@
 		if u.local != (Load{}) {
 			r.Loads[u.key] = u.local
 		}
+		if l, ok := u.limit.report(now); ok {
+			r.Limits[u.key] = l
+		}
 	}
 	for org, m := range s.shares.local {
 		m.decay(now, s.shares.window)
@@ -92,6 +97,11 @@
 	s.peers[peer] = Report{Loads: r.Loads, Contended: r.Contended}
 	s.shares.setPeer(peer, r.Usage)
 	s.poison.Learn(now, r.Crashes)
+	for key, l := range r.Limits {
+		if u := s.byKey[key]; u != nil {
+			s.setLimit(now, u, l.PerSecond, now.Add(-l.Age))
+		}
+	}
 	for _, p := range r.Placements {
 		if u := s.byKey[p.Upstream]; u != nil {
 			u.cache.recordUse(now, []Part{p.Part}, p.Read)
@@ -143,15 +153,19 @@
 			r.Contended = append(r.Contended, key)
 		}
 	}
+	for key, l := range o.Limits {
+		if known, ok := r.Limits[key]; !ok || l.Age < known.Age {
+			r.Limits[key] = l
+		}
+	}
 }
 
 // NewReport returns an empty report that others can be added to.
 func NewReport() Report {
-	return Report{Loads: make(map[uint32]Load), Usage: make(map[uint32]Usage)}
+	return Report{Loads: make(map[uint32]Load), Usage: make(map[uint32]Usage), Limits: make(map[uint32]Limit)}
 }
 
-// Sub takes another router's report, except for its placements, crashes and contended queues, out
-// of a sum. What the sum has less of than the report counts as nothing: the usage of the
+// Sub takes the loads and the usage of another router's report out of a sum. What the sum has less of than the report counts as nothing: the usage of the
 // two may be of different times.
 func (r *Report) Sub(o Report) {
 	for key, l := range o.Loads {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -95,6 +95,9 @@
 
 // hasRoom reports whether an upstream can take a request now.
 func (s *State) hasRoom(now time.Time, r *request, u *upstream) bool {
+	if !u.limit.allows(now) {
+		return false
+	}
 	e := s.engine(r.Service)
 	if e == nil {
 		return u.running() < s.health.SlotLimit(u.ID, max(1, u.Slots), now)+plainOvercommit
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -171,6 +171,7 @@
 		r.load.DecodeAttempts = 1
 	}
 	choice.upstream.local.add(r.load)
+	choice.upstream.limit.take(now)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
 	s.queueFor(r).drainRate.add(now, float64(s.prefillTime(r.Prompt.Tokens)))
@@ -178,6 +179,7 @@
 	e := Send{
 		ID: r.ID, Attempt: r.attempt, Upstream: choice.upstream.Instance, ResumeAfter: r.lastEventID, ExpiresAt: r.expiresAt,
 		Waited: now.Sub(r.arrivedAt), Predicted: choice.firstByte, Backlog: choice.backlog, Cached: choice.cachedTokens, Share: r.share, Size: s.sizeOf(r),
+		Limited: choice.upstream.limit.perSecond > 0,
 	}
 	if choice.fetchFrom != nil {
 		e.FetchFrom = choice.fetchFrom.Addr
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -34,6 +34,9 @@
 	queueOrder []queueKey
 	partitions map[string]*partition
 	peers      map[string]Report
+	// self is the name of this router and routers those of all that are registered.
+	self    string
+	routers []string
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
@@ -158,6 +161,7 @@
 		s.setPeer(now, e.Peer, e.Report)
 	case FleetChanged:
 		s.setRetryBudget(e.Routers)
+		s.setRouters(now, e.Self, e.Registered)
 		s.aggregatedByDomain = e.AggregatedByDomain
 		s.poison.SetSettleTime(crashReportTime(e.AggregatedByDomain))
 	case PeerLost:
@@ -194,6 +198,16 @@
 // Upstreams returns the number of known upstreams.
 func (s *State) Upstreams() int { return len(s.upstreams) }
 
+// LimitedUpstreams returns the number of upstreams that name a limit.
+func (s *State) LimitedUpstreams() (n int) {
+	for _, u := range s.upstreams {
+		if u.limit.perSecond > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // RetriesLeft returns the number of retries left in the budget of the service that
 // has the fewest.
 func (s *State) RetriesLeft() int { return s.health.RetriesLeft() }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -60,6 +60,8 @@
 	// unavailableUntil is until when the upstream gets no work, because it refused a
 	// connection or asked for a hold-off.
 	unavailableUntil time.Time
+	// limit bounds the requests that the upstream gets.
+	limit rateLimit
 }
 
 // acceptsWork reports whether the upstream may get work at all.
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -50,7 +50,7 @@
 }
 
 // encodedReport has the sections of an encoded report: sequences of varints.
-type encodedReport struct{ loads, usage, placements, contended, crashes []byte }
+type encodedReport struct{ loads, usage, placements, contended, crashes, limits []byte }
 
 // The field numbers of a datagram. Numbers 7 to 10 and 12 had other encodings.
 const (
@@ -71,10 +71,15 @@
 	fieldPlacements  protowire.Number = 20
 	fieldContended   protowire.Number = 21
 	fieldCrashes     protowire.Number = 22
+	fieldLimits      protowire.Number = 23
 )
 
-// chargeScale is the factor by which charges are multiplied to be sent as integers.
-const chargeScale = 1e5
+// chargeScale and limitScale are the factors by which charges and limits are multiplied to
+// be sent as integers.
+const (
+	chargeScale = 1e5
+	limitScale  = 1e3
+)
 
 var errDatagram = errors.New("malformed datagram")
 
@@ -150,7 +155,13 @@
 		section = binary.LittleEndian.AppendUint64(section, f.Before)
 		section = appendVarints(section, uint64(f.Kind)<<1|boolToUint(f.Proven), uint64(f.Trait.Kind), uint64(f.Left/time.Second))
 	}
-	return appendSection(b, fieldCrashes, section)
+	b = appendSection(b, fieldCrashes, section)
+	section = section[:0]
+	for key, l := range r.Limits {
+		section = binary.LittleEndian.AppendUint32(section, key)
+		section = appendVarints(section, uint64(limitScale*l.PerSecond), uint64(l.Age/time.Millisecond))
+	}
+	return appendSection(b, fieldLimits, section)
 }
 
 func appendSection(b []byte, field protowire.Number, section []byte) []byte {
@@ -249,6 +260,8 @@
 		d.encoded.contended = b
 	case fieldCrashes:
 		d.encoded.crashes = b
+	case fieldLimits:
+		d.encoded.limits = b
 	}
 }
 
@@ -262,8 +275,9 @@
 // decode parses the sections of a report.
 func (e encodedReport) decode() (dispatch.Report, error) {
 	r := dispatch.Report{
-		Loads: make(map[uint32]dispatch.Load, len(e.loads)/minLoadBytes),
-		Usage: make(map[uint32]dispatch.Usage, len(e.usage)/minUsageBytes),
+		Loads:  make(map[uint32]dispatch.Load, len(e.loads)/minLoadBytes),
+		Usage:  make(map[uint32]dispatch.Usage, len(e.usage)/minUsageBytes),
+		Limits: make(map[uint32]dispatch.Limit),
 	}
 	in := sectionReader{b: e.loads}
 	for in.more() {
@@ -303,12 +317,24 @@
 		f.Left = time.Duration(min(in.number(), maxSecondsLeft)) * time.Second
 		r.Crashes = append(r.Crashes, f)
 	}
+	failed = failed || in.failed
+	in = sectionReader{b: e.limits}
+	for in.more() {
+		key := in.key()
+		r.Limits[key] = dispatch.Limit{
+			PerSecond: float64(in.number()) / limitScale,
+			Age:       time.Duration(min(in.number(), maxMillisecondsAge)) * time.Millisecond,
+		}
+	}
 	if failed || in.failed {
 		return dispatch.Report{}, errDatagram
 	}
 	return r, nil
 }
 
+// maxMillisecondsAge bounds the age of a limit that a datagram may name.
+const maxMillisecondsAge = 1 << 40
+
 // maxSecondsLeft bounds the time of a block that a datagram may name.
 const maxSecondsLeft = 1 << 20
 
--- a/internal/gateway/datagram_test.go
+++ b/internal/gateway/datagram_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -25,6 +26,8 @@
 		})
 	}
 	r.Contended = []uint32{5, 1 << 31}
+	r.Limits[dispatch.Key("i0")] = dispatch.Limit{PerSecond: 6.125, Age: 40 * time.Millisecond}
+	r.Limits[dispatch.Key("i1")] = dispatch.Limit{Age: 3 * time.Second}
 	r.Crashes = []poison.Fact{
 		{Kind: poison.FactSuspect, Trait: poison.Trait{Kind: poison.KindRequest, ID: 1 << 63}, Run: 1<<63 + 1, Before: 1 << 62, Proven: true},
 		{Kind: poison.FactBlocked, Trait: poison.Trait{Kind: poison.KindRequest, ID: 7}, Proven: true, Left: poison.BlockTime},
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -146,7 +146,7 @@
 func (g *Gateway) forwardAnswer(w http.ResponseWriter, c *call, e dispatch.Send, a *exchange.Response, sentAt time.Time) *exchange.Failure {
 	defer a.Close()
 	info := g.options.Protocol.Answer(a.Status, a.Header, e.Upstream.ID)
-	g.reportAdvice(c, e.Upstream, info)
+	g.reportAdvice(c, e, info)
 	switch {
 	case info.NotRun:
 		return notRunFailure(a, info)
@@ -160,14 +160,23 @@
 }
 
 // reportAdvice tells the dispatcher what an upstream says about itself in an answer's
-// header: that it is leaving, or wants no requests for some time.
-func (g *Gateway) reportAdvice(c *call, upstream dispatch.Instance, info AnswerInfo) {
-	if info.Replaced || !info.Leaving && info.HoldOff <= 0 {
+// header: that it is leaving, wants no requests for some time, or only so many a second.
+func (g *Gateway) reportAdvice(c *call, e dispatch.Send, info AnswerInfo) {
+	avoid := info.Leaving || info.HoldOff > 0
+	if info.Replaced || !avoid && info.Limit == 0 && !info.LimitUnknown && !e.Limited {
 		return
 	}
-	logs.Info("advised", "Gateway: upstream asked for no more requests.", "id", c.caller.ID, "upstream", upstream.ID, "addr", upstream.Addr,
-		"started", upstream.Started, "leaving", info.Leaving, "holdOff", info.HoldOff)
-	g.step(dispatch.InstanceReported{Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff})
+	upstream := e.Upstream
+	if avoid {
+		logs.Info("advised", "Gateway: upstream asked for no more requests.", "id", c.caller.ID, "upstream", upstream.ID, "addr", upstream.Addr,
+			"started", upstream.Started, "leaving", info.Leaving, "holdOff", info.HoldOff)
+	}
+	if info.LimitUnknown {
+		logs.Info("limit-unreadable", "Gateway: upstream's limit is not a number, the one before holds.", "id", c.caller.ID, "upstream", upstream.ID)
+	}
+	g.step(dispatch.InstanceReported{
+		Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff, Limit: info.Limit, LimitUnknown: info.LimitUnknown,
+	})
 }
 
 // notRunFailure is the failure of an attempt that the upstream did not run.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -170,7 +170,10 @@
 	list := g.decodeInstances(g.mirror.Entries(directory.InstancePrefix()))
 	g.step(dispatch.InstancesChanged{Instances: list})
 	g.peers.setRegistered(g.mirror.Entries(routerPrefix))
-	g.step(dispatch.FleetChanged{Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays()})
+	g.step(dispatch.FleetChanged{
+		Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays(),
+		Self: g.options.PeerListen, Registered: g.peers.registered(),
+	})
 	g.peers.wakeSender()
 	if g.mirror.Revision() > 0 && !g.listed.Swap(true) {
 		klog.InfoS("Directory: first list of upstreams applied.", "upstreams", len(list), "revision", g.mirror.Revision())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,9 +206,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, effect := range g.dispatcher.Step(now, e) {
-		if change, ok := effect.(dispatch.BlockChanged); ok {
-			logs.Info("block", "Gateway: refusal of requests that crash upstreams changed.", "blocked", change.Blocked,
-				"kind", change.Trait.Kind, "trait", change.Trait.ID, "crashes", change.Crashes, "reported", change.Reported)
+		switch e := effect.(type) {
+		case dispatch.BlockChanged:
+			logs.Info("block", "Gateway: refusal of requests that crash upstreams changed.", "blocked", e.Blocked,
+				"kind", e.Trait.Kind, "trait", e.Trait.ID, "crashes", e.Crashes, "reported", e.Reported)
+			continue
+		case dispatch.LimitChanged:
+			logs.Info("limit", "Gateway: limit of an upstream changed.", "upstream", e.Upstream.ID, "perSecond", e.PerSecond,
+				"before", e.Before, "part", e.Part, "age", e.Age, "routers", e.Routers)
 			continue
 		}
 		if c := g.calls[effect.RequestID()]; c != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -190,6 +190,20 @@
 	return 1 + len(p.known)
 }
 
+// registered returns the peer addresses of this router and of the registered ones, silent
+// ones included: they may only be silent here.
+func (p *peers) registered() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []string{p.g.options.PeerListen}
+	for _, other := range p.known {
+		if other.registered {
+			list = append(list, other.addr)
+		}
+	}
+	return list
+}
+
 // usesRelays reports whether relays pass the reports on, so that those of other failure
 // domains arrive summed up and late.
 func (p *peers) usesRelays() bool {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -48,6 +48,10 @@
 	Leaving bool
 	// HoldOff is how long the upstream wants no requests from this router.
 	HoldOff time.Duration
+	// Limit is the number of requests a second that the upstream takes from all routers
+	// together, 0 if it names no limit. LimitUnknown means that it could not be read.
+	Limit        float64
+	LimitUnknown bool
 }
 
 // Protocol translates between the platform's headers and the gateway. It is safe for
