Continue a stream only with an answer of its status and type

A report of other operators: a stream broke off, the next replica answered with an error, and clients found the error's text in the middle of their stream, or the stream ended as if it were complete. Looked for with eight answers to a continued stream: failures with and without the type of a stream, refusals with and without a name, 404, no seal. None reached the caller, whose stream broke off. But a sealed success that is no stream did: a 200 of text/plain ('id: 9 data: no model loaded' was passed on as an event, and the stream ended as complete), and a 204, with which it ended as complete after two of five events. Cause: what may follow was judged by the status class and the seal alone. Change: an answer continues a stream only with the status and the Content-Type that the caller has been sent. Test: TestErrorAfterBrokenStreamIsNotForwarded; 'no stream' and 'success without content' fail before ('Expected an error to have occurred'), all eight pass since. The product's own interface commits a continuation with status 200 only (handleContinuationStart) and reads the events of its own format; looked at, not tested anew.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -41,7 +41,11 @@
 
 	// The fields below belong to the call's own goroutine.
 	wroteHeader bool
-	lastEventID string
+	// streamStatus and streamType are the status and the Content-Type in that header, if the
+	// answer is a stream.
+	streamStatus int
+	streamType   string
+	lastEventID  string
 	// firstAt and lastAt are when the first and the latest chunk of the answer were
 	// forwarded; maxGap is the longest pause between two chunks.
 	firstAt, lastAt time.Time
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -152,6 +152,8 @@
 		return notRunFailure(a, info)
 	case a.Status >= http.StatusMultipleChoices || !info.Sealed:
 		return g.keepFailure(c, e, a, info)
+	case c.wroteHeader && !c.continuedBy(a):
+		return &exchange.Failure{Kind: core.FailStatus, Sent: true, Err: errNotContinued}
 	case c.request.Route.Kind.Streaming():
 		return g.forwardStream(w, c, e, a, sentAt)
 	default:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,10 +16,11 @@
 )
 
 var (
-	errNotRun      = errors.New("the upstream did not run the request")
-	errEventOrder  = errors.New("the events of the stream are out of order")
-	errEventSize   = errors.New("an event, or the events since the last id, exceed the size limit")
-	errCallerWrite = errors.New("writing to the caller failed")
+	errNotRun       = errors.New("the upstream did not run the request")
+	errNotContinued = errors.New("the answer does not continue the stream: its status or its type differs")
+	errEventOrder   = errors.New("the events of the stream are out of order")
+	errEventSize    = errors.New("an event, or the events since the last id, exceed the size limit")
+	errCallerWrite  = errors.New("writing to the caller failed")
 )
 
 func statusError(status int) error {
@@ -83,11 +84,17 @@
 	if c.wroteHeader {
 		return
 	}
-	c.wroteHeader = true
+	c.wroteHeader, c.streamStatus, c.streamType = true, a.Status, a.Header.Get("Content-Type")
 	copyHeader(w.Header(), a.Header)
 	w.WriteHeader(a.Status)
 }
 
+// continuedBy reports whether an answer may continue the stream that the caller has the
+// beginning of.
+func (c *call) continuedBy(a *exchange.Response) bool {
+	return a.Status == c.streamStatus && a.Header.Get("Content-Type") == c.streamType
+}
+
 // forwardEvents writes complete events to the caller.
 func (c *call) forwardEvents(w http.ResponseWriter, a *exchange.Response, events []byte) error {
 	c.writeHeader(w, a)
