Lower the least share of a class to 0.65

Cause: a floor of 0.8 of the share, which itself follows what is admitted, so that the backlog of a class no longer reduced what was admitted. It had been measured on the small sites only.

--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -220,10 +220,10 @@
 }
 
 // minClassShare is the least share that an organisation may have before requests of one
-// class are refused, as a fraction of its share of all engines. One that sends only
-// requests of the class that is short of room gets this much, while another gets up to
-// maxExcess in the other class; the users compare organisations at a factor of two.
-const minClassShare = 0.8
+// class are refused, as a fraction of its share of all engines, so that one that sends only
+// requests of the class that is short of room is not left with a small part. A larger
+// fraction would keep the backlog of that class from reducing what is admitted.
+const minClassShare = 0.65
 
 // shareAt returns the share of an organisation at the level of a class.
 func (s *shareTracker) shareAt(now time.Time, org string, l *level) Share {
