--- a/internal/exchange/copies_test.go
+++ b/internal/exchange/copies_test.go
@@ -69,6 +69,11 @@
 
 const anonymousRefusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
+// refusalTo is a refusal that carries a request's id.
+func refusalTo(id string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+}
+
 func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
 
 // exchangeWith sends a request and returns the status and body of the response in use.
@@ -104,10 +109,14 @@
 		"split over packets":            copyOfFirst[:9] + "~" + copyOfFirst[9:40] + "~" + copyOfFirst[40:] + "~" + answerTo("2", "second"),
 		"the end of a copy":             copyOfFirst[20:] + answerTo("2", "second"),
 		"a copy of a refusal, nameless": anonymousRefusal + answerTo("2", "second"),
+		"a copy of a refusal, named":    refusalTo("1") + answerTo("2", "second"),
+		"a refusal's copy split":        refusalTo("1")[:30] + "~" + refusalTo("1")[30:] + "~" + answerTo("2", "second"),
 	} {
 		for _, first := range []struct{ name, answer string }{
 			{"answer", copyOfFirst},
 			{"refusal", anonymousRefusal},
+			{"named refusal", refusalTo("1")},
+			{"named refusal and a copy while idle", refusalTo("1") + "~" + refusalTo("1")},
 			{"answer and a part of its copy", copyOfFirst + copyOfFirst[:30]},
 			{"answer and a copy while idle", copyOfFirst + "~" + copyOfFirst},
 		} {
