--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -1,13 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
-
-// An upstream in need may name a limit: the requests a second that it takes from all routers
-// together. A limit is divided without an exchange of counts, since those arrive too late in
-// a large fleet: a few of the registered routers, the same ones at each router, may send to
-// the upstream, at equal rates.
+import "time"
 
 const (
 	// limitBurst bounds the number of routers that send to a limited upstream: all of them
@@ -23,7 +16,10 @@
 	limitEndMemory = 10 * time.Second
 )
 
-// rateLimit is what is known of an upstream's limit, and this router's part in it.
+// rateLimit is what is known of the limit that an upstream in need has named on the requests
+// of all routers together, and this router's part in it. The limit is divided without an
+// exchange of counts, since those arrive too late in a large fleet: a few of the registered
+// routers, the same ones by the view of each router, may send to the upstream, at equal rates.
 type rateLimit struct {
 	// perSecond is the limit in requests per second, 0 if there is none. heardAt is when
 	// an answer stated that, here or at a peer.
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -165,8 +165,9 @@
 	return Report{Loads: make(map[uint32]Load), Usage: make(map[uint32]Usage), Limits: make(map[uint32]Limit)}
 }
 
-// Sub takes the loads and the usage of another router's report out of a sum. What the sum has less of than the report counts as nothing: the usage of the
-// two may be of different times.
+// Sub takes the loads and the usage of another router's report out of a sum. What the sum
+// has less of than the report counts as nothing: the usage of the two may be of different
+// times.
 func (r *Report) Sub(o Report) {
 	for key, l := range o.Loads {
 		left := r.Loads[key]
