Test that limits of upstreams and their ends pass through relays

TestLimitsReachEveryRouter plays it on the simulated fleets of both sizes: a limit that one router was told is known to all others within a second, and so is its end that another one heard later, although the first still reports the limit with its age. It passes on the code as it is, and fails if sums leave limits out (tried and taken back).

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -339,3 +339,45 @@
 		}
 	})
 }
+
+// TestLimitsReachEveryRouter: a limit of an upstream that one router has been told, and its
+// end that another one has, are heard by all others within a second; the later statement is
+// the younger one everywhere.
+func TestLimitsReachEveryRouter(t *testing.T) {
+	const upstream = 7
+	youngest := func(r *simRouter) (limit dispatch.Limit, ok bool) {
+		for _, v := range r.views {
+			if l, known := v.Limits[upstream]; known && (!ok || l.Age < limit.Age) {
+				limit, ok = l, true
+			}
+		}
+		return limit, ok
+	}
+	forBothSizes(t, "", func(t *testing.T, n int) {
+		g, f := NewWithT(t), loaded(n, 4)
+		state := func(r *simRouter, l dispatch.Limit) {
+			r.load.Limits = map[uint32]dispatch.Limit{upstream: l}
+			r.unreported = reportThreshold
+		}
+		first, second := f.routers[f.order[3]], f.routers[f.order[n-2]]
+		state(first, dispatch.Limit{PerSecond: 6})
+		f.run(time.Second)
+		for _, r := range f.routers {
+			if r != first {
+				limit, ok := youngest(r)
+				g.Expect(ok).To(BeTrue())
+				g.Expect(limit.PerSecond).To(Equal(6.0))
+			}
+		}
+		state(first, dispatch.Limit{PerSecond: 6, Age: 2 * time.Second})
+		state(second, dispatch.Limit{Age: 50 * time.Millisecond})
+		f.run(time.Second)
+		for _, r := range f.routers {
+			if r != second {
+				limit, ok := youngest(r)
+				g.Expect(ok).To(BeTrue())
+				g.Expect(limit.PerSecond).To(BeZero())
+			}
+		}
+	})
+}
