Log what the copy of the store learns of leaving upstreams

No line told a removed entry that is retained from one that is in use again, or when an upstream's entry said that it leaves. The deletion of a retained entry now names the revision of the removal and how long the entry was retained, and a change to leaving is logged. The test's removals have the revision that the store gives them, in place of 0. No change of logic.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -151,9 +151,12 @@
 // expire drops entries whose grace period after their removal from the store has ended.
 func (g *Gateway) expire(now time.Time) {
 	g.mirrorMu.Lock()
-	changed := g.mirror.RemoveExpired(now)
+	expired := g.mirror.RemoveExpired(now)
 	g.mirrorMu.Unlock()
-	if changed {
+	for _, r := range expired {
+		logs.Info("entry-deleted", "Directory: removed entry deleted.", "key", r.Key, "revision", r.Revision, "retained", now.Sub(r.At))
+	}
+	if len(expired) > 0 {
 		g.applyMirror()
 	}
 }
@@ -200,6 +203,9 @@
 				logs.Info("skipped", "Store: invalid entry skipped.", "key", e.Key, "revision", e.Index, "err", err)
 			}
 			d = decodedInstance{index: e.Index, instance: in, valid: err == nil}
+			if known && in.Draining && !g.decoded[e.Key].instance.Draining {
+				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "revision", e.Index)
+			}
 		}
 		decoded[e.Key] = d
 		if d.valid {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -32,9 +32,9 @@
 	ephemeralPrefix string
 	// entries includes the retained entries.
 	entries map[string]store.Entry
-	// removedAt contains the retained entries: those removed from the store but not
-	// yet from the mirror, with the time of their removal.
-	removedAt map[string]time.Time
+	// removals contains the removals of the retained entries: those removed from the
+	// store but not yet from the mirror.
+	removals map[string]Removal
 	// revision is the store revision that the mirror has reached.
 	revision uint64
 	// lastChange is the highest revision of the changes recorded in the change log.
@@ -48,11 +48,20 @@
 	graceUntil time.Time
 }
 
+// Removal is the removal of an ephemeral entry from the store.
+type Removal struct {
+	Key string
+	// Revision is that of the removal, or that of the list in which the entry was missing.
+	Revision uint64
+	// At is when the mirror learnt of the removal.
+	At time.Time
+}
+
 // New returns an empty mirror. Keys with ephemeralPrefix are bound to leases.
 func New(ephemeralPrefix string) *Mirror {
 	return &Mirror{
 		ephemeralPrefix: ephemeralPrefix,
-		entries:         make(map[string]store.Entry), removedAt: make(map[string]time.Time),
+		entries:         make(map[string]store.Entry), removals: make(map[string]Removal),
 	}
 }
 
@@ -129,7 +138,7 @@
 	if known && e.Index < old.Index {
 		return false
 	}
-	delete(m.removedAt, e.Key)
+	delete(m.removals, e.Key)
 	m.entries[e.Key] = e
 	if known && e.Index == old.Index {
 		return false
@@ -150,8 +159,8 @@
 		m.logChange(removal)
 		return true
 	}
-	if _, removed := m.removedAt[key]; !removed {
-		m.removedAt[key] = now
+	if _, removed := m.removals[key]; !removed {
+		m.removals[key] = Removal{Key: key, Revision: revision, At: now}
 		m.logChange(removal)
 	}
 	return false
@@ -183,24 +192,24 @@
 	return changes, true
 }
 
-// RemoveExpired deletes the retained entries whose grace period has ended, and reports
-// whether there were any.
-func (m *Mirror) RemoveExpired(now time.Time) (changed bool) {
-	if len(m.removedAt) == 0 || now.Before(m.graceUntil) {
-		return false
+// RemoveExpired deletes the retained entries whose grace period has ended, and returns
+// their removals.
+func (m *Mirror) RemoveExpired(now time.Time) (expired []Removal) {
+	if len(m.removals) == 0 || now.Before(m.graceUntil) {
+		return nil
 	}
 	grace := removalGrace
 	if m.isMassRemoval() {
 		grace = massRemovalGrace
 	}
-	for key, since := range m.removedAt {
-		if now.Sub(since) >= grace {
-			delete(m.removedAt, key)
+	for key, r := range m.removals {
+		if now.Sub(r.At) >= grace {
+			delete(m.removals, key)
 			delete(m.entries, key)
-			changed = true
+			expired = append(expired, r)
 		}
 	}
-	return changed
+	return expired
 }
 
 // isMassRemoval reports whether several entries, and more than a third of the
@@ -213,12 +222,12 @@
 			total++
 		}
 	}
-	return len(m.removedAt) > 1 && 3*len(m.removedAt) > total
+	return len(m.removals) > 1 && 3*len(m.removals) > total
 }
 
 // RetainedCount returns the number of retained entries: those removed from the store
 // but not yet from the mirror.
-func (m *Mirror) RetainedCount() int { return len(m.removedAt) }
+func (m *Mirror) RetainedCount() int { return len(m.removals) }
 
 // Entries returns the entries under a prefix, including retained ones, sorted by key.
 func (m *Mirror) Entries(prefix string) []store.Entry {
@@ -246,7 +255,7 @@
 	all := m.Entries("")
 	present := all[:0]
 	for _, e := range all {
-		if _, removed := m.removedAt[e.Key]; !removed {
+		if _, removed := m.removals[e.Key]; !removed {
 			present = append(present, e)
 		}
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -27,9 +27,10 @@
 	return m
 }
 
+// removals returns the removals of instances at revision 11.
 func removals(ids ...int) (out []store.Change) {
 	for _, id := range ids {
-		out = append(out, store.Change{Entry: store.Entry{Key: fmt.Sprint(instancePrefix, id)}, Deleted: true})
+		out = append(out, store.Change{Entry: store.Entry{Key: fmt.Sprint(instancePrefix, id), Index: 11}, Deleted: true})
 	}
 	return out
 }
@@ -37,8 +38,8 @@
 func TestSingleRemovalIsDelayed(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
 	g.Expect(m.Apply(epoch, removals(3), 11)).To(BeFalse())
-	g.Expect(m.RemoveExpired(epoch.Add(removalGrace - 1))).To(BeFalse())
-	g.Expect(m.RemoveExpired(epoch.Add(removalGrace))).To(BeTrue())
+	g.Expect(m.RemoveExpired(epoch.Add(removalGrace - 1))).To(BeEmpty())
+	g.Expect(m.RemoveExpired(epoch.Add(removalGrace))).To(ConsistOf(Removal{Key: instancePrefix + "3", Revision: 11, At: epoch}))
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(9))
 }
 
@@ -63,8 +64,8 @@
 	g.Expect(m.MarkStoreUnavailable()).To(BeFalse())
 	g.Expect(m.MarkStoreAvailable(epoch)).To(BeTrue())
 	m.Apply(epoch, removals(0), 11)
-	g.Expect(m.RemoveExpired(epoch.Add(outageGrace - 1))).To(BeFalse())
-	g.Expect(m.RemoveExpired(epoch.Add(outageGrace))).To(BeTrue())
+	g.Expect(m.RemoveExpired(epoch.Add(outageGrace - 1))).To(BeEmpty())
+	g.Expect(m.RemoveExpired(epoch.Add(outageGrace))).To(HaveLen(1))
 }
 
 func TestOlderRevisionIsIgnored(t *testing.T) {
