Delete the entry of an upstream that has left before the upstream stops serving

Cause: some upstreams leave by the removal of their entry alone. The mirror retained removed entries for 2.2 s after an outage, counted from the first answer of a watch, which the store may hold for two seconds: the outage seemed to end with the next change, and that change, 1.3 s younger than the outage, was retained as one that had lapsed in it. Entries that were removed together were retained for 2.2 s as well. Upstreams serve for 2 s. Now the first watch after an outage is held for 50 ms at most, so that its end is known; only removals in the answer that ends it are retained until the end of the grace period, later ones and mass removals for 1.6 s, and the deletion is due with each tick in place of each quarter of a second.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -17,6 +17,9 @@
 	// watchDuration is how long the store may hold one watch open. It bounds for how
 	// long a connection that has gone silent hides changes.
 	watchDuration = 2 * time.Second
+	// regainWait is how long the store may hold the first watch after an outage open. The
+	// end of the outage must not be taken for that of the next change.
+	regainWait = 50 * time.Millisecond
 	// watchSlack is the additional time that the answer of a watch may take.
 	watchSlack = 700 * time.Millisecond
 	// listTimeout bounds one list call.
@@ -86,9 +89,9 @@
 	if err != nil {
 		return err
 	}
-	g.markStoreFound()
 	now := time.Now()
 	g.mirrorMu.Lock()
+	g.markStoreFound(now)
 	g.mirror.Replace(now, entries, at)
 	g.mirrorMu.Unlock()
 	g.applyMirror()
@@ -97,16 +100,21 @@
 
 // watchKeys waits for the next changes and applies them to the mirror.
 func (g *Gateway) watchKeys(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchDuration+watchSlack)
+	wait := watchDuration
+	if g.isStoreLost() {
+		wait = regainWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	changes, at, err := g.options.Feed.Changes(ctx, allKeys, g.revision(), watchDuration)
+	changes, at, err := g.options.Feed.Changes(ctx, allKeys, g.revision(), wait)
 	g.metrics.recordStoreCall(callWatch, err)
 	if err != nil {
 		return err
 	}
-	g.markStoreFound()
+	now := time.Now()
 	g.mirrorMu.Lock()
-	changed := g.mirror.Apply(time.Now(), changes, at)
+	g.markStoreFound(now)
+	changed := g.mirror.Apply(now, changes, at)
 	g.mirrorMu.Unlock()
 	if changed {
 		g.applyMirror()
@@ -138,13 +146,10 @@
 	}
 }
 
-func (g *Gateway) markStoreFound() {
-	g.mirrorMu.Lock()
-	changed := g.mirror.MarkStoreAvailable(time.Now())
-	at := g.mirror.Revision()
-	g.mirrorMu.Unlock()
-	if changed {
-		klog.InfoS("Store: connection regained.", "revision", at)
+// markStoreFound records that the store has answered. The caller holds mirrorMu.
+func (g *Gateway) markStoreFound(now time.Time) {
+	if g.mirror.MarkStoreAvailable(now) {
+		klog.InfoS("Store: connection regained.", "revision", g.mirror.Revision())
 	}
 }
 
@@ -154,7 +159,7 @@
 	expired := g.mirror.RemoveExpired(now)
 	g.mirrorMu.Unlock()
 	for _, r := range expired {
-		logs.Info("entry-deleted", "Directory: removed entry deleted.", "key", r.Key, "revision", r.Revision, "retained", now.Sub(r.At))
+		logs.Info("entry-deleted", "Directory: removed entry deleted.", "key", r.Key, "revision", r.Revision, "retained", now.Sub(r.At), "inOutage", r.InOutage)
 	}
 	if len(expired) > 0 {
 		g.applyMirror()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,8 +248,8 @@
 	}
 }
 
-// runTicks sends the dispatcher its ticks and runs the periodic work: pressure samples,
-// the sweep of idle connections and the expiry of store entries.
+// runTicks sends the dispatcher its ticks, deletes expired entries of the store, and runs
+// the periodic work: pressure samples and the sweep of idle connections.
 func (g *Gateway) runTicks(ctx context.Context) {
 	swept := time.Now()
 	for {
@@ -262,14 +262,15 @@
 		case <-time.After(wait):
 		}
 		g.step(dispatch.Tick{})
-		if now := time.Now(); now.Sub(swept) >= sweepInterval {
+		now := time.Now()
+		g.expire(now)
+		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			g.samplePressure(now)
 			g.client.CloseExpired(now)
 			if t := g.table.Load(); t != nil {
 				g.conns.sweep(now, t.Limits.IdleTimeout)
 			}
-			g.expire(now)
 		}
 	}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	// outageGrace is how long after an outage of the store removed entries are
-	// retained: live instances register again within about two seconds.
+	// outageGrace is how long after an outage of the store the entries are retained that
+	// were removed during it: live instances register again within about two seconds.
 	outageGrace = 2200 * time.Millisecond
-	// massRemovalGrace is how long removed entries are retained if many are removed
-	// although no outage was detected.
-	massRemovalGrace = 2200 * time.Millisecond
+	// massRemovalGrace is how long entries are retained that are removed soon after an
+	// outage, or many together. An instance that has left serves for two seconds, part of
+	// which passes before routers learn of its removal.
+	massRemovalGrace = 1600 * time.Millisecond
 	// maxLogEntries bounds the change log.
 	maxLogEntries = 512
 	// removalGrace is how long a removed entry is retained otherwise, so that the
@@ -46,6 +47,8 @@
 	storeUnavailable bool
 	// graceUntil is the end of the grace period after the last outage.
 	graceUntil time.Time
+	// outageEnded means that the next answer of the store covers the last outage.
+	outageEnded bool
 }
 
 // Removal is the removal of an ephemeral entry from the store.
@@ -55,6 +58,8 @@
 	Revision uint64
 	// At is when the mirror learnt of the removal.
 	At time.Time
+	// InOutage means that the removal may be as old as the last outage of the store.
+	InOutage bool
 }
 
 // New returns an empty mirror. Keys with ephemeralPrefix are bound to leases.
@@ -83,13 +88,14 @@
 }
 
 // MarkStoreAvailable records that the store is available. If it was unavailable
-// before, MarkStoreAvailable starts the grace period and returns true.
+// before, MarkStoreAvailable starts the grace period and returns true. The next Replace or
+// Apply must be that of the answer which ended the outage.
 func (m *Mirror) MarkStoreAvailable(now time.Time) bool {
 	if !m.storeUnavailable {
 		return false
 	}
 	m.storeUnavailable = false
-	m.graceUntil = now.Add(outageGrace)
+	m.graceUntil, m.outageEnded = now.Add(outageGrace), true
 	return true
 }
 
@@ -97,6 +103,7 @@
 // reports whether Entries changes. A list older than the mirror is ignored.
 func (m *Mirror) Replace(now time.Time, entries []store.Entry, revision uint64) (changed bool) {
 	if revision < m.revision {
+		m.outageEnded = false
 		return false
 	}
 	isFirst := m.revision == 0
@@ -110,7 +117,7 @@
 			changed = m.removeEntry(now, key, revision) || changed
 		}
 	}
-	m.revision = revision
+	m.revision, m.outageEnded = revision, false
 	if isFirst {
 		m.changeLog, m.changeLogStart = nil, revision
 	}
@@ -127,7 +134,7 @@
 		}
 		changed = m.putEntry(c.Entry) || changed
 	}
-	m.revision = max(m.revision, revision)
+	m.revision, m.outageEnded = max(m.revision, revision), false
 	return changed
 }
 
@@ -160,7 +167,7 @@
 		return true
 	}
 	if _, removed := m.removals[key]; !removed {
-		m.removals[key] = Removal{Key: key, Revision: revision, At: now}
+		m.removals[key] = Removal{Key: key, Revision: revision, At: now, InOutage: m.outageEnded}
 		m.logChange(removal)
 	}
 	return false
@@ -195,15 +202,19 @@
 // RemoveExpired deletes the retained entries whose grace period has ended, and returns
 // their removals.
 func (m *Mirror) RemoveExpired(now time.Time) (expired []Removal) {
-	if len(m.removals) == 0 || now.Before(m.graceUntil) {
+	if len(m.removals) == 0 {
 		return nil
 	}
-	grace := removalGrace
-	if m.isMassRemoval() {
-		grace = massRemovalGrace
-	}
+	isMassRemoval := m.isMassRemoval()
 	for key, r := range m.removals {
-		if now.Sub(r.At) >= grace {
+		until := r.At.Add(removalGrace)
+		switch {
+		case r.InOutage:
+			until = m.graceUntil
+		case isMassRemoval || r.At.Before(m.graceUntil):
+			until = r.At.Add(massRemovalGrace)
+		}
+		if !now.Before(until) {
 			delete(m.removals, key)
 			delete(m.entries, key)
 			expired = append(expired, r)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -68,6 +68,26 @@
 	g.Expect(m.RemoveExpired(epoch.Add(outageGrace))).To(HaveLen(1))
 }
 
+// TestRemovalAfterAnOutageIsNotRetainedAsLapsed checks that a removal which the store
+// reports after the answer that ended an outage is not retained for as long as one which may
+// have happened during it.
+func TestRemovalAfterAnOutageIsNotRetainedAsLapsed(t *testing.T) {
+	g, m := NewWithT(t), newFilledMirror(10)
+	m.MarkStoreUnavailable()
+	m.MarkStoreAvailable(epoch)
+	m.Apply(epoch, nil, 10)
+	m.Apply(epoch.Add(time.Second), removals(0), 11)
+	g.Expect(m.RemoveExpired(epoch.Add(time.Second + massRemovalGrace - 1))).To(BeEmpty())
+	g.Expect(m.RemoveExpired(epoch.Add(time.Second + massRemovalGrace))).To(HaveLen(1))
+}
+
+// TestUpstreamsLeaveBeforeTheyStopServing checks that no removal that is not as old as an
+// outage is retained for longer than two seconds less what the way to a router may take.
+func TestUpstreamsLeaveBeforeTheyStopServing(t *testing.T) {
+	const serves, delivery = 2 * time.Second, 350 * time.Millisecond
+	NewWithT(t).Expect(max(removalGrace, massRemovalGrace) + delivery).To(BeNumerically("<", serves))
+}
+
 func TestOlderRevisionIsIgnored(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(2)
 	g.Expect(m.Replace(epoch, nil, 9)).To(BeFalse())
