Copy the keys of a peer that is ahead although others are behind

What callers can see: a router that reads nothing from the store goes on sending to an upstream that has left, or by an old configuration, for as long as its watch hangs (up to 2.7 s). Cause: a copy from a peer is due once the router has been behind for 0.3 or 0.5 s, but the report of any peer that was as far behind ended that time. Reports come every 20 to 100 ms, so one such peer kept all copies from a router that had not lost the store in its own view. The time ends once nothing newer is known than the own keys. The decision is a function of its own without a network (copyState.observe).

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -37,9 +37,10 @@
 
 // copyState is the state of copying keys from peers.
 type copyState struct {
-	// newestFrom is the peer whose last change, newest, is the latest that was heard.
-	newestFrom string
-	newest     uint64
+	// newestFrom is the peer whose last change, newest, is the latest that was heard, and
+	// newestConfig the latest configuration that was.
+	newestFrom           string
+	newest, newestConfig uint64
 	// behindSince is when a peer was first seen to have newer keys.
 	behindSince time.Time
 	startedAt   time.Time
@@ -55,36 +56,61 @@
 	Entries  []store.Entry  `json:",omitempty"`
 }
 
-// catchUp starts a copy of a peer's keys if they are newer and the store or a nearer
-// peer is not expected to deliver them sooner.
-func (p *peers) catchUp(now time.Time, d *datagram) {
-	own, lost, watches := p.g.lastChange(), p.g.isStoreLost(), p.mustWatch()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if d.lastChange <= own && d.config <= p.g.configVersion() {
-		if d.lastChange == own {
-			p.copying.behindSince = time.Time{}
+// copySituation is what decides, at this router, when the keys of a peer are copied.
+type copySituation struct {
+	domain string
+	// lastChange and config are those of the own copy, 0 if there is none.
+	lastChange, config uint64
+	storeLost, watches bool
+}
+
+// keysReport is what a peer's datagram says of its copy of the store's keys.
+type keysReport struct {
+	from, domain       string
+	lastChange, config uint64
+}
+
+// observe returns the peer from which to copy keys, after the report of one, and whether
+// a copy is due: some peer has newer keys, and the store or a nearer peer is not expected
+// to deliver them sooner.
+func (c *copyState) observe(now time.Time, own copySituation, r keysReport) (from string, due bool) {
+	if r.lastChange <= own.lastChange && r.config <= own.config {
+		if own.lastChange >= c.newest && own.config >= c.newestConfig {
+			c.behindSince = time.Time{}
 		}
-		return
+		return "", false
 	}
-	if p.copying.behindSince.IsZero() {
-		p.copying.behindSince = now
+	if c.behindSince.IsZero() {
+		c.behindSince = now
 	}
-	from := d.addr
-	if d.lastChange >= p.copying.newest {
-		p.copying.newest, p.copying.newestFrom = d.lastChange, d.addr
+	c.newestConfig = max(c.newestConfig, r.config)
+	if r.lastChange >= c.newest || c.newestFrom == "" {
+		c.newest, c.newestFrom = max(c.newest, r.lastChange), r.from
 	}
+	from = r.from
 	wait := time.Duration(0)
 	switch {
-	case own == 0:
-		wait, from = firstCopyDelay, p.copying.newestFrom
-	case lost:
-	case watches:
+	case own.lastChange == 0:
+		wait, from = firstCopyDelay, c.newestFrom
+	case own.storeLost:
+	case own.watches:
 		wait = copyDelayWatching
-	case d.domain != p.g.options.Domain:
+	case r.domain != own.domain:
 		wait = copyDelayRemote
 	}
-	if now.Sub(p.copying.behindSince) < wait || p.copying.running || now.Sub(p.copying.startedAt) < minCopyInterval {
+	return from, now.Sub(c.behindSince) >= wait && !c.running && now.Sub(c.startedAt) >= minCopyInterval
+}
+
+// catchUp starts a copy of a peer's keys if one is due after a datagram.
+func (p *peers) catchUp(now time.Time, d *datagram) {
+	own := copySituation{
+		domain: p.g.options.Domain, lastChange: p.g.lastChange(), config: p.g.configVersion(),
+		storeLost: p.g.isStoreLost(), watches: p.mustWatch(),
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from, due := p.copying.observe(now, own, keysReport{from: d.addr, domain: d.domain, lastChange: d.lastChange, config: d.config})
+	if !due {
 		return
 	}
 	p.copying.running, p.copying.startedAt = true, now
@@ -98,7 +124,7 @@
 	p.copying.running = false
 	if err != nil {
 		// Another peer may answer.
-		p.copying.newest, p.copying.newestFrom = 0, ""
+		p.copying.newestFrom = ""
 	}
 	p.mu.Unlock()
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/copies_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestPeerAheadIsCopiedDespiteOthersBehind checks that a router copies the keys of a peer
+// that has newer ones after the delay of its situation, also while the reports of another
+// peer that is as far behind arrive in between.
+func TestPeerAheadIsCopiedDespiteOthersBehind(t *testing.T) {
+	for _, x := range []struct {
+		situation copySituation
+		want      time.Duration
+	}{
+		{copySituation{domain: "a", watches: true}, copyDelayWatching},
+		{copySituation{domain: "a"}, copyDelayRemote},
+		{copySituation{domain: "a", storeLost: true}, 0},
+	} {
+		t.Run(fmt.Sprintf("%+v", x.situation), func(t *testing.T) {
+			g, c := NewWithT(t), copyState{}
+			x.situation.lastChange = 39
+			start := time.Unix(1000, 0)
+			for at := time.Duration(0); at <= 2*time.Second; at += 10 * time.Millisecond {
+				_, due := c.observe(start.Add(at), x.situation, keysReport{from: "behind", domain: "a", lastChange: 39})
+				g.Expect(due).To(BeFalse(), "a peer without newer keys is not copied")
+				if from, due := c.observe(start.Add(at), x.situation, keysReport{from: "ahead", domain: "b", lastChange: 40}); due {
+					g.Expect(from).To(Equal("ahead"))
+					g.Expect(at).To(Equal(x.want))
+					return
+				}
+			}
+			t.Fatal("the keys of the peer that is ahead were not copied within 2 s")
+		})
+	}
+}
+
+// TestDelayOfCopiesStartsAnewAfterCatchingUp checks that a router which has caught up waits
+// again for the store or a nearer peer to deliver the next change.
+func TestDelayOfCopiesStartsAnewAfterCatchingUp(t *testing.T) {
+	g, c := NewWithT(t), copyState{}
+	start := time.Unix(1000, 0)
+	watching := copySituation{domain: "a", watches: true, lastChange: 39}
+	ahead := keysReport{from: "ahead", domain: "a", lastChange: 40}
+	_, due := c.observe(start, watching, ahead)
+	g.Expect(due).To(BeFalse())
+	watching.lastChange = 40
+	_, due = c.observe(start.Add(100*time.Millisecond), watching, ahead)
+	g.Expect(due).To(BeFalse())
+	ahead.lastChange = 41
+	_, due = c.observe(start.Add(time.Minute), watching, ahead)
+	g.Expect(due).To(BeFalse())
+	from, due := c.observe(start.Add(time.Minute+copyDelayWatching), watching, ahead)
+	g.Expect(due).To(BeTrue())
+	g.Expect(from).To(Equal("ahead"))
+}
