Skip changes of the store that the copy of it contains already

What callers can see: requests go on to an upstream that has left, until its address is refused, or an upstream that serves gets none. Cause: a router applies answers of the store and copies from peers in the order in which they arrive. A change that was read before a newer copy and applied after it made a removed entry present again (its write has the index of the retained entry), or removed one that had been written since. The revision had passed both by then, so no watch brought the newer change again: only the next list did. Changes up to the revision that the copy has reached are skipped now, and no removal is older than what it removes. Found by reading; TestLateAnswerChangesNothing fails before (the removal is lost) and passes now. The tests' removals have one revision each, as the store's do: they all had 11.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -125,9 +125,13 @@
 }
 
 // Apply applies ordered changes up to a revision, and reports whether Entries
-// changes.
+// changes. Changes that the mirror contains already are skipped: answers may be applied in
+// another order than they were given.
 func (m *Mirror) Apply(now time.Time, changes []store.Change, revision uint64) (changed bool) {
 	for _, c := range changes {
+		if c.Index <= m.revision {
+			continue
+		}
 		if c.Deleted {
 			changed = m.removeEntry(now, c.Key, c.Index) || changed
 			continue
@@ -157,7 +161,7 @@
 // removeEntry removes an entry and reports whether it did. An ephemeral entry is only
 // marked as removed; RemoveExpired deletes it after its grace period.
 func (m *Mirror) removeEntry(now time.Time, key string, revision uint64) bool {
-	if _, known := m.entries[key]; !known {
+	if e, known := m.entries[key]; !known || e.Index > revision {
 		return false
 	}
 	removal := store.Change{Entry: store.Entry{Key: key, Index: revision}, Deleted: true}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -27,17 +27,17 @@
 	return m
 }
 
-// removals returns the removals of instances at revision 11.
-func removals(ids ...int) (out []store.Change) {
+// removals returns the removals of instances at a revision.
+func removals(revision uint64, ids ...int) (out []store.Change) {
 	for _, id := range ids {
-		out = append(out, store.Change{Entry: store.Entry{Key: fmt.Sprint(instancePrefix, id), Index: 11}, Deleted: true})
+		out = append(out, store.Change{Entry: store.Entry{Key: fmt.Sprint(instancePrefix, id), Index: revision}, Deleted: true})
 	}
 	return out
 }
 
 func TestSingleRemovalIsDelayed(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
-	g.Expect(m.Apply(epoch, removals(3), 11)).To(BeFalse())
+	g.Expect(m.Apply(epoch, removals(11, 3), 11)).To(BeFalse())
 	g.Expect(m.RemoveExpired(epoch.Add(removalGrace - 1))).To(BeEmpty())
 	g.Expect(m.RemoveExpired(epoch.Add(removalGrace))).To(ConsistOf(Removal{Key: instancePrefix + "3", Revision: 11, At: epoch}))
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(9))
@@ -48,12 +48,12 @@
 func TestMassRemovalIsDelayed(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
 	for i := range 10 {
-		m.Apply(epoch.Add(time.Duration(i)*100*time.Millisecond), removals(i), 11)
+		m.Apply(epoch.Add(time.Duration(i)*100*time.Millisecond), removals(uint64(11+i), i), uint64(11+i))
 		m.RemoveExpired(epoch.Add(time.Duration(i) * 100 * time.Millisecond))
 	}
 	m.RemoveExpired(epoch.Add(1500 * time.Millisecond))
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(10))
-	m.Apply(epoch.Add(1600*time.Millisecond), []store.Change{{Entry: store.Entry{Key: instancePrefix + "4", Index: 12}}}, 12)
+	m.Apply(epoch.Add(1600*time.Millisecond), []store.Change{{Entry: store.Entry{Key: instancePrefix + "4", Index: 21}}}, 21)
 	m.RemoveExpired(epoch.Add(4 * time.Second))
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(1))
 }
@@ -63,7 +63,7 @@
 	g.Expect(m.MarkStoreUnavailable()).To(BeTrue())
 	g.Expect(m.MarkStoreUnavailable()).To(BeFalse())
 	g.Expect(m.MarkStoreAvailable(epoch)).To(BeTrue())
-	m.Apply(epoch, removals(0), 11)
+	m.Apply(epoch, removals(11, 0), 11)
 	g.Expect(m.RemoveExpired(epoch.Add(outageGrace - 1))).To(BeEmpty())
 	g.Expect(m.RemoveExpired(epoch.Add(outageGrace))).To(HaveLen(1))
 }
@@ -76,7 +76,7 @@
 	m.MarkStoreUnavailable()
 	m.MarkStoreAvailable(epoch)
 	m.Apply(epoch, nil, 10)
-	m.Apply(epoch.Add(time.Second), removals(0), 11)
+	m.Apply(epoch.Add(time.Second), removals(11, 0), 11)
 	g.Expect(m.RemoveExpired(epoch.Add(time.Second + massRemovalGrace - 1))).To(BeEmpty())
 	g.Expect(m.RemoveExpired(epoch.Add(time.Second + massRemovalGrace))).To(HaveLen(1))
 }
@@ -93,11 +93,27 @@
 	g.Expect(m.Replace(epoch, nil, 9)).To(BeFalse())
 	g.Expect(m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "config", Index: 0}}}, 9)).To(BeFalse())
 	g.Expect(m.Revision()).To(BeEquivalentTo(10))
-	g.Expect(m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "config"}, Deleted: true}}, 11)).To(BeTrue())
+	g.Expect(m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "config", Index: 11}, Deleted: true}}, 11)).To(BeTrue())
 	_, ok := m.Get("config")
 	g.Expect(ok).To(BeFalse())
 }
 
+// TestLateAnswerChangesNothing checks that changes which are applied after newer ones, as
+// when a watch is answered before a copy from a peer and applied after it, neither make a
+// removed entry present again nor remove one that was written since.
+func TestLateAnswerChangesNothing(t *testing.T) {
+	g, m := NewWithT(t), newFilledMirror(3)
+	written := store.Change{Entry: store.Entry{Key: instancePrefix + "0", Index: 11}}
+	removed := store.Change{Entry: store.Entry{Key: instancePrefix + "0", Index: 12}, Deleted: true}
+	m.Apply(epoch, []store.Change{written, removed}, 12)
+	m.Apply(epoch, []store.Change{written}, 11)
+	g.Expect(m.RemoveExpired(epoch.Add(removalGrace))).To(HaveLen(1))
+	m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: instancePrefix + "0", Index: 13}}}, 13)
+	g.Expect(m.Apply(epoch, []store.Change{removed}, 12)).To(BeFalse())
+	g.Expect(m.RemoveExpired(epoch.Add(time.Minute))).To(BeEmpty())
+	g.Expect(m.EntriesInStore()).To(HaveLen(4))
+}
+
 // TestCopyFollowsTheChangeLog checks that a copy which applies the changes since its
 // revision equals the mirror, and that ChangesSince fails for a revision that is too
 // old.
