Send no moved stream to an upstream that has been leaving for long

What callers can see: a single request that reaches an upstream long after it has said that it leaves, as in the users' report, and a stream that ends there. Cause: placing looks at whether an upstream takes work, continuing a moved stream does not. A stream is not stopped for a move once its target is leaving, and continues only at an upstream that is not leaving or has been for less than 1.3 s: the target, else the source, else elsewhere if it may be resumed. Found by reading; TestMovedStreamDoesNotReturnToSourceThatLeft, TestNoHandoverToTargetThatIsLeaving and TestStreamReturnsFromTargetThatLeft fail without it.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -36,7 +36,10 @@
 		s.delisted[e.Instance.ID] = l
 		return
 	}
-	u.leaving = u.leaving || e.Leaving
+	if e.Leaving {
+		u.leaving = true
+		u.markLeft(now)
+	}
 	u.unavailableUntil = laterOf(u.unavailableUntil, until)
 	if !e.LimitUnknown {
 		s.setLimit(now, u, e.Limit, now)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// setDraining makes an upstream's entry say that it is leaving.
+func (f *fixture) setDraining(id string) {
+	list := instances(len(f.upstreams) / 2)
+	for i := range list {
+		list[i].Draining = list[i].ID == id
+	}
+	f.step(InstancesChanged{Instances: list})
+}
+
 // arrive adds a request of the organisation "org" and returns its id.
 func (f *fixture) arrive(r *routing.Route, service string, tokens int) string {
 	return f.arriveFor("org", r, service, tokens)
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -98,7 +98,15 @@
 	}
 }
 
-// handleMoved continues a stopped stream at the upstream that has its memory.
+// MayHandOver reports whether the stream of an attempt may be stopped to continue at the
+// target of its move.
+func (s *State) MayHandOver(id string, attempt int) bool {
+	r := s.activeRequest(id, attempt)
+	return r != nil && r.move.target != nil && r.move.target.leftAt.IsZero()
+}
+
+// handleMoved continues a stopped stream at the upstream that has its memory: the target, or
+// the source if the memory stayed there or the target has left meanwhile.
 func (s *State) handleMoved(now time.Time, e Moved) {
 	r := s.activeRequest(e.ID, e.Attempt)
 	if r == nil || r.move.target == nil {
@@ -108,12 +116,29 @@
 	r.responseStarted, r.lastEventID = true, e.LastEventID
 	s.releaseAttempt(r)
 	r.move.source, r.move.handle = source, e.Handle
-	if e.AtSource {
+	if e.AtSource || !target.mayContinue(now) {
 		target = source
 	}
+	if !target.mayContinue(now) {
+		s.abandonMoved(now, r, source)
+		return
+	}
 	s.continueMoved(now, r, target)
 }
 
+// abandonMoved lets a stopped stream whose memory cannot be reached any more go on
+// elsewhere, if it may be resumed.
+func (s *State) abandonMoved(now time.Time, r *request, source *upstream) {
+	r.move.source = nil
+	r.possibleRuns++
+	r.failedUpstreams = append(r.failedUpstreams, source.ID)
+	if !s.mayResume(r) || !s.chargeRetry(r) {
+		s.fail(now, r, Fail{ID: r.ID, Reason: ReasonBroken})
+		return
+	}
+	s.admit(now, r)
+}
+
 // continueMoved starts the attempt that continues from moved memory.
 func (s *State) continueMoved(now time.Time, r *request, target *upstream) {
 	r.attempt++
@@ -143,6 +168,10 @@
 		return false
 	}
 	s.releaseAttempt(r)
+	if !source.mayContinue(now) {
+		s.abandonMoved(now, r, source)
+		return true
+	}
 	s.continueMoved(now, r, source)
 	return true
 }
--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -134,3 +135,68 @@
 		f.g.Expect(moved).To(Equal(x.moved), "%d tokens out", x.output)
 	}
 }
+
+// A moved stream is not sent back to a source that has been leaving for long: it would get
+// requests after it stops serving. One that may be resumed goes on elsewhere.
+func TestMovedStreamDoesNotReturnToSourceThatLeft(t *testing.T) {
+	for name, x := range map[string]struct {
+		leftFor  time.Duration
+		resumes  bool
+		expected string
+	}{
+		"leaving since a moment":   {leftFor: 100 * time.Millisecond, expected: "source"},
+		"leaving for long":         {leftFor: maxSendAfterLeaving, expected: "none"},
+		"leaving for long, resume": {leftFor: maxSendAfterLeaving, resumes: true, expected: "elsewhere"},
+	} {
+		for _, atSource := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", at source ", atSource), func(t *testing.T) {
+				f := newMoveFixture(t, 6)
+				route := *draft
+				if x.resumes {
+					route.Kind, route.MaxAttempts = routing.ResumableStream, 3
+				}
+				id := f.arrive(&route, model, 12_000)
+				f.step(FirstByteReceived{id, f.lastSend(id).Attempt})
+				m := f.last[id].(Move)
+				f.setDraining(m.From.ID)
+				f.now = f.now.Add(x.leftFor)
+				f.step(Moved{ID: id, Attempt: m.Attempt, Handle: "h1", AtSource: atSource, LastEventID: "4"})
+				if !atSource {
+					f.fail(id, Failed{Kind: core.FailRefused, ResponseStarted: true, LastEventID: "4"})
+				}
+				switch x.expected {
+				case "source":
+					f.g.Expect(f.lastSend(id).Upstream.ID).To(Equal(m.From.ID))
+				case "none":
+					f.g.Expect(f.last[id]).To(Equal(Fail{ID: id, Reason: ReasonBroken}))
+				case "elsewhere":
+					s := f.lastSend(id)
+					f.g.Expect(s.Upstream.ID).NotTo(BeElementOf(m.From.ID, ""))
+					f.g.Expect(s.ResumeAfter).To(Equal("4"))
+					f.g.Expect(s.ContinueFrom).To(BeEmpty())
+				}
+			})
+		}
+	}
+}
+
+// A move ends without a handover once its target is leaving: the stream goes on at its source.
+func TestNoHandoverToTargetThatIsLeaving(t *testing.T) {
+	f := newMoveFixture(t, 6)
+	id, m := f.arriveAndMove(12_000)
+	f.g.Expect(f.MayHandOver(id, m.Attempt)).To(BeTrue())
+	f.setDraining(m.To.ID)
+	f.g.Expect(f.MayHandOver(id, m.Attempt)).To(BeFalse())
+}
+
+// A stream that was stopped for a move to a target that has left goes on at its source.
+func TestStreamReturnsFromTargetThatLeft(t *testing.T) {
+	f := newMoveFixture(t, 6)
+	id, m := f.arriveAndMove(12_000)
+	f.setDraining(m.To.ID)
+	f.now = f.now.Add(maxSendAfterLeaving)
+	f.step(Moved{ID: id, Attempt: m.Attempt, Handle: "h1", LastEventID: "4"})
+	s := f.lastSend(id)
+	f.g.Expect(s.Upstream.ID).To(Equal(m.From.ID))
+	f.g.Expect(s.ContinueFrom).To(Equal(m.From.Addr + "/h1"))
+}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -75,6 +75,10 @@
 	// unreachableHold is how long an upstream gets no work after it refused a
 	// connection. Restarting takes an instance longer than that.
 	unreachableHold = 500 * time.Millisecond
+	// maxSendAfterLeaving is how long after this router has learnt that an upstream is
+	// leaving a moved stream may still be sent there. The upstream serves for two seconds,
+	// part of which has passed by then.
+	maxSendAfterLeaving = 1300 * time.Millisecond
 	// queueTimeFraction is the fraction of the latency target after which a request
 	// that still waits can no longer be answered in time.
 	queueTimeFraction = 0.9
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -237,6 +237,11 @@
 			s.byKey[u.key] = u
 		}
 		u.Instance = in
+		if in.Draining || u.leaving {
+			u.markLeft(now)
+		} else {
+			u.leftAt = time.Time{}
+		}
 		u.cache.limit = s.cacheLimit(in.Service)
 	}
 	for id := range s.upstreams {
@@ -261,6 +266,8 @@
 		return
 	}
 	s.rememberAdvice(now, u)
+	// Its entry has been retained after its removal: it left long ago.
+	u.markLeft(now.Add(-maxSendAfterLeaving))
 	delete(s.upstreams, id)
 	delete(s.byKey, u.key)
 	s.health.Remove(id)
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -57,6 +57,9 @@
 	replaced bool
 	// leaving means that the instance announced that it is about to stop.
 	leaving bool
+	// leftAt is when this router learnt that the instance is leaving or gone, zero if it
+	// is neither.
+	leftAt time.Time
 	// unavailableUntil is until when the upstream gets no work, because it refused a
 	// connection or asked for a hold-off.
 	unavailableUntil time.Time
@@ -69,6 +72,18 @@
 	return !u.replaced && !u.leaving && !now.Before(u.unavailableUntil)
 }
 
+// markLeft records that the instance is leaving or gone.
+func (u *upstream) markLeft(now time.Time) {
+	if u.leftAt.IsZero() {
+		u.leftAt = now
+	}
+}
+
+// mayContinue reports whether a moved stream may still be sent to the upstream.
+func (u *upstream) mayContinue(now time.Time) bool {
+	return u.leftAt.IsZero() || now.Sub(u.leftAt) < maxSendAfterLeaving
+}
+
 // Key returns the short identifier of an instance, an organisation or a service in
 // reports between routers.
 func Key(name string) uint32 {
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -54,6 +54,13 @@
 		g.step(dispatch.MoveFailed{ID: c.key, Attempt: e.Attempt})
 		return
 	}
+	if !g.mayHandOver(c, e) {
+		logs.Info("move-failed", "Gateway: stream not moved, it has ended or the target is leaving.", "id", c.caller.ID, "from", e.From.ID,
+			"to", e.To.ID, "took", time.Since(started))
+		g.freeCopy(e.From.Addr, handle)
+		g.step(dispatch.MoveFailed{ID: c.key, Attempt: e.Attempt})
+		return
+	}
 	h := c.beginHandover()
 	if h == nil {
 		g.freeCopy(e.From.Addr, handle)
@@ -68,6 +75,12 @@
 	}
 }
 
+func (g *Gateway) mayHandOver(c *call, e dispatch.Move) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.MayHandOver(c.key, e.Attempt)
+}
+
 // linkIsFree copies new memory until a copy takes little time, and reports whether one
 // did. The stream is stopped during the final copy, which would queue behind other
 // moves on a busy link.
