Send no request that was placed before its upstream left

What callers can see: a request that reaches an upstream after it has stopped serving, and fails there. Cause: an upstream is chosen when a request is placed, and the request is written once there is a connection and the router has time: up to 0.4 s for a connection, longer on a router that was frozen or is short of processor time. In between nothing looked at the upstream again. Found by reading; TestNothingIsSentToUpstreamThatLeftMeanwhile and TestMaySendUntilUpstreamStopsServing are new with the check (without it the request is written).

--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -200,3 +200,16 @@
 	f.g.Expect(s.Upstream.ID).To(Equal(m.From.ID))
 	f.g.Expect(s.ContinueFrom).To(Equal(m.From.Addr + "/h1"))
 }
+
+func TestMaySendUntilUpstreamStopsServing(t *testing.T) {
+	f := newFixture(t, 2)
+	in := instances(1)[0]
+	f.g.Expect(f.MaySend(f.now, in)).To(BeTrue())
+	f.setDraining(in.ID)
+	f.g.Expect(f.MaySend(f.now.Add(maxSendAfterLeaving-1), in)).To(BeTrue())
+	f.g.Expect(f.MaySend(f.now.Add(maxSendAfterLeaving), in)).To(BeFalse())
+	f.step(InstancesChanged{Instances: instances(2)})
+	f.g.Expect(f.MaySend(f.now.Add(maxSendAfterLeaving), in)).To(BeTrue(), "it does not leave after all")
+	f.step(InstancesChanged{Instances: instances(2)[1:]})
+	f.g.Expect(f.MaySend(f.now, in)).To(BeFalse(), "its entry was deleted")
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -184,6 +184,13 @@
 	return tickIdle
 }
 
+// MaySend reports whether a request that was placed at an instance may still be sent there:
+// connecting takes time, and a router that was short of it sends late.
+func (s *State) MaySend(now time.Time, in Instance) bool {
+	u := s.upstreams[in.ID]
+	return u != nil && sameStart(u.Instance, in) && u.mayContinue(now)
+}
+
 // Waiting returns the number of waiting requests.
 func (s *State) Waiting() (n int) {
 	for _, q := range s.queues {
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// mayContinue reports whether a moved stream may still be sent to the upstream.
+// mayContinue reports whether requests that are bound to the upstream may still be sent.
 func (u *upstream) mayContinue(now time.Time) bool {
 	return u.leftAt.IsZero() || now.Sub(u.leftAt) < maxSendAfterLeaving
 }
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -49,6 +49,9 @@
 	// long. Other requests use an idle connection only if its end would have been
 	// noticed; see maxIdleNonRepeatable.
 	Repeatable bool
+	// MaySend reports, once there is a connection, whether the upstream still takes the
+	// request. If it is nil, it does.
+	MaySend func() bool
 	// OwnsResponse tells whether a response belongs to this request.
 	OwnsResponse func(status int, h http.Header) Ownership
 	// Deadline is when the whole exchange must be over.
@@ -196,6 +199,10 @@
 		e.cancel()
 		return nil, &Failure{Kind: core.FailCancelled, Err: errAborted}
 	}
+	if e.req.MaySend != nil && !e.req.MaySend() {
+		e.Abort()
+		return nil, &Failure{Kind: core.FailDial, Err: errUpstreamLeft}
+	}
 	if err := c.SetDeadline(e.req.Deadline); err != nil {
 		return nil, e.fail(err, false)
 	}
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -14,6 +14,7 @@
 
 // The reasons for which a response cannot be used.
 var (
+	errUpstreamLeft    = errors.New("upstream left before the request was sent")
 	errForeignResponse = errors.New("response belongs to another request")
 	errAborted         = errors.New("exchange was aborted")
 	errHeaderTooLarge  = errors.New("response header exceeds its size limit")
--- a/internal/exchange/silent_test.go
+++ b/internal/exchange/silent_test.go
@@ -1,11 +1,14 @@
 package exchange
 
 import (
+	"io"
+	"net"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/porttest"
 	"github.com/jujubeford/jujubeford/internal/sockets"
 )
@@ -25,3 +28,28 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(e.AbortIfSilent()).To(BeTrue())
 }
+
+func TestNothingIsSentToUpstreamThatLeftMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	received := make(chan int, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		b, err := io.ReadAll(conn)
+		if err != nil {
+			t.Error(err)
+		}
+		received <- len(b)
+	}()
+	_, failure := New(0).Begin(&Request{
+		Addr: ln.Addr().String(), Method: "POST", Target: "/", Deadline: time.Now().Add(time.Minute), MaySend: func() bool { return false },
+	}).Run()
+	g.Expect(failure).To(HaveField("Kind", core.FailDial))
+	g.Expect(failure.Sent).To(BeFalse())
+	g.Eventually(received).Should(Receive(Equal(0)))
+}
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -103,6 +103,7 @@
 			FetchFrom: e.FetchFrom, ResumeAfter: e.ResumeAfter, ContinueFrom: e.ContinueFrom,
 		}),
 		Repeatable: c.request.Route.Kind.Repeatable(),
+		MaySend:    func() bool { return g.maySend(e.Upstream) },
 		OwnsResponse: func(status int, h http.Header) exchange.Ownership {
 			return g.options.Protocol.Ownership(status, h, c.caller.ID)
 		},
@@ -141,6 +142,13 @@
 	return false
 }
 
+// maySend reports whether a request that was placed at an upstream may still be sent there.
+func (g *Gateway) maySend(upstream dispatch.Instance) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.MaySend(time.Now(), upstream)
+}
+
 // forwardAnswer forwards an upstream's answer to the caller, or returns the failure
 // that the answer means.
 func (g *Gateway) forwardAnswer(w http.ResponseWriter, c *call, e dispatch.Send, a *exchange.Response, sentAt time.Time) *exchange.Failure {
