Start no work at an upstream that is listed as leaving, on the product's interface

The entry looked only at whether the upstream was known; work that runs at most once is sent once its claim is decided, which takes as long as the store is away. A grant for an upstream that is listed as leaving goes back unused, and work whose upstream left while its claim was decided waits for another slot, as if the upstream had gone from the list. Both specs fail before (a Send to the leaving upstream) and pass now.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -25,12 +25,17 @@
 	quarantined bool
 	retries     int
 	hedgeDelay  time.Duration
+	// claimLater means that claims are not decided at once.
+	claimLater bool
 }
 
 func (f *fakeHooks) Quarantined(now time.Time, _ string, _ [32]byte) (time.Time, bool) {
 	return now.Add(time.Minute), f.quarantined
 }
 func (f *fakeHooks) BeginClaim(_ time.Time, ev core.RequestArrived) ([]core.Effect, []claims.Decision) {
+	if f.claimLater {
+		return nil, nil
+	}
 	return nil, []claims.Decision{{Request: ev.Request, Kind: claims.Proceed}}
 }
 func (f *fakeHooks) ClaimSent(time.Time, core.RequestID)                              {}
@@ -125,6 +130,27 @@
 		Expect(release.Settled[0].Unused).To(BeTrue())
 	})
 
+	It("is not sent to an upstream that is listed as leaving", func() {
+		s := newEntry(&fakeHooks{})
+		s.HandleArrival(noon, arrive(1))
+		s.view.SetUpstreams([]core.Upstream{{ID: "e1", Service: "model", Domain: "a", State: core.UpstreamLeaving}, {ID: "e2", Service: "model", Domain: "a"}})
+		Expect(firstEffect[core.Send](s.HandleGrant(noon, "o.1", grant(1, "e1")))).To(BeZero())
+		Expect(firstEffect[core.Send](s.HandleGrant(noon, "o.1", grant(2, "e2"))).Upstream).To(Equal("e2"))
+	})
+
+	It("waits for another slot if its upstream leaves while its claim is decided", func() {
+		s := newEntry(&fakeHooks{claimLater: true})
+		a := arrive(1)
+		a.AtMostOnce, a.Idempotent, a.Key = true, false, "k"
+		s.HandleArrival(noon, a)
+		s.HandleGrant(noon, "o.1", grant(1, "e1"))
+		s.view.SetUpstreams([]core.Upstream{{ID: "e1", Service: "model", Domain: "a", State: core.UpstreamLeaving}, {ID: "e2", Service: "model", Domain: "a"}})
+		decided := claims.Decision{Request: "q1", Kind: claims.Proceed}
+		Expect(firstEffect[core.Send](s.HandleClaimDecision(noon.Add(2*time.Second), decided))).To(BeZero())
+		s.HandleGrant(noon.Add(2*time.Second), "o.1", grant(2, "e2"))
+		Expect(firstEffect[core.Send](s.HandleClaimDecision(noon.Add(2*time.Second), decided)).Upstream).To(Equal("e2"))
+	})
+
 	DescribeTable("fails after one send", func(sent bool, retries int, reason core.Reason, outcome core.Outcome) {
 		s := newEntry(&fakeHooks{retries: retries})
 		s.HandleArrival(noon, arrive(1))
--- a/internal/entry/grant.go
+++ b/internal/entry/grant.go
@@ -19,7 +19,7 @@
 )
 
 // HandleGrant assigns a granted slot to the request that has waited longest, or
-// returns it if no request waits for it any more.
+// returns it if no request waits for it any more or its upstream is leaving.
 func (s *State) HandleGrant(now time.Time, from core.RouterID, g *wire.Grant) []core.Effect {
 	u, known := s.view.Upstream(g.Upstream)
 	if !known {
@@ -28,7 +28,7 @@
 	}
 	q := s.queue(queueKey{u.Service, g.Organisation, g.Class})
 	q.recordGrant(now, from)
-	if now.Before(s.returnGrantsUntil) {
+	if now.Before(s.returnGrantsUntil) || u.State != core.UpstreamUp {
 		s.returnGrant(now, q, from, core.GrantID(g.Id))
 		return nil
 	}
@@ -131,10 +131,11 @@
 	s.announce(now, k)
 }
 
-// startAttempt issues the only Send effect of a new attempt.
+// startAttempt issues the only Send effect of a new attempt. Work whose upstream left while
+// its claim was decided waits for another slot.
 func (s *State) startAttempt(now time.Time, r *request, slot slotKey) []core.Effect {
 	u, ok := s.view.Upstream(slot.upstream)
-	if !ok {
+	if !ok || r.AtMostOnce && u.State != core.UpstreamUp {
 		s.returnHeldSlot(now, r, slot)
 		s.enqueue(now, r, true)
 		return nil
