Delete at once what is missing in a list, unless it may have lapsed

A store that forgets its history while a watch hears nothing (up to two seconds) is listed anew; an entry that was missing there was retained for 0.8 s more. The 0.8 s keep the first removal of many until the others arrive, which a list has all at once: without an outage or a mass removal nothing is retained now. TestRemovalInTheGapOfAWatchIsNotRetained fails before (nothing is deleted) and passes now.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -60,6 +60,9 @@
 	At time.Time
 	// InOutage means that the removal may be as old as the last outage of the store.
 	InOutage bool
+	// Listed means that the entry was missing in a list: the removal may have happened any
+	// time since the change before, and all removals until then are known.
+	Listed bool
 }
 
 // New returns an empty mirror. Keys with ephemeralPrefix are bound to leases.
@@ -114,7 +117,7 @@
 	}
 	for key := range m.entries {
 		if !listed[key] {
-			changed = m.removeEntry(now, key, revision) || changed
+			changed = m.removeEntry(now, key, revision, true) || changed
 		}
 	}
 	m.revision, m.outageEnded = revision, false
@@ -133,7 +136,7 @@
 			continue
 		}
 		if c.Deleted {
-			changed = m.removeEntry(now, c.Key, c.Index) || changed
+			changed = m.removeEntry(now, c.Key, c.Index, false) || changed
 			continue
 		}
 		changed = m.putEntry(c.Entry) || changed
@@ -160,7 +163,7 @@
 
 // removeEntry removes an entry and reports whether it did. An ephemeral entry is only
 // marked as removed; RemoveExpired deletes it after its grace period.
-func (m *Mirror) removeEntry(now time.Time, key string, revision uint64) bool {
+func (m *Mirror) removeEntry(now time.Time, key string, revision uint64, listed bool) bool {
 	if e, known := m.entries[key]; !known || e.Index > revision {
 		return false
 	}
@@ -171,7 +174,7 @@
 		return true
 	}
 	if _, removed := m.removals[key]; !removed {
-		m.removals[key] = Removal{Key: key, Revision: revision, At: now, InOutage: m.outageEnded}
+		m.removals[key] = Removal{Key: key, Revision: revision, At: now, InOutage: m.outageEnded, Listed: listed}
 		m.logChange(removal)
 	}
 	return false
@@ -217,6 +220,8 @@
 			until = m.graceUntil
 		case isMassRemoval || r.At.Before(m.graceUntil):
 			until = r.At.Add(massRemovalGrace)
+		case r.Listed:
+			until = r.At
 		}
 		if !now.Before(until) {
 			delete(m.removals, key)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -81,6 +81,18 @@
 	g.Expect(m.RemoveExpired(epoch.Add(time.Second + massRemovalGrace))).To(HaveLen(1))
 }
 
+// TestRemovalInTheGapOfAWatchIsNotRetained checks that an entry which left the store while a
+// watch heard nothing is deleted with the list that shows it: the removal may be old.
+func TestRemovalInTheGapOfAWatchIsNotRetained(t *testing.T) {
+	g, m := NewWithT(t), newFilledMirror(10)
+	m.Replace(epoch, append(m.EntriesInStore()[:5:5], m.EntriesInStore()[6:]...), 11)
+	g.Expect(m.RemoveExpired(epoch)).To(HaveLen(1))
+	// Entries that are missing together may have lapsed.
+	m.Replace(epoch, m.EntriesInStore()[:5:5], 12)
+	g.Expect(m.RemoveExpired(epoch.Add(massRemovalGrace - 1))).To(BeEmpty())
+	g.Expect(m.RemoveExpired(epoch.Add(massRemovalGrace))).NotTo(BeEmpty())
+}
+
 // TestUpstreamsLeaveBeforeTheyStopServing checks that no removal that is not as old as an
 // outage is retained for longer than two seconds less what the way to a router may take.
 func TestUpstreamsLeaveBeforeTheyStopServing(t *testing.T) {
