Follow a store that is restored from an older copy

Cause: revisions were taken for an order of all that the store ever has. After the restore its list has a lower revision than the mirror, so the list was ignored, the watch went on from a revision that the store does not know, got 410, and all keys were listed again, without a pause and with the same result. Each path that carries a revision took an equal one for an equal value: decoded entries, the change log, reports, copies from peers. Now the order is that of the store's era and the revision within it (store.Position). A list of a later era replaces the mirror whatever its revisions are; entries that it lacks are retained as after an outage, while they are written again. Changes of another era are skipped, change logs begin anew, and a watch does not continue from a revision that was given out again. Reports and copies carry the era (earlier builds send none: it is taken for the own one). The configuration in force is kept until a higher version comes, or other content under its version in a later era, and is passed on to routers that start and find an older one in the store. Listing again has a pause. A copy also tells its last change now: one that learnt of a change from a list had another revision for it, and made its peers copy it over and over.

--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/store"
 )
 
 // TestPeerAheadIsCopiedDespiteOthersBehind checks that a router copies the keys of a peer
@@ -22,12 +24,12 @@
 	} {
 		t.Run(fmt.Sprintf("%+v", x.situation), func(t *testing.T) {
 			g, c := NewWithT(t), copyState{}
-			x.situation.lastChange = 39
+			x.situation.lastChange = store.Position{Era: 1, Revision: 39}
 			start := time.Unix(1000, 0)
 			for at := time.Duration(0); at <= 2*time.Second; at += 10 * time.Millisecond {
-				_, due := c.observe(start.Add(at), x.situation, keysReport{from: "behind", domain: "a", lastChange: 39})
+				_, due := c.observe(start.Add(at), x.situation, keysReport{from: "behind", domain: "a", lastChange: store.Position{Era: 1, Revision: 39}})
 				g.Expect(due).To(BeFalse(), "a peer without newer keys is not copied")
-				if from, due := c.observe(start.Add(at), x.situation, keysReport{from: "ahead", domain: "b", lastChange: 40}); due {
+				if from, due := c.observe(start.Add(at), x.situation, keysReport{from: "ahead", domain: "b", lastChange: store.Position{Era: 1, Revision: 40}}); due {
 					g.Expect(from).To(Equal("ahead"))
 					g.Expect(at).To(Equal(x.want))
 					return
@@ -43,14 +45,14 @@
 func TestDelayOfCopiesStartsAnewAfterCatchingUp(t *testing.T) {
 	g, c := NewWithT(t), copyState{}
 	start := time.Unix(1000, 0)
-	watching := copySituation{domain: "a", watches: true, lastChange: 39}
-	ahead := keysReport{from: "ahead", domain: "a", lastChange: 40}
+	watching := copySituation{domain: "a", watches: true, lastChange: store.Position{Era: 1, Revision: 39}}
+	ahead := keysReport{from: "ahead", domain: "a", lastChange: store.Position{Era: 1, Revision: 40}}
 	_, due := c.observe(start, watching, ahead)
 	g.Expect(due).To(BeFalse())
-	watching.lastChange = 40
+	watching.lastChange.Revision = 40
 	_, due = c.observe(start.Add(100*time.Millisecond), watching, ahead)
 	g.Expect(due).To(BeFalse())
-	ahead.lastChange = 41
+	ahead.lastChange.Revision = 41
 	_, due = c.observe(start.Add(time.Minute), watching, ahead)
 	g.Expect(due).To(BeFalse())
 	from, due := c.observe(start.Add(time.Minute+copyDelayWatching), watching, ahead)
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -30,9 +30,10 @@
 	incarnation uint64
 	// serial increases with each datagram of an incarnation.
 	serial uint64
-	// config is the version of the configuration in force at the sender, and lastChange
-	// the revision of the last change in its copy of the store's keys.
-	config, lastChange uint64
+	// config is the version of the configuration in force at the sender, and era and
+	// lastChange the position of the last change in its copy of the store's keys. Earlier
+	// builds send no era.
+	config, era, lastChange uint64
 	// domain is the sender's failure domain.
 	domain string
 	scope  scope
@@ -72,6 +73,7 @@
 	fieldContended   protowire.Number = 21
 	fieldCrashes     protowire.Number = 22
 	fieldLimits      protowire.Number = 23
+	fieldEra         protowire.Number = 24
 )
 
 // chargeScale and limitScale are the factors by which charges and limits are multiplied to
@@ -106,6 +108,7 @@
 	b = appendNumber(b, fieldSerial, d.serial)
 	b = appendNumber(b, fieldConfig, d.config)
 	b = appendNumber(b, fieldLastChange, d.lastChange)
+	b = appendNumber(b, fieldEra, d.era)
 	b = protowire.AppendTag(b, fieldDomain, protowire.BytesType)
 	b = protowire.AppendString(b, d.domain)
 	b = appendNumber(b, fieldScope, uint64(d.scope))
@@ -226,6 +229,8 @@
 		d.config = v
 	case fieldLastChange:
 		d.lastChange = v
+	case fieldEra:
+		d.era = v
 	case fieldScope:
 		d.scope = scope(v)
 	case fieldStoreLost:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -34,6 +35,9 @@
 	// watchCheckInterval is how often a router that does not watch the store checks
 	// whether it has to.
 	watchCheckInterval = 100 * time.Millisecond
+	// relistPause is the pause before all keys are listed again because the store does not
+	// have the changes after a position.
+	relistPause = 50 * time.Millisecond
 	// allKeys is the prefix of all keys. Watching everything takes one call where
 	// watching each prefix would take three.
 	allKeys = ""
@@ -60,8 +64,9 @@
 			listed, backoff = true, storeBackoff
 			continue
 		case errors.Is(err, store.ErrCompacted):
-			logs.Info("compacted", "Store: revision was compacted, listing all keys again.", "after", g.revision())
+			logs.Info("compacted", "Store: changes are not available, listing all keys again.", "after", g.position())
 			listed = false
+			sleep(ctx, relistPause)
 			continue
 		case ctx.Err() != nil:
 			return
@@ -92,12 +97,22 @@
 	now := time.Now()
 	g.mirrorMu.Lock()
 	g.markStoreFound(now)
-	g.mirror.Replace(now, entries, at)
+	g.replaceMirror(now, entries, at)
 	g.mirrorMu.Unlock()
 	g.applyMirror()
 	return nil
 }
 
+// replaceMirror replaces the mirror with a list of all keys. The caller holds mirrorMu.
+func (g *Gateway) replaceMirror(now time.Time, entries []store.Entry, at store.Position) (changed bool) {
+	before := g.mirror.Position()
+	changed = g.mirror.Replace(now, entries, at)
+	if before.Era != 0 && g.mirror.Position().Era != before.Era {
+		klog.InfoS("Store: restored from an older copy.", "before", before, "after", at, "retained", g.mirror.RetainedCount())
+	}
+	return changed
+}
+
 // watchKeys waits for the next changes and applies them to the mirror.
 func (g *Gateway) watchKeys(ctx context.Context) error {
 	wait := watchDuration
@@ -106,7 +121,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	changes, at, err := g.options.Feed.Changes(ctx, allKeys, g.revision(), wait)
+	changes, at, err := g.options.Feed.Changes(ctx, allKeys, g.position(), wait)
 	g.metrics.recordStoreCall(callWatch, err)
 	if err != nil {
 		return err
@@ -123,14 +138,15 @@
 	return nil
 }
 
-func (g *Gateway) revision() uint64 {
+// position is the position of the store that the mirror has reached.
+func (g *Gateway) position() store.Position {
 	g.mirrorMu.Lock()
 	defer g.mirrorMu.Unlock()
-	return g.mirror.Revision()
+	return g.mirror.Position()
 }
 
-// lastChange is the revision of the last change in the mirror.
-func (g *Gateway) lastChange() uint64 {
+// lastChange is the position of the last change in the mirror.
+func (g *Gateway) lastChange() store.Position {
 	g.mirrorMu.Lock()
 	defer g.mirrorMu.Unlock()
 	return g.mirror.LastChange()
@@ -139,17 +155,17 @@
 func (g *Gateway) markStoreLost(err error) {
 	g.mirrorMu.Lock()
 	changed := g.mirror.MarkStoreUnavailable()
-	at := g.mirror.Revision()
+	at := g.mirror.Position()
 	g.mirrorMu.Unlock()
 	if changed {
-		klog.InfoS("Store: connection lost.", "err", err, "revision", at)
+		klog.InfoS("Store: connection lost.", "err", err, "position", at)
 	}
 }
 
 // markStoreFound records that the store has answered. The caller holds mirrorMu.
 func (g *Gateway) markStoreFound(now time.Time) {
 	if g.mirror.MarkStoreAvailable(now) {
-		klog.InfoS("Store: connection regained.", "revision", g.mirror.Revision())
+		klog.InfoS("Store: connection regained.", "position", g.mirror.Position())
 	}
 }
 
@@ -173,7 +189,11 @@
 	defer g.mirrorMu.Unlock()
 	directory := g.options.Directory
 	if e, ok := g.mirror.Get(directory.ConfigKey()); ok {
-		g.applyTable(e)
+		at := store.Position{Era: g.mirror.Position().Era, Revision: e.Index}
+		if at != g.tableDecoded {
+			g.tableDecoded = at
+			g.applyTable(e.Value, at)
+		}
 	}
 	list := g.decodeInstances(g.mirror.Entries(directory.InstancePrefix()))
 	g.step(dispatch.InstancesChanged{Instances: list})
@@ -183,14 +203,15 @@
 		Self: g.options.PeerListen, Registered: g.peers.registered(),
 	})
 	g.peers.wakeSender()
-	if g.mirror.Revision() > 0 && !g.listed.Swap(true) {
-		klog.InfoS("Directory: first list of upstreams applied.", "upstreams", len(list), "revision", g.mirror.Revision())
+	if g.mirror.Position().Revision > 0 && !g.listed.Swap(true) {
+		klog.InfoS("Directory: first list of upstreams applied.", "upstreams", len(list), "position", g.mirror.Position())
 	}
 }
 
-// decodedInstance is the result of decoding an upstream's entry of a revision.
+// decodedInstance is the result of decoding an upstream's entry that was written at a
+// position.
 type decodedInstance struct {
-	index    uint64
+	at       store.Position
 	instance dispatch.Instance
 	valid    bool
 }
@@ -200,16 +221,18 @@
 func (g *Gateway) decodeInstances(entries []store.Entry) []dispatch.Instance {
 	list := make([]dispatch.Instance, 0, len(entries))
 	decoded := make(map[string]decodedInstance, len(entries))
+	era := g.mirror.Position().Era
 	for _, e := range entries {
 		d, known := g.decoded[e.Key]
-		if !known || d.index != e.Index {
+		at := store.Position{Era: era, Revision: e.Index}
+		if !known || d.at != at {
 			in, err := g.options.Directory.Instance(e.Key, e.Value)
 			if err != nil {
-				logs.Info("skipped", "Store: invalid entry skipped.", "key", e.Key, "revision", e.Index, "err", err)
+				logs.Info("skipped", "Store: invalid entry skipped.", "key", e.Key, "position", at, "err", err)
 			}
-			d = decodedInstance{index: e.Index, instance: in, valid: err == nil}
+			d = decodedInstance{at: at, instance: in, valid: err == nil}
 			if known && in.Draining && !g.decoded[e.Key].instance.Draining {
-				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "revision", e.Index)
+				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "position", at)
 			}
 		}
 		decoded[e.Key] = d
@@ -221,25 +244,33 @@
 	return list
 }
 
-// applyTable puts a configuration in force if it is newer than the current one. An entry
-// is decoded once. The caller holds mirrorMu.
-func (g *Gateway) applyTable(e store.Entry) {
-	if e.Index == g.tableIndex {
+// tableEntry is the entry of a configuration.
+type tableEntry struct {
+	value []byte
+	at    store.Position
+}
+
+// applyTable puts a configuration in force if it is newer than the current one: of a higher
+// version, or other content under the same version in a later era of the store. The caller
+// holds mirrorMu.
+func (g *Gateway) applyTable(value []byte, at store.Position) {
+	old := g.table.Load()
+	if old != nil && bytes.Equal(value, g.inForce.value) {
 		return
 	}
-	g.tableIndex = e.Index
-	t, err := g.options.Directory.Table(e.Value)
+	t, err := g.options.Directory.Table(value)
 	if err != nil {
-		logs.Info("skipped", "Store: invalid entry skipped.", "key", e.Key, "revision", e.Index, "err", err)
+		logs.Info("skipped", "Store: invalid entry skipped.", "key", g.options.Directory.ConfigKey(), "position", at, "err", err)
 		return
 	}
-	old := g.table.Load()
-	if old != nil && t.Version <= old.Version {
+	if old != nil && (t.Version < old.Version || t.Version == old.Version && at.Era <= g.inForce.at.Era) {
+		logs.Info("config-kept", "Config: the version in force is kept, the store has an older one.", "version", old.Version, "stored", t.Version, "position", at)
 		return
 	}
+	g.inForce = tableEntry{value, at}
 	g.table.Store(t)
 	g.step(dispatch.TableChanged{Table: t})
-	klog.InfoS("Config: new version in force.", "version", t.Version, "before", tableVersion(old), "revision", e.Index)
+	klog.InfoS("Config: new version in force.", "version", t.Version, "before", tableVersion(old), "position", at)
 }
 
 const (
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -19,23 +20,24 @@
 
 // A fakeFeed is a store with one key after another.
 type fakeFeed struct {
-	mu       sync.Mutex
-	entries  map[string]store.Entry
-	history  []store.Change
-	revision uint64
-	away     bool
-	changed  chan struct{}
+	mu      sync.Mutex
+	entries map[string]store.Entry
+	history []store.Change
+	at      store.Position
+	away    bool
+	changed chan struct{}
+	calls   int
 }
 
 func newFakeFeed() *fakeFeed {
-	return &fakeFeed{entries: make(map[string]store.Entry), changed: make(chan struct{})}
+	return &fakeFeed{at: store.Position{Era: 1}, entries: make(map[string]store.Entry), changed: make(chan struct{})}
 }
 
 func (f *fakeFeed) change(c store.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision++
-	c.Index = f.revision
+	f.at.Revision++
+	c.Index = f.at.Revision
 	f.history = append(f.history, c)
 	if delete(f.entries, c.Key); !c.Deleted {
 		f.entries[c.Key] = c.Entry
@@ -61,34 +63,68 @@
 	f.changed = make(chan struct{})
 }
 
-func (f *fakeFeed) Range(context.Context, string) ([]store.Entry, uint64, error) {
+// restore puts the store back to a revision, in a new era.
+func (f *fakeFeed) restore(revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.at = store.Position{Era: f.at.Era + 1, Revision: revision}
+	kept := f.history[:0]
+	f.entries = make(map[string]store.Entry)
+	for _, c := range f.history {
+		if c.Index > revision {
+			continue
+		}
+		kept = append(kept, c)
+		if delete(f.entries, c.Key); !c.Deleted {
+			f.entries[c.Key] = c.Entry
+		}
+	}
+	f.history = kept
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// callCount returns the number of calls so far.
+func (f *fakeFeed) callCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+func (f *fakeFeed) Range(context.Context, string) ([]store.Entry, store.Position, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
 	if f.away {
-		return nil, 0, store.ErrUnavailable
+		return nil, store.Position{}, store.ErrUnavailable
 	}
 	var list []store.Entry
 	for _, e := range f.entries {
 		list = append(list, e)
 	}
-	return list, f.revision, nil
+	return list, f.at, nil
 }
 
-func (f *fakeFeed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
+func (f *fakeFeed) Changes(ctx context.Context, _ string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
 	timeout := time.After(wait)
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
 	for {
 		f.mu.Lock()
-		away, at, changed := f.away, f.revision, f.changed
+		away, at, changed := f.away, f.at, f.changed
 		var list []store.Change
 		for _, c := range f.history {
-			if c.Index > after {
+			if c.Index > after.Revision {
 				list = append(list, c)
 			}
 		}
 		f.mu.Unlock()
 		switch {
 		case away:
-			return nil, 0, store.ErrUnavailable
+			return nil, store.Position{}, store.ErrUnavailable
+		case at.Era != after.Era:
+			return nil, store.Position{}, store.ErrCompacted
 		case len(list) > 0:
 			return list, at, nil
 		}
@@ -97,7 +133,7 @@
 		case <-timeout:
 			return nil, at, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, store.Position{}, ctx.Err()
 		}
 	}
 }
@@ -107,15 +143,21 @@
 
 func (fakeDirectory) ConfigKey() string      { return "config" }
 func (fakeDirectory) InstancePrefix() string { return "instances/" }
-func (fakeDirectory) Table([]byte) (*routing.Table, error) {
-	return routing.NewTable(1, routing.Limits{}, nil, nil, nil), nil
+
+// Table takes the first word of a value for the version.
+func (fakeDirectory) Table(value []byte) (*routing.Table, error) {
+	var version uint64
+	if _, err := fmt.Sscan(string(value), &version); err != nil {
+		return nil, err
+	}
+	return routing.NewTable(version, routing.Limits{}, nil, nil, nil), nil
 }
 func (fakeDirectory) Instance(key string, _ []byte) (dispatch.Instance, error) {
 	return dispatch.Instance{ID: key, Service: "model", Addr: "127.0.0.1:1", Domain: "a", Slots: 1}, nil
 }
 
-// followFeed returns a router that follows a store and sends its ticks until the test ends.
-func followFeed(t *testing.T, feed *fakeFeed) *Gateway {
+// newFollower returns a router that does not run.
+func newFollower(t *testing.T, feed *fakeFeed) *Gateway {
 	t.Helper()
 	gw, err := New(Options{
 		Name: "r", Domain: "a", Listen: "127.0.0.1:1", ReadyListen: "127.0.0.1:2", PeerListen: "127.0.0.1:3",
@@ -125,6 +167,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return gw
+}
+
+// followFeed returns a router that follows a store and sends its ticks until the test ends.
+func followFeed(t *testing.T, feed *fakeFeed) *Gateway {
+	t.Helper()
+	gw := newFollower(t, feed)
 	gw.peers.started = time.Now().Add(-watchStartDelay)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -173,3 +222,115 @@
 	g.Eventually(gw.upstreams, 5*time.Second).Should(Equal(2))
 	g.Expect(time.Since(left)).To(BeNumerically("<", upstreamServes))
 }
+
+// TestRestoredStoreIsFollowed checks that a router whose store came back from an older copy puts
+// what is written there in force, does not go back to an older configuration, and does not read
+// the store without a pause.
+func TestRestoredStoreIsFollowed(t *testing.T) {
+	g, feed := NewWithT(t), newFakeFeed()
+	feed.put("config", "1")
+	for i := range 6 {
+		feed.put(fmt.Sprint("instances/", i), "")
+	}
+	copied := feed.at.Revision
+	feed.put("config", "2")
+	feed.put("instances/6", "")
+	gw := followFeed(t, feed)
+	g.Eventually(gw.upstreams).Should(Equal(7))
+	g.Expect(gw.configVersion()).To(BeEquivalentTo(2))
+	feed.restore(copied)
+	g.Eventually(func() uint64 { return gw.position().Era }, 5*time.Second).Should(BeEquivalentTo(2))
+	g.Expect(gw.configVersion()).To(BeEquivalentTo(2), "the configuration in force is kept")
+	g.Expect(gw.upstreams()).To(Equal(7), "an upstream that is written again is kept meanwhile")
+	// The revisions of version 2 are given out again.
+	feed.put("instances/6", "")
+	feed.put("config", "3")
+	g.Eventually(gw.configVersion, 5*time.Second).Should(BeEquivalentTo(3))
+	g.Expect(feed.callCount()).To(BeNumerically("<", 20))
+	feed.remove("instances/6")
+	g.Eventually(gw.upstreams, 5*time.Second).Should(Equal(6))
+}
+
+// TestOtherContentUnderTheSameVersion checks that a configuration which the operator writes after
+// the store has lost another one of the same version is put in force, and only then.
+func TestOtherContentUnderTheSameVersion(t *testing.T) {
+	g, feed := NewWithT(t), newFakeFeed()
+	feed.put("config", "1")
+	copied := feed.at.Revision
+	feed.put("config", "2 a")
+	gw := followFeed(t, feed)
+	content := func() string {
+		gw.mirrorMu.Lock()
+		defer gw.mirrorMu.Unlock()
+		return string(gw.inForce.value)
+	}
+	g.Eventually(content).Should(Equal("2 a"))
+	feed.put("config", "2 b")
+	g.Consistently(content).Should(Equal("2 a"))
+	feed.restore(copied)
+	feed.put("config", "2 c")
+	g.Eventually(content, 5*time.Second).Should(Equal("2 c"))
+}
+
+// TestRouterThatStartsAfterARestoreTakesTheNewestConfiguration checks that a router which finds an
+// older configuration in the store takes the one in force from a peer.
+func TestRouterThatStartsAfterARestoreTakesTheNewestConfiguration(t *testing.T) {
+	g, feed := NewWithT(t), newFakeFeed()
+	feed.put("config", "1")
+	copied := feed.at.Revision
+	feed.put("config", "2")
+	old := followFeed(t, feed)
+	g.Eventually(old.configVersion).Should(BeEquivalentTo(2))
+	feed.restore(copied)
+	g.Eventually(func() uint64 { return old.position().Era }, 5*time.Second).Should(BeEquivalentTo(2))
+	started := followFeed(t, feed)
+	g.Eventually(started.configVersion).Should(BeEquivalentTo(1))
+	own := copySituation{domain: "a", lastChange: started.lastChange(), config: started.configVersion()}
+	report := keysReport{from: "old", domain: "a", lastChange: old.lastChange(), config: old.configVersion()}
+	_, due := (&copyState{}).observe(time.Now(), own, report)
+	g.Expect(due).To(BeTrue())
+	started.applyPeerKeys("old", old.keysSince(started.position(), started.configVersion()))
+	g.Expect(started.configVersion()).To(BeEquivalentTo(2))
+	feed.put("config", "4")
+	g.Eventually(started.configVersion, 5*time.Second).Should(BeEquivalentTo(4))
+}
+
+// TestCopyOfAnEarlierEraIsNotTaken checks that a router passes the new era of the store on, and
+// takes nothing from a peer that has not heard of it.
+func TestCopyOfAnEarlierEraIsNotTaken(t *testing.T) {
+	g, feed := NewWithT(t), newFakeFeed()
+	feed.put("config", "1")
+	copied := feed.at.Revision
+	for i := range 5 {
+		feed.put(fmt.Sprint("instances/", i), "")
+	}
+	gw, behind := followFeed(t, feed), newFollower(t, newFakeFeed())
+	g.Eventually(gw.upstreams).Should(Equal(5))
+	behind.applyPeerKeys("gw", gw.keysSince(behind.position(), 0))
+	g.Expect(behind.position()).To(Equal(gw.position()))
+	feed.restore(copied)
+	g.Eventually(func() uint64 { return gw.position().Era }, 5*time.Second).Should(BeEquivalentTo(2))
+	gw.applyPeerKeys("behind", behind.keysSince(gw.position(), gw.configVersion()))
+	g.Expect(gw.position().Era).To(BeEquivalentTo(2))
+	g.Expect(behind.lastChange().Before(gw.lastChange())).To(BeTrue())
+	behind.applyPeerKeys("gw", gw.keysSince(behind.position(), behind.configVersion()))
+	g.Expect(behind.position()).To(Equal(gw.position()))
+	g.Expect(behind.lastChange()).To(Equal(gw.lastChange()))
+}
+
+// TestCopiesEndOnceNothingIsNewer checks that a router which learnt of a change from a list, with
+// another revision than its peers, does not make them copy its keys over and over.
+func TestCopiesEndOnceNothingIsNewer(t *testing.T) {
+	g := NewWithT(t)
+	listed, watched := newFollower(t, newFakeFeed()), newFollower(t, newFakeFeed())
+	entry := store.Entry{Key: "instances/1", Index: 2}
+	at := func(revision uint64) store.Position { return store.Position{Era: 1, Revision: revision} }
+	for _, gw := range []*Gateway{listed, watched} {
+		gw.mirror.Replace(time.Now(), []store.Entry{entry}, at(2))
+	}
+	watched.mirror.Apply(time.Now(), []store.Change{{Entry: store.Entry{Key: entry.Key, Index: 3}, Deleted: true}}, at(9))
+	listed.mirror.Replace(time.Now(), nil, at(9))
+	g.Expect(watched.lastChange().Before(listed.lastChange())).To(BeTrue())
+	watched.applyPeerKeys("listed", listed.keysSince(watched.position(), 0))
+	g.Expect(watched.lastChange()).To(Equal(listed.lastChange()))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/jujubeford/jujubeford/internal/mirror"
 	"github.com/jujubeford/jujubeford/internal/routing"
 	"github.com/jujubeford/jujubeford/internal/sockets"
+	"github.com/jujubeford/jujubeford/store"
 )
 
 // Gateway is one router in front of a platform's upstreams.
@@ -30,13 +31,15 @@
 	dispatcher *dispatch.State
 	calls      map[string]*call
 
-	// mirrorMu guards mirror, decoded and tableIndex.
+	// mirrorMu guards mirror, decoded, tableDecoded and inForce.
 	mirrorMu sync.Mutex
 	mirror   *mirror.Mirror
-	// decoded holds the decoded entries of upstreams by key, and tableIndex is the
-	// revision of the configuration's entry that was decoded last.
-	decoded    map[string]decodedInstance
-	tableIndex uint64
+	// decoded holds the decoded entries of upstreams by key, and tableDecoded is the
+	// position of the configuration's entry that was decoded last.
+	decoded      map[string]decodedInstance
+	tableDecoded store.Position
+	// inForce is the entry of the configuration in force, which the store may have lost.
+	inForce tableEntry
 
 	table    atomic.Pointer[routing.Table]
 	listed   atomic.Bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -116,7 +116,7 @@
 		{"peers", "", "Other routers whose reports are used.", locked(g.dispatcher.Peers)},
 		{"retries", "", "Repeats that are left of the budget, of the service with the fewest.", locked(g.dispatcher.RetriesLeft)},
 		{"config", "", "Version of the configuration in force.", func() float64 { return float64(g.configVersion()) }},
-		{"revision", "", "Revision of the last change of the store that is known.", func() float64 { return float64(g.lastChange()) }},
+		{"revision", "", "Revision of the last change of the store that is known.", func() float64 { return float64(g.lastChange().Revision) }},
 		{"limited", "", "Upstreams that get no more requests than the limit that they name.", locked(g.dispatcher.LimitedUpstreams)},
 		{"blocked", "", "Traits of requests that are refused because such requests crash upstreams.", locked(func() int { return g.dispatcher.BlockedTraits(time.Now()) })},
 		{"connections", "", "Open connections of callers.", func() float64 { return float64(g.conns.count()) }},
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -123,9 +123,10 @@
 	p.serial++
 	serial := p.serial
 	p.mu.Unlock()
+	lastChange := p.g.lastChange()
 	return datagram{
 		addr: p.g.options.PeerListen, incarnation: p.incarnation, serial: serial,
-		config: p.g.configVersion(), lastChange: p.g.lastChange(), domain: p.g.options.Domain, scope: s,
+		config: p.g.configVersion(), era: lastChange.Era, lastChange: lastChange.Revision, domain: p.g.options.Domain, scope: s,
 		storeLost: p.g.isStoreLost(), leaving: p.g.draining.Load(),
 	}
 }
@@ -168,7 +169,7 @@
 		return
 	}
 	if !sender.live {
-		logs.Info("peer-regained", "Peers: peer regained.", "peer", d.addr, "config", d.config, "news", d.lastChange)
+		logs.Info("peer-regained", "Peers: peer regained.", "peer", d.addr, "config", d.config, "era", d.era, "news", d.lastChange)
 	}
 	sender.reportedAt, sender.live, sender.domain = now, true, d.domain
 	sender.incarnation, sender.serial, sender.storeLost, sender.leaving = d.incarnation, d.serial, d.storeLost, d.leaving
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -36,11 +36,12 @@
 	// removals contains the removals of the retained entries: those removed from the
 	// store but not yet from the mirror.
 	removals map[string]Removal
-	// revision is the store revision that the mirror has reached.
-	revision uint64
-	// lastChange is the highest revision of the changes recorded in the change log.
+	// at is the position of the store that the mirror has reached. The indexes of entries
+	// are revisions of its era, 0 for entries that only an earlier era had.
+	at store.Position
+	// lastChange is the revision of the last change.
 	lastChange uint64
-	// changeLog contains the latest changes, for other copies that follow this
+	// changeLog contains the latest changes of the era, for other copies that follow this
 	// mirror. It contains all changes after the revision changeLogStart.
 	changeLog        []store.Change
 	changeLogStart   uint64
@@ -73,14 +74,23 @@
 	}
 }
 
-// Revision returns the store revision that the mirror has reached: it contains all
-// changes up to that revision and possibly later ones. It is 0 before the first
-// Replace.
-func (m *Mirror) Revision() uint64 { return m.revision }
+// Position returns the position of the store that the mirror has reached: it contains all
+// changes up to there and possibly later ones. It is zero before the first Replace.
+func (m *Mirror) Position() store.Position { return m.at }
 
-// LastChange returns the revision of the last change of a mirrored key. Unlike
-// Revision it does not advance while only other keys of the store change.
-func (m *Mirror) LastChange() uint64 { return m.lastChange }
+// LastChange returns the position of the last change of a mirrored key. Unlike
+// Position it does not advance while only other keys of the store change.
+func (m *Mirror) LastChange() store.Position {
+	return store.Position{Era: m.at.Era, Revision: m.lastChange}
+}
+
+// AdoptLastChange raises LastChange to that of a copy whose changes have been applied. Copies
+// that learnt of a change from lists may have another revision for it.
+func (m *Mirror) AdoptLastChange(p store.Position) {
+	if p.Era == m.at.Era && p.Revision <= m.at.Revision {
+		m.lastChange = max(m.lastChange, p.Revision)
+	}
+}
 
 // MarkStoreUnavailable records that the store is unavailable, and reports whether it
 // was available before.
@@ -102,14 +112,18 @@
 	return true
 }
 
-// Replace replaces the mirror by a complete list of entries as of a revision, and
+// Replace replaces the mirror by a complete list of entries as of a position, and
 // reports whether Entries changes. A list older than the mirror is ignored.
-func (m *Mirror) Replace(now time.Time, entries []store.Entry, revision uint64) (changed bool) {
-	if revision < m.revision {
+func (m *Mirror) Replace(now time.Time, entries []store.Entry, at store.Position) (changed bool) {
+	if at.Before(m.at) {
 		m.outageEnded = false
 		return false
 	}
-	isFirst := m.revision == 0
+	isFirst := m.at == store.Position{}
+	isNewEra := !isFirst && at.Era != m.at.Era
+	if isNewEra {
+		m.beginEra(now)
+	}
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
@@ -117,22 +131,43 @@
 	}
 	for key := range m.entries {
 		if !listed[key] {
-			changed = m.removeEntry(now, key, revision, true) || changed
+			changed = m.removeEntry(now, key, at.Revision, true) || changed
 		}
 	}
-	m.revision, m.outageEnded = revision, false
-	if isFirst {
-		m.changeLog, m.changeLogStart = nil, revision
+	m.at, m.outageEnded = at, false
+	if isFirst || isNewEra {
+		m.changeLog, m.changeLogStart = nil, at.Revision
+	}
+	if isNewEra {
+		m.lastChange = at.Revision
 	}
 	return changed
 }
 
-// Apply applies ordered changes up to a revision, and reports whether Entries
+// beginEra prepares the mirror for the list of a store that was restored from an older copy:
+// whatever the list has is newer than the entries of the mirror. Those that it lacks may be
+// written again, as after an outage.
+func (m *Mirror) beginEra(now time.Time) {
+	for key, e := range m.entries {
+		e.Index = 0
+		m.entries[key] = e
+	}
+	m.lastChange, m.outageEnded = 0, true
+	if until := now.Add(outageGrace); until.After(m.graceUntil) {
+		m.graceUntil = until
+	}
+}
+
+// Apply applies ordered changes up to a position, and reports whether Entries
 // changes. Changes that the mirror contains already are skipped: answers may be applied in
-// another order than they were given.
-func (m *Mirror) Apply(now time.Time, changes []store.Change, revision uint64) (changed bool) {
+// another order than they were given. So are those of another era than the mirror's.
+func (m *Mirror) Apply(now time.Time, changes []store.Change, at store.Position) (changed bool) {
+	defer func() { m.outageEnded = false }()
+	if at.Era != m.at.Era {
+		return false
+	}
 	for _, c := range changes {
-		if c.Index <= m.revision {
+		if c.Index <= m.at.Revision {
 			continue
 		}
 		if c.Deleted {
@@ -141,7 +176,7 @@
 		}
 		changed = m.putEntry(c.Entry) || changed
 	}
-	m.revision, m.outageEnded = max(m.revision, revision), false
+	m.at.Revision = max(m.at.Revision, at.Revision)
 	return changed
 }
 
@@ -191,15 +226,15 @@
 	m.changeLog = append(m.changeLog, c)
 }
 
-// ChangesSince returns the changes after a revision. It returns false if the change
-// log does not reach back that far or if after is 0; the caller then needs a complete
-// list (EntriesInStore).
-func (m *Mirror) ChangesSince(after uint64) (changes []store.Change, ok bool) {
-	if after < m.changeLogStart || after == 0 {
+// ChangesSince returns the changes after a position. It returns false if the change
+// log does not reach back that far, as in another era, or if after is zero; the caller then
+// needs a complete list (EntriesInStore).
+func (m *Mirror) ChangesSince(after store.Position) (changes []store.Change, ok bool) {
+	if after.Era != m.at.Era || after.Revision < m.changeLogStart || after.Revision == 0 {
 		return nil, false
 	}
 	for _, c := range m.changeLog {
-		if c.Index > after {
+		if c.Index > after.Revision {
 			changes = append(changes, c)
 		}
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -12,6 +12,9 @@
 
 var epoch = time.Unix(1000, 0)
 
+// at returns a position in the first era of the tests.
+func at(revision uint64) store.Position { return store.Position{Era: 1, Revision: revision} }
+
 // instancePrefix is the prefix of the keys that are bound to leases.
 const instancePrefix = "instances/"
 
@@ -23,7 +26,7 @@
 	for i := range n {
 		list = append(list, store.Entry{Key: fmt.Sprint(instancePrefix, i), Index: 2})
 	}
-	m.Replace(epoch, list, 10)
+	m.Replace(epoch, list, at(10))
 	return m
 }
 
@@ -37,7 +40,7 @@
 
 func TestSingleRemovalIsDelayed(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
-	g.Expect(m.Apply(epoch, removals(11, 3), 11)).To(BeFalse())
+	g.Expect(m.Apply(epoch, removals(11, 3), at(11))).To(BeFalse())
 	g.Expect(m.RemoveExpired(epoch.Add(removalGrace - 1))).To(BeEmpty())
 	g.Expect(m.RemoveExpired(epoch.Add(removalGrace))).To(ConsistOf(Removal{Key: instancePrefix + "3", Revision: 11, At: epoch}))
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(9))
@@ -48,12 +51,12 @@
 func TestMassRemovalIsDelayed(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
 	for i := range 10 {
-		m.Apply(epoch.Add(time.Duration(i)*100*time.Millisecond), removals(uint64(11+i), i), uint64(11+i))
+		m.Apply(epoch.Add(time.Duration(i)*100*time.Millisecond), removals(uint64(11+i), i), at(uint64(11+i)))
 		m.RemoveExpired(epoch.Add(time.Duration(i) * 100 * time.Millisecond))
 	}
 	m.RemoveExpired(epoch.Add(1500 * time.Millisecond))
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(10))
-	m.Apply(epoch.Add(1600*time.Millisecond), []store.Change{{Entry: store.Entry{Key: instancePrefix + "4", Index: 21}}}, 21)
+	m.Apply(epoch.Add(1600*time.Millisecond), []store.Change{{Entry: store.Entry{Key: instancePrefix + "4", Index: 21}}}, at(21))
 	m.RemoveExpired(epoch.Add(4 * time.Second))
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(1))
 }
@@ -63,7 +66,7 @@
 	g.Expect(m.MarkStoreUnavailable()).To(BeTrue())
 	g.Expect(m.MarkStoreUnavailable()).To(BeFalse())
 	g.Expect(m.MarkStoreAvailable(epoch)).To(BeTrue())
-	m.Apply(epoch, removals(11, 0), 11)
+	m.Apply(epoch, removals(11, 0), at(11))
 	g.Expect(m.RemoveExpired(epoch.Add(outageGrace - 1))).To(BeEmpty())
 	g.Expect(m.RemoveExpired(epoch.Add(outageGrace))).To(HaveLen(1))
 }
@@ -75,8 +78,8 @@
 	g, m := NewWithT(t), newFilledMirror(10)
 	m.MarkStoreUnavailable()
 	m.MarkStoreAvailable(epoch)
-	m.Apply(epoch, nil, 10)
-	m.Apply(epoch.Add(time.Second), removals(11, 0), 11)
+	m.Apply(epoch, nil, at(10))
+	m.Apply(epoch.Add(time.Second), removals(11, 0), at(11))
 	g.Expect(m.RemoveExpired(epoch.Add(time.Second + massRemovalGrace - 1))).To(BeEmpty())
 	g.Expect(m.RemoveExpired(epoch.Add(time.Second + massRemovalGrace))).To(HaveLen(1))
 }
@@ -85,10 +88,10 @@
 // watch heard nothing is deleted with the list that shows it: the removal may be old.
 func TestRemovalInTheGapOfAWatchIsNotRetained(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
-	m.Replace(epoch, append(m.EntriesInStore()[:5:5], m.EntriesInStore()[6:]...), 11)
+	m.Replace(epoch, append(m.EntriesInStore()[:5:5], m.EntriesInStore()[6:]...), at(11))
 	g.Expect(m.RemoveExpired(epoch)).To(HaveLen(1))
 	// Entries that are missing together may have lapsed.
-	m.Replace(epoch, m.EntriesInStore()[:5:5], 12)
+	m.Replace(epoch, m.EntriesInStore()[:5:5], at(12))
 	g.Expect(m.RemoveExpired(epoch.Add(massRemovalGrace - 1))).To(BeEmpty())
 	g.Expect(m.RemoveExpired(epoch.Add(massRemovalGrace))).NotTo(BeEmpty())
 }
@@ -102,10 +105,10 @@
 
 func TestOlderRevisionIsIgnored(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(2)
-	g.Expect(m.Replace(epoch, nil, 9)).To(BeFalse())
-	g.Expect(m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "config", Index: 0}}}, 9)).To(BeFalse())
-	g.Expect(m.Revision()).To(BeEquivalentTo(10))
-	g.Expect(m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "config", Index: 11}, Deleted: true}}, 11)).To(BeTrue())
+	g.Expect(m.Replace(epoch, nil, at(9))).To(BeFalse())
+	g.Expect(m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "config", Index: 0}}}, at(9))).To(BeFalse())
+	g.Expect(m.Position()).To(Equal(at(10)))
+	g.Expect(m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "config", Index: 11}, Deleted: true}}, at(11))).To(BeTrue())
 	_, ok := m.Get("config")
 	g.Expect(ok).To(BeFalse())
 }
@@ -117,11 +120,11 @@
 	g, m := NewWithT(t), newFilledMirror(3)
 	written := store.Change{Entry: store.Entry{Key: instancePrefix + "0", Index: 11}}
 	removed := store.Change{Entry: store.Entry{Key: instancePrefix + "0", Index: 12}, Deleted: true}
-	m.Apply(epoch, []store.Change{written, removed}, 12)
-	m.Apply(epoch, []store.Change{written}, 11)
+	m.Apply(epoch, []store.Change{written, removed}, at(12))
+	m.Apply(epoch, []store.Change{written}, at(11))
 	g.Expect(m.RemoveExpired(epoch.Add(removalGrace))).To(HaveLen(1))
-	m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: instancePrefix + "0", Index: 13}}}, 13)
-	g.Expect(m.Apply(epoch, []store.Change{removed}, 12)).To(BeFalse())
+	m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: instancePrefix + "0", Index: 13}}}, at(13))
+	g.Expect(m.Apply(epoch, []store.Change{removed}, at(12))).To(BeFalse())
 	g.Expect(m.RemoveExpired(epoch.Add(time.Minute))).To(BeEmpty())
 	g.Expect(m.EntriesInStore()).To(HaveLen(4))
 }
@@ -135,17 +138,17 @@
 	for i := range 3 * maxLogEntries {
 		revision++
 		key := fmt.Sprint(instancePrefix, i%7)
-		m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: key, Index: revision}, Deleted: i%5 == 4}}, revision)
+		m.Apply(epoch, []store.Change{{Entry: store.Entry{Key: key, Index: revision}, Deleted: i%5 == 4}}, at(revision))
 		if i%10 == 9 {
-			changes, ok := m.ChangesSince(follower.Revision())
+			changes, ok := m.ChangesSince(follower.Position())
 			g.Expect(ok).To(BeTrue())
-			follower.Apply(epoch, changes, m.Revision())
+			follower.Apply(epoch, changes, m.Position())
 			g.Expect(follower.EntriesInStore()).To(Equal(m.EntriesInStore()))
 			g.Expect(follower.LastChange()).To(Equal(m.LastChange()))
 		}
 	}
-	_, ok := m.ChangesSince(10)
+	_, ok := m.ChangesSince(at(10))
 	g.Expect(ok).To(BeFalse())
-	_, ok = m.ChangesSince(0)
+	_, ok = m.ChangesSince(store.Position{})
 	g.Expect(ok).To(BeFalse())
 }
--- a/store/feed.go
+++ b/store/feed.go
@@ -2,15 +2,33 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// ErrCompacted means that the store no longer keeps the changes after the
-// requested revision. The reader has to list all keys again.
+// ErrCompacted means that the store does not have the changes after the requested
+// position: it no longer keeps them, or it was restored from an older copy. The reader has
+// to list all keys again.
 var ErrCompacted = errors.New("history compacted")
 
+// Position is a place in the history of a store. A store that is restored from an older copy
+// loses the end of its history, begins the next era, and gives the lost revisions out again.
+// The zero Position is before all others.
+type Position struct {
+	// Era is 0 if the store does not name one.
+	Era, Revision uint64
+}
+
+// Before reports whether p is earlier than o.
+func (p Position) Before(o Position) bool {
+	return p.Era < o.Era || p.Era == o.Era && p.Revision < o.Revision
+}
+
+// String formats the position for logs.
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era, p.Revision) }
+
 // Change is a write of a key or, if Deleted is set, its removal.
 type Change struct {
 	Entry
@@ -19,14 +37,14 @@
 
 // Feed reads a store that numbers the writes to all keys by a single revision.
 type Feed interface {
-	// Range lists all keys under a prefix. It also returns a revision; the list
-	// contains every change up to it, and possibly later ones.
-	Range(ctx context.Context, prefix string) (entries []Entry, revision uint64, err error)
-	// Changes waits for changes under a prefix after a revision and returns them
-	// with the revision to continue from. It returns no changes if there are none
-	// within wait, and ErrCompacted if the store has dropped its history after the
-	// given revision.
-	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (changes []Change, revision uint64, err error)
+	// Range lists all keys under a prefix. It also returns a position; the list
+	// contains every change up to it, and possibly later ones of the same era.
+	Range(ctx context.Context, prefix string) (entries []Entry, at Position, err error)
+	// Changes waits for changes under a prefix after a position and returns them
+	// with the position to continue from, which is of the same era. It returns no changes
+	// if there are none within wait, and ErrCompacted if the store does not have the
+	// changes after the given position.
+	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) (changes []Change, at Position, err error)
 }
 
 // LeaseStore binds keys to leases, so that a key is held only as long as its lease
