Let no older entry take back that an upstream leaves

What callers can see: requests to an upstream that has said it is leaving, after the store came back from a copy in which it is ready still, until it writes its entry again. An instance does not take back that it leaves: what was listed as leaving stays so until it starts anew, also if its entry was gone in between. Instances that name no start are taken as listed.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -61,8 +61,9 @@
 
 // rememberAdvice keeps the advice of an upstream that leaves the list.
 func (s *State) rememberAdvice(now time.Time, u *upstream) {
-	if u.leaving || now.Before(u.unavailableUntil) || u.limit.perSecond > 0 {
-		s.delisted[u.ID] = delisted{Instance: u.Instance, leaving: u.leaving, unavailableUntil: u.unavailableUntil, limit: u.limit, removedAt: now}
+	leaving := u.leaving || u.Draining && u.Started != 0
+	if leaving || now.Before(u.unavailableUntil) || u.limit.perSecond > 0 {
+		s.delisted[u.ID] = delisted{Instance: u.Instance, leaving: leaving, unavailableUntil: u.unavailableUntil, limit: u.limit, removedAt: now}
 	}
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -243,6 +243,8 @@
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
 		}
+		// An older entry may come back, but an instance does not take back that it leaves.
+		in.Draining = in.Draining || u.Draining && in.Started != 0
 		u.Instance = in
 		if in.Draining || u.leaving {
 			u.markLeft(now)
