Answer what does not end with a stop, and refuse late what might not

Cause: a stopping router took every request until its connections were closed, whatever time it had left, and closed the connections of what still ran at the end. A request that arrives 2.2 s after the stop began or later, when the platform sends no new connections, and whose time limit exceeds what is left of the grace period, is refused with 503 and a short Retry-After: other routers are up. What has no answer 0.1 s before the end gets one: 503 if it has not run, else 502; a stream that has begun is cut, as nothing else can be said.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -151,6 +151,8 @@
 	}
 	// CallerLeft reports that the caller has disconnected.
 	CallerLeft struct{ ID string }
+	// Stopping ends all requests: this router is about to stop.
+	Stopping struct{}
 	// Tick reports that time has passed.
 	Tick struct{}
 	// TableChanged replaces the routing table.
@@ -187,6 +189,7 @@
 func (Moved) isEvent()             {}
 func (MoveFailed) isEvent()        {}
 func (CallerLeft) isEvent()        {}
+func (Stopping) isEvent()          {}
 func (Tick) isEvent()              {}
 func (TableChanged) isEvent()      {}
 func (InstancesChanged) isEvent()  {}
@@ -224,6 +227,8 @@
 	ReasonCrashes Reason = "crashes-upstreams"
 	// ReasonResources: this router lacked file descriptors or memory for the attempt.
 	ReasonResources Reason = "router-resources"
+	// ReasonStopping: this router stops before the request could end.
+	ReasonStopping Reason = "router-stopping"
 )
 
 // Effect is an action that State.Step requests for one request.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/core"
@@ -254,6 +257,18 @@
 	s.drainService(now, r.Service)
 }
 
+// endAll ends all requests, since this router stops: those that have not run are refused.
+func (s *State) endAll(now time.Time) {
+	for _, r := range slices.SortedFunc(maps.Values(s.requests), func(a, b *request) int { return cmp.Compare(a.ID, b.ID) }) {
+		if r.waiting {
+			s.dequeue(r)
+			s.refuse(now, r, ReasonStopping)
+			continue
+		}
+		s.fail(now, r, Fail{ID: r.ID, Reason: ReasonStopping})
+	}
+}
+
 // handleFailure ends an attempt that failed. The request is retried if that is
 // allowed, and ends with a final effect otherwise.
 func (s *State) handleFailure(now time.Time, e Failed) {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -151,6 +151,8 @@
 		s.handleMoveFailed(e)
 	case CallerLeft:
 		s.handleCallerLeft(now, e.ID)
+	case Stopping:
+		s.endAll(now)
 	case Tick:
 		s.handleTick(now)
 	case TableChanged:
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -124,6 +124,13 @@
 	if refused != nil {
 		return nil, refused
 	}
+	timeout := caller.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if !g.hasTimeFor(started, route, timeout) {
+		return nil, &refusal{http.StatusServiceUnavailable, "router-stopping", retryAfterStopping}
+	}
 	switch {
 	case charged.attributed:
 	case charged.admitted:
@@ -143,10 +150,6 @@
 		key: caller.ID, caller: caller, header: r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
 		body: body, started: started, effects: make(chan dispatch.Effect, effectQueueSize), lastEventID: caller.ResumeAfter,
 	}
-	timeout := caller.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
 	c.startMove = func(e dispatch.Move) { g.move(c, e) }
 	c.startProbe = g.probe
 	c.reportAnswering = func(e dispatch.Abort) { g.step(dispatch.AbortDeclined(e)) }
@@ -158,6 +161,19 @@
 	return c, nil
 }
 
+// hasTimeFor reports whether a request may still be taken: always, unless this router is
+// stopping and has been out of rotation for long enough that callers reach others, and the
+// request may last longer than the router.
+func (g *Gateway) hasTimeFor(now time.Time, route *routing.Route, timeout time.Duration) bool {
+	if !g.draining.Load() || now.Sub(g.stopping) < rotationDelay {
+		return true
+	}
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	return now.Add(timeout).Before(g.stopEnd.Add(-endMargin))
+}
+
 // overloadRefusal refuses a request for lack of processor time and asks the caller to
 // close its connection.
 func overloadRefusal(w http.ResponseWriter) *refusal {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,9 @@
 	table    atomic.Pointer[routing.Table]
 	listed   atomic.Bool
 	draining atomic.Bool
+	// stopping is the time of Stop and stopEnd that at which requests have to end; zero
+	// before. They are set before draining.
+	stopping, stopEnd time.Time
 	// bodies is the total size of the bodies of all requests in progress, in bytes.
 	bodies   atomic.Int64
 	pressure pressure
@@ -150,11 +153,16 @@
 // the grace period is over.
 func (g *Gateway) Stop() {
 	g.stopOnce.Do(func() {
-		g.draining.Store(true)
+		g.beginStop(time.Now())
 		close(g.stop)
 	})
 }
 
+func (g *Gateway) beginStop(now time.Time) {
+	g.stopping, g.stopEnd = now, now.Add(g.options.Grace-graceMargin)
+	g.draining.Store(true)
+}
+
 // Reload applies the settings that can change while the router runs: the peer addresses
 // of other routers to start from.
 func (g *Gateway) Reload(seeds []string) {
@@ -165,13 +173,17 @@
 // drain waits until the platform sends no new connections, and then for the requests in
 // progress. Callers with persistent connections are asked to close them in the next
 // answer. A request that has arrived is answered, even if it had not been read when the
-// listener was closed. served is closed once the server accepts no more connections.
+// listener was closed, or does not end within the grace period. served is closed once the server accepts no more connections.
 func (g *Gateway) drain(callers *http.Server, listener *net.TCPListener, served <-chan struct{}) {
 	klog.InfoS("Gateway: stopping.", "name", g.options.Name, "running", g.running(), "grace", g.options.Grace)
-	deadline := time.Now().Add(g.options.Grace - graceMargin)
-	time.Sleep(min(rotationDelay, time.Until(deadline)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), g.stopEnd)
 	defer cancel()
+	end := time.AfterFunc(time.Until(g.stopEnd)-endMargin, func() {
+		klog.InfoS("Gateway: grace period over, ending the requests in progress.", "running", g.running())
+		g.step(dispatch.Stopping{})
+	})
+	defer end.Stop()
+	time.Sleep(min(rotationDelay, time.Until(g.stopEnd)))
 	if err := sockets.StopListening(ctx, listener); err != nil {
 		klog.InfoS("Gateway: listener not emptied, waiting connections may be reset.", "err", err)
 	}
@@ -185,7 +197,7 @@
 		klog.InfoS("Gateway: requests may be reset before they are read.", "err", err)
 	}
 	if err := callers.Shutdown(ctx); err != nil {
-		klog.InfoS("Gateway: grace period over, requests in progress were cut off.", "running", g.running())
+		klog.InfoS("Gateway: connections were cut off at the end of the grace period.", "running", g.running())
 	}
 }
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -101,6 +101,11 @@
 	retryAfterNotReady = 500 * time.Millisecond
 	// graceMargin is how long before the platform kills the process a stop ends.
 	graceMargin = 700 * time.Millisecond
+	// endMargin is how long before the end of a stop the requests get an answer that have
+	// none by then.
+	endMargin = 100 * time.Millisecond
+	// retryAfterStopping is the Retry-After of a router that is stopping: others are not.
+	retryAfterStopping = 20 * time.Millisecond
 	// rotationDelay is how long the platform may send new connections after the first
 	// readiness check that failed.
 	rotationDelay = 2200 * time.Millisecond
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
 // TestStopServesAcceptedConnections: a connection that the listener has accepted but
@@ -40,6 +41,7 @@
 	served, drained := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(drained)
+		gw.beginStop(time.Now())
 		gw.drain(callers, tcpListener, served)
 	}()
 	// The listener has stopped by then; the server gets the connection late.
@@ -88,3 +90,28 @@
 		g.Expect(gw.conns.awaitNoPendingReads(t.Context())).To(Succeed())
 	}
 }
+
+// TestStoppingRouterTakesWhatItCanFinish checks that a router which has been out of rotation for
+// long enough takes only requests that end before it does.
+func TestStoppingRouterTakesWhatItCanFinish(t *testing.T) {
+	const grace = 8 * time.Second
+	for _, x := range []struct {
+		name                  string
+		after, route, timeout time.Duration
+		taken                 bool
+	}{
+		{"in rotation still", rotationDelay - 1, 0, time.Minute, true},
+		{"long", rotationDelay, 0, time.Minute, false},
+		{"short", rotationDelay, 0, time.Second, true},
+		{"short by its route", rotationDelay, time.Second, time.Minute, true},
+		{"short, at the end", grace - graceMargin - endMargin - time.Second, 0, time.Second, false},
+	} {
+		gw := &Gateway{options: Options{Grace: grace}}
+		start := time.Unix(1000, 0)
+		route := &routing.Route{Timeout: x.route}
+		g := NewWithT(t)
+		g.Expect(gw.hasTimeFor(start, route, x.timeout)).To(BeTrue(), "not stopping")
+		gw.beginStop(start)
+		g.Expect(gw.hasTimeFor(start.Add(x.after), route, x.timeout)).To(Equal(x.taken), x.name)
+	}
+}
