Tell heads of the configuration apart by their content, on the product's interface

A store that is restored from an older copy gives the index of a lost head to the next one, which was then never read. TestReaderTellsHeadsOfOneIndexApart fails before and passes now.

--- a/internal/configstore/read.go
+++ b/internal/configstore/read.go
@@ -1,6 +1,7 @@
 package configstore
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -26,10 +27,11 @@
 // concurrent use.
 type Reader struct {
 	store store.Store
-	// last is the configuration that was read last, and lastIndex the modify index
-	// of its head.
+	// last is the configuration that was read last, lastHead its head and lastIndex the
+	// modify index of that.
 	last      core.ConfigHead
 	lastIndex uint64
+	lastHead  []byte
 }
 
 // NewReader returns a Reader that has not read a configuration yet.
@@ -69,9 +71,10 @@
 }
 
 // loadHead fetches and decodes the configuration of one head, unless it is the
-// last one read.
+// last one read. A store that is restored from an older copy gives its index to another
+// head.
 func (r *Reader) loadHead(ctx context.Context, entry store.Entry) (core.ConfigHead, error) {
-	if entry.Index == r.lastIndex && r.last.Config != nil {
+	if entry.Index == r.lastIndex && bytes.Equal(entry.Value, r.lastHead) && r.last.Config != nil {
 		return r.last, nil
 	}
 	head, err := DecodeHead(entry.Value)
@@ -86,7 +89,7 @@
 	if err != nil {
 		return core.ConfigHead{}, err
 	}
-	r.last, r.lastIndex = decoded, entry.Index
+	r.last, r.lastIndex, r.lastHead = decoded, entry.Index, entry.Value
 	return decoded, nil
 }
 
--- a/internal/configstore/read_test.go
+++ b/internal/configstore/read_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"time"
 
@@ -39,6 +40,28 @@
 	g.Expect(fake.calls[partGet]).To(Equal(2), "the manifest and the changed part")
 }
 
+// TestReaderTellsHeadsOfOneIndexApart checks that a configuration is read which the store has
+// under the index of one that it lost when it was restored from an older copy.
+func TestReaderTellsHeadsOfOneIndexApart(t *testing.T) {
+	g := NewWithT(t)
+	ctx, fake := context.Background(), newFakeStore()
+	entries := maps.Clone(fake.entries)
+	index := fake.index
+	_, err := submit(fake, 10, 0, "lost")
+	g.Expect(err).NotTo(HaveOccurred())
+	reader := NewReader(fake)
+	lost, err := reader.Read(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	lostAt := fake.entries[HeadKey].Index
+	fake.entries, fake.index = entries, index
+	_, err = submit(fake, 20, 0, "written again")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(fake.entries[HeadKey].Index).To(Equal(lostAt))
+	head, err := reader.Read(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(head.Parts).NotTo(Equal(lost.Parts))
+}
+
 func TestReadDuringOutage(t *testing.T) {
 	g := NewWithT(t)
 	fake := newFakeStore()
