Take an entry as it is once its upstream writes it again

What a restored store lists as ready stays leaving only until the upstream writes its entry in the new era; an instance that was gone after it had said that it leaves stays out until it starts anew, as before.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -26,10 +26,10 @@
 func (s *State) handleInstanceReport(now time.Time, e InstanceReported) {
 	until := now.Add(min(e.HoldOff, maxHoldOff))
 	u := s.upstreams[e.Instance.ID]
-	if u == nil || !sameStart(u.Instance, e.Instance) {
+	if u == nil || !SameStart(u.Instance, e.Instance) {
 		// The entry may return: entries expire while their instances still run.
 		l := delisted{Instance: e.Instance, leaving: e.Leaving, unavailableUntil: until, removedAt: now}
-		if old, ok := s.delisted[e.Instance.ID]; ok && sameStart(old.Instance, e.Instance) {
+		if old, ok := s.delisted[e.Instance.ID]; ok && SameStart(old.Instance, e.Instance) {
 			l.leaving, l.unavailableUntil = l.leaving || old.leaving, laterOf(l.unavailableUntil, old.unavailableUntil)
 			l.limit = old.limit
 		}
@@ -54,8 +54,8 @@
 	return b
 }
 
-// sameStart reports whether two entries name the same run of the same instance.
-func sameStart(a, b Instance) bool {
+// SameStart reports whether two entries name the same run of the same instance.
+func SameStart(a, b Instance) bool {
 	return a.Started == b.Started && a.Addr == b.Addr && a.Service == b.Service
 }
 
@@ -74,7 +74,7 @@
 		return
 	}
 	delete(s.delisted, in.ID)
-	if sameStart(old.Instance, in) {
+	if SameStart(old.Instance, in) {
 		u.leaving, u.unavailableUntil, u.limit = old.leaving, old.unavailableUntil, old.limit
 	}
 }
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -73,7 +73,7 @@
 	switch {
 	case e.Refused:
 		s.poison.Crashed(now, runID(e.Upstream))
-		if u := s.upstreams[e.Upstream.ID]; u != nil && sameStart(u.Instance, e.Upstream) {
+		if u := s.upstreams[e.Upstream.ID]; u != nil && SameStart(u.Instance, e.Upstream) {
 			u.unavailableUntil = laterOf(u.unavailableUntil, now.Add(unreachableHold))
 		}
 	case e.Connected:
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -190,7 +190,7 @@
 // connecting takes time, and a router that was short of it sends late.
 func (s *State) MaySend(now time.Time, in Instance) bool {
 	u := s.upstreams[in.ID]
-	return u != nil && sameStart(u.Instance, in) && u.mayContinue(now)
+	return u != nil && SameStart(u.Instance, in) && u.mayContinue(now)
 }
 
 // Waiting returns the number of waiting requests.
@@ -238,15 +238,13 @@
 	for _, in := range list {
 		seen[in.ID] = true
 		u := s.upstreams[in.ID]
-		if u == nil || !sameStart(u.Instance, in) {
+		if u == nil || !SameStart(u.Instance, in) {
 			s.forgetUpstream(now, in.ID)
 			u = &upstream{key: Key(in.ID)}
 			s.restoreAdvice(u, in)
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
 		}
-		// An older entry may come back, but an instance does not take back that it leaves.
-		in.Draining = in.Draining || u.Draining && in.Started != 0
 		u.Instance = in
 		if in.Draining || u.leaving {
 			u.markLeft(now)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -230,8 +230,13 @@
 			if err != nil {
 				logs.Info("skipped", "Store: invalid entry skipped.", "key", e.Key, "position", at, "err", err)
 			}
+			before := d.instance
+			if known && d.at.Era != era && before.Draining && dispatch.SameStart(before, in) {
+				// The restored store has an older entry, until the upstream writes it again.
+				in.Draining = true
+			}
 			d = decodedInstance{at: at, instance: in, valid: err == nil}
-			if known && in.Draining && !g.decoded[e.Key].instance.Draining {
+			if known && in.Draining && !before.Draining {
 				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "position", at)
 			}
 		}
