Restore the store from an older copy in the soak

A strike on its own: the store is copied, configurations are written, the store is put back, and the operator and the replicas write again what they had written.

--- a/cmd/standin/store.go
+++ b/cmd/standin/store.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
@@ -52,7 +53,7 @@
 }
 
 // storeControl returns the control handler of the store. It writes and removes keys as
-// an operator does, compacts the history, and injects faults.
+// an operator does, compacts the history, copies the store and restores it, and injects faults.
 func storeControl(s *revkv.Server) http.Handler {
 	faults := map[string]revkv.Fault{
 		"none": revkv.None, "busy": revkv.Busy, "limited": revkv.RateLimited, "reset": revkv.Reset,
@@ -69,6 +70,16 @@
 	})
 	mux.HandleFunc("DELETE /keys", func(_ http.ResponseWriter, r *http.Request) { s.Remove(r.URL.Query().Get("key")) })
 	mux.HandleFunc("POST /compact", func(http.ResponseWriter, *http.Request) { s.Compact() })
+	var copied atomic.Pointer[revkv.Snapshot]
+	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) { copied.Store(s.Snapshot()) })
+	mux.HandleFunc("POST /restore", func(w http.ResponseWriter, _ *http.Request) {
+		c := copied.Load()
+		if c == nil {
+			http.Error(w, "there is no copy to restore", http.StatusConflict)
+			return
+		}
+		s.Restore(c)
+	})
 	mux.HandleFunc("POST /fault/{name}", func(w http.ResponseWriter, r *http.Request) {
 		fault, ok := faults[r.PathValue("name")]
 		if !ok {
