Register a router anew whose key came back with an earlier lease

What callers can see: nothing at once. Twelve seconds after the store was restored, when the lease in the copy ends, no router is registered any more, and none is again: in a large fleet, whose relays are chosen among the registered routers, nobody passes on reports then, and limits of upstreams are divided among nobody. Cause: the copy has the router's key with the lease of the time. The router takes that lease for lost, rightly, and its new lease does not get the key, which was taken for success. A router that does not get its key registers under a further one; the earlier one ends with its lease. A key that is not got is an error. Found by reading; TestRouterRegistersAgainAfterARestore fails with the code before (no key has the new lease).

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -290,52 +290,68 @@
 	registerTimeout = time.Second
 )
 
+// registration is this router's registration in the store.
+type registration struct {
+	// lease is empty if there is none.
+	lease store.LeaseID
+	// keys is the number of keys that earlier leases hold. A restored store may have such
+	// a key with a lease that cannot be told from another one's; both end by themselves.
+	keys int
+}
+
 // keepRegistered keeps this router registered in the store until ctx ends. When the
 // router stops, it removes the registration at once.
 func (g *Gateway) keepRegistered(ctx context.Context) {
-	var lease store.LeaseID
+	var r registration
 	for {
-		next, err := g.renewLease(ctx, lease)
-		if err != nil && ctx.Err() == nil {
+		if err := g.renewRegistration(ctx, &r); err != nil && ctx.Err() == nil {
 			logs.Info("register", "Store: registering this router failed.", "err", err)
 		}
-		lease = next
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.stop:
-			g.unregister(lease)
+			g.unregister(r.lease)
 			return
 		case <-time.After(registerInterval):
 		}
 	}
 }
 
-// renewLease renews a lease, or grants a new one and registers the router with it. It
-// returns the lease, empty if there is none.
-func (g *Gateway) renewLease(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
+// renewRegistration renews the lease of a registration, or grants a new one and registers
+// the router with it.
+func (g *Gateway) renewRegistration(ctx context.Context, r *registration) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if lease != "" {
-		err := g.options.LeaseStore.Renew(ctx, lease)
+	if r.lease != "" {
+		err := g.options.LeaseStore.Renew(ctx, r.lease)
 		g.metrics.recordStoreCall(callRenew, err)
 		if !errors.Is(err, store.ErrLeaseLost) {
 			// Without an answer the lease may still be valid; the next renewal will
 			// tell.
-			return lease, err
+			return err
 		}
+		r.lease = ""
 	}
 	lease, err := g.options.LeaseStore.Grant(ctx, registerTTL)
 	g.metrics.recordStoreCall(callGrant, err)
 	if err != nil {
-		return "", errors.Wrap(err, "grant lease for registration")
+		return errors.Wrap(err, "grant lease for registration")
+	}
+	acquired, err := g.options.LeaseStore.Acquire(ctx, g.peers.registrationKey(r.keys), g.peers.registrationValue(), lease)
+	if err == nil && !acquired {
+		r.keys++
+		acquired, err = g.options.LeaseStore.Acquire(ctx, g.peers.registrationKey(r.keys), g.peers.registrationValue(), lease)
 	}
-	_, err = g.options.LeaseStore.Acquire(ctx, g.peers.registrationKey(), g.peers.registrationValue(), lease)
 	g.metrics.recordStoreCall(callAcquire, err)
-	if err != nil {
-		return "", errors.Wrap(err, "acquire registration key")
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "acquire registration key")
+	case !acquired:
+		return errors.New("acquire registration key: another lease holds it")
 	}
-	return lease, nil
+	r.lease = lease
+	return nil
 }
 
 func (g *Gateway) unregister(lease store.LeaseID) {
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -359,3 +359,48 @@
 	feed.put("instances/1", "")
 	g.Eventually(leaving, 5*time.Second).Should(BeFalse())
 }
+
+// fakeLeases is a store of leases that can be put back to what it had.
+type fakeLeases struct {
+	store.LeaseStore
+	granted int
+	lost    map[store.LeaseID]bool
+	held    map[string]store.LeaseID
+}
+
+func (f *fakeLeases) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	f.granted++
+	return store.LeaseID(fmt.Sprint(f.granted)), nil
+}
+
+func (f *fakeLeases) Renew(_ context.Context, lease store.LeaseID) error {
+	if f.lost[lease] {
+		return store.ErrLeaseLost
+	}
+	return nil
+}
+
+func (f *fakeLeases) Acquire(_ context.Context, key string, _ []byte, lease store.LeaseID) (bool, error) {
+	if holder, ok := f.held[key]; ok && holder != lease {
+		return false, nil
+	}
+	f.held[key] = lease
+	return true, nil
+}
+
+// TestRouterRegistersAgainAfterARestore checks that a router whose key came back with a lease of an
+// earlier era registers under another key: it would be unregistered for good once that lease ends.
+func TestRouterRegistersAgainAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	gw := newFollower(t, newFakeFeed())
+	leases := &fakeLeases{lost: make(map[store.LeaseID]bool), held: make(map[string]store.LeaseID)}
+	gw.options.LeaseStore = leases
+	var r registration
+	for restores := range 3 {
+		g.Expect(gw.renewRegistration(t.Context(), &r)).To(Succeed())
+		g.Expect(gw.renewRegistration(t.Context(), &r)).To(Succeed())
+		g.Expect(leases.granted).To(Equal(restores + 1))
+		g.Expect(leases.held).To(ContainElement(r.lease))
+		leases.lost[r.lease] = true
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -122,10 +122,14 @@
 	}
 }
 
-// registrationKey is the key under which this incarnation of the router is registered
+// registrationKey is the n-th key under which this incarnation of the router is registered
 // in the store.
-func (p *peers) registrationKey() string {
-	return fmt.Sprintf("%s%s.%x", routerPrefix, p.g.options.Name, p.incarnation)
+func (p *peers) registrationKey(n int) string {
+	key := fmt.Sprintf("%s%s.%x", routerPrefix, p.g.options.Name, p.incarnation)
+	if n > 0 {
+		key += fmt.Sprint(".", n)
+	}
+	return key
 }
 
 // registrationValue is the value stored under registrationKey: the peer address, the
