--- a/internal/configstore/read_test.go
+++ b/internal/configstore/read_test.go
@@ -40,8 +40,7 @@
 	g.Expect(fake.calls[partGet]).To(Equal(2), "the manifest and the changed part")
 }
 
-// TestReaderTellsHeadsOfOneIndexApart checks that a configuration is read which the store has
-// under the index of one that it lost when it was restored from an older copy.
+// A restored store gives the index of a lost head to the next one.
 func TestReaderTellsHeadsOfOneIndexApart(t *testing.T) {
 	g := NewWithT(t)
 	ctx, fake := context.Background(), newFakeStore()
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -86,8 +86,7 @@
 	g.Expect(refusal.Reason).To(Equal(ReasonNoUpstream))
 }
 
-// TestOlderEntryDoesNotTakeBackThatAnInstanceLeft: a store that is restored from an older copy
-// lists an instance as ready that has said it is leaving and is gone.
+// A restored store lists an instance as ready that was leaving and is gone.
 func TestOlderEntryDoesNotTakeBackThatAnInstanceLeft(t *testing.T) {
 	f := newFixture(t, 1)
 	list := instances(2)
--- a/internal/dispatch/move_test.go
+++ b/internal/dispatch/move_test.go
@@ -136,8 +136,7 @@
 	}
 }
 
-// A moved stream is not sent back to a source that has been leaving for long: it would get
-// requests after it stops serving. One that may be resumed goes on elsewhere.
+// A moved stream whose source has been leaving for long goes on elsewhere, if it may.
 func TestMovedStreamDoesNotReturnToSourceThatLeft(t *testing.T) {
 	for name, x := range map[string]struct {
 		leftFor  time.Duration
@@ -180,7 +179,6 @@
 	}
 }
 
-// A move ends without a handover once its target is leaving: the stream goes on at its source.
 func TestNoHandoverToTargetThatIsLeaving(t *testing.T) {
 	f := newMoveFixture(t, 6)
 	id, m := f.arriveAndMove(12_000)
@@ -189,7 +187,6 @@
 	f.g.Expect(f.MayHandOver(id, m.Attempt)).To(BeFalse())
 }
 
-// A stream that was stopped for a move to a target that has left goes on at its source.
 func TestStreamReturnsFromTargetThatLeft(t *testing.T) {
 	f := newMoveFixture(t, 6)
 	id, m := f.arriveAndMove(12_000)
--- a/internal/exchange/head_cut_test.go
+++ b/internal/exchange/head_cut_test.go
@@ -42,8 +42,7 @@
 	return nil
 }
 
-// TestAnswerCutInItsHeadIsNoAnswer cuts answers after each byte of their heads, on new and on kept
-// connections. None may be taken for an answer, whole or not.
+// Answers are cut after each byte of their heads.
 func TestAnswerCutInItsHeadIsNoAnswer(t *testing.T) {
 	for name, answer := range cutAnswers {
 		for whole := range 2 {
--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -10,9 +10,7 @@
 	"github.com/jujubeford/jujubeford/store"
 )
 
-// TestPeerAheadIsCopiedDespiteOthersBehind checks that a router copies the keys of a peer
-// that has newer ones after the delay of its situation, also while the reports of another
-// peer that is as far behind arrive in between.
+// Reports of a peer that is as far behind arrive between those of one that is ahead.
 func TestPeerAheadIsCopiedDespiteOthersBehind(t *testing.T) {
 	for _, x := range []struct {
 		situation copySituation
@@ -40,8 +38,6 @@
 	}
 }
 
-// TestDelayOfCopiesStartsAnewAfterCatchingUp checks that a router which has caught up waits
-// again for the store or a nearer peer to deliver the next change.
 func TestDelayOfCopiesStartsAnewAfterCatchingUp(t *testing.T) {
 	g, c := NewWithT(t), copyState{}
 	start := time.Unix(1000, 0)
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -224,9 +224,7 @@
 	g.Expect(time.Since(left)).To(BeNumerically("<", upstreamServes))
 }
 
-// TestRestoredStoreIsFollowed checks that a router whose store came back from an older copy puts
-// what is written there in force, does not go back to an older configuration, and does not read
-// the store without a pause.
+// Nothing older is put in force, and the store is not read without a pause.
 func TestRestoredStoreIsFollowed(t *testing.T) {
 	g, feed := NewWithT(t), newFakeFeed()
 	feed.put("config", "1")
@@ -252,8 +250,7 @@
 	g.Eventually(gw.upstreams, 5*time.Second).Should(Equal(6))
 }
 
-// TestOtherContentUnderTheSameVersion checks that a configuration which the operator writes after
-// the store has lost another one of the same version is put in force, and only then.
+// Other content under the version in force is taken in a later era only.
 func TestOtherContentUnderTheSameVersion(t *testing.T) {
 	g, feed := NewWithT(t), newFakeFeed()
 	feed.put("config", "1")
@@ -273,8 +270,6 @@
 	g.Eventually(content, 5*time.Second).Should(Equal("2 c"))
 }
 
-// TestRouterThatStartsAfterARestoreTakesTheNewestConfiguration checks that a router which finds an
-// older configuration in the store takes the one in force from a peer.
 func TestRouterThatStartsAfterARestoreTakesTheNewestConfiguration(t *testing.T) {
 	g, feed := NewWithT(t), newFakeFeed()
 	feed.put("config", "1")
@@ -296,8 +291,6 @@
 	g.Eventually(started.configVersion, 5*time.Second).Should(BeEquivalentTo(4))
 }
 
-// TestCopyOfAnEarlierEraIsNotTaken checks that a router passes the new era of the store on, and
-// takes nothing from a peer that has not heard of it.
 func TestCopyOfAnEarlierEraIsNotTaken(t *testing.T) {
 	g, feed := NewWithT(t), newFakeFeed()
 	feed.put("config", "1")
@@ -319,8 +312,7 @@
 	g.Expect(behind.lastChange()).To(Equal(gw.lastChange()))
 }
 
-// TestCopiesEndOnceNothingIsNewer checks that a router which learnt of a change from a list, with
-// another revision than its peers, does not make them copy its keys over and over.
+// A router that learnt of a removal from a list has another revision for it than its peers.
 func TestCopiesEndOnceNothingIsNewer(t *testing.T) {
 	g := NewWithT(t)
 	listed, watched := newFollower(t, newFakeFeed()), newFollower(t, newFakeFeed())
@@ -336,8 +328,7 @@
 	g.Expect(watched.lastChange()).To(Equal(listed.lastChange()))
 }
 
-// TestOlderEntryDoesNotTakeBackThatAnUpstreamLeaves checks that an upstream which a restored store
-// lists as ready again is taken for leaving until it writes its entry again.
+// A restored store lists a leaving upstream as ready until it writes its entry again.
 func TestOlderEntryDoesNotTakeBackThatAnUpstreamLeaves(t *testing.T) {
 	g, feed := NewWithT(t), newFakeFeed()
 	feed.put("instances/1", "")
@@ -388,8 +379,7 @@
 	return true, nil
 }
 
-// TestRouterRegistersAgainAfterARestore checks that a router whose key came back with a lease of an
-// earlier era registers under another key: it would be unregistered for good once that lease ends.
+// The copy has the router's key with a lease of an earlier era.
 func TestRouterRegistersAgainAfterARestore(t *testing.T) {
 	g := NewWithT(t)
 	gw := newFollower(t, newFakeFeed())
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -91,8 +91,6 @@
 	}
 }
 
-// TestStoppingRouterTakesWhatItCanFinish checks that a router which has been out of rotation for
-// long enough takes only requests that end before it does.
 func TestStoppingRouterTakesWhatItCanFinish(t *testing.T) {
 	const grace = 8 * time.Second
 	for _, x := range []struct {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -71,9 +71,6 @@
 	g.Expect(m.RemoveExpired(epoch.Add(outageGrace))).To(HaveLen(1))
 }
 
-// TestRemovalAfterAnOutageIsNotRetainedAsLapsed checks that a removal which the store
-// reports after the answer that ended an outage is not retained for as long as one which may
-// have happened during it.
 func TestRemovalAfterAnOutageIsNotRetainedAsLapsed(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
 	m.MarkStoreUnavailable()
@@ -84,8 +81,7 @@
 	g.Expect(m.RemoveExpired(epoch.Add(time.Second + massRemovalGrace))).To(HaveLen(1))
 }
 
-// TestRemovalInTheGapOfAWatchIsNotRetained checks that an entry which left the store while a
-// watch heard nothing is deleted with the list that shows it: the removal may be old.
+// A removal that a list shows may be old.
 func TestRemovalInTheGapOfAWatchIsNotRetained(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
 	m.Replace(epoch, append(m.EntriesInStore()[:5:5], m.EntriesInStore()[6:]...), at(11))
@@ -96,8 +92,7 @@
 	g.Expect(m.RemoveExpired(epoch.Add(massRemovalGrace))).NotTo(BeEmpty())
 }
 
-// TestUpstreamsLeaveBeforeTheyStopServing checks that no removal that is not as old as an
-// outage is retained for longer than two seconds less what the way to a router may take.
+// delivery is what the way of a removal to a router may take.
 func TestUpstreamsLeaveBeforeTheyStopServing(t *testing.T) {
 	const serves, delivery = 2 * time.Second, 350 * time.Millisecond
 	NewWithT(t).Expect(max(removalGrace, massRemovalGrace) + delivery).To(BeNumerically("<", serves))
@@ -113,9 +108,7 @@
 	g.Expect(ok).To(BeFalse())
 }
 
-// TestLateAnswerChangesNothing checks that changes which are applied after newer ones, as
-// when a watch is answered before a copy from a peer and applied after it, neither make a
-// removed entry present again nor remove one that was written since.
+// A watch may be answered before a copy from a peer and applied after it.
 func TestLateAnswerChangesNothing(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(3)
 	written := store.Change{Entry: store.Entry{Key: instancePrefix + "0", Index: 11}}
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -106,9 +106,7 @@
 	return answer{whole: true, entries: from.EntriesInStore(), at: from.Position()}
 }
 
-// TestMirrorsFollowARestoredStore draws writes, copies of the store that it is put back to, and
-// three routers that list, watch, copy from each other, receive answers late and start anew, in any
-// order. No mirror may go back, and once all is quiet each must have what the store has.
+// No mirror may go back, and once all is quiet each must have what the store has.
 func TestMirrorsFollowARestoredStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
@@ -187,8 +185,6 @@
 	})
 }
 
-// TestEntriesLostInARestoreAreRetained checks that entries which an older copy of the store
-// lacks are retained while their instances write them again.
 func TestEntriesLostInARestoreAreRetained(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(10)
 	g.Expect(m.Replace(epoch, m.EntriesInStore()[:8], store.Position{Era: 2, Revision: 5})).To(BeTrue())
@@ -199,8 +195,6 @@
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(8))
 }
 
-// TestChangesOfAnotherEraAreSkipped checks that an answer from before a restore which arrives
-// after it changes nothing.
 func TestChangesOfAnotherEraAreSkipped(t *testing.T) {
 	g, m := NewWithT(t), newFilledMirror(2)
 	lost := []store.Change{{Entry: store.Entry{Key: "config", Value: []byte("lost"), Index: 11}}}
--- a/internal/upstream/head_cut_test.go
+++ b/internal/upstream/head_cut_test.go
@@ -13,8 +13,7 @@
 	"github.com/jujubeford/jujubeford/config"
 )
 
-// TestAnswerCutInItsHeadIsNoAnswer cuts answers after each byte of their heads. None may be taken
-// for an answer, whole or not.
+// Answers are cut after each byte of their heads.
 func TestAnswerCutInItsHeadIsNoAnswer(t *testing.T) {
 	for name, answer := range map[string]string{
 		"length first": "HTTP/1.1 200 OK\r\nContent-Length: 120\r\nX-Run: 1\r\n\r\n",
