--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/exchange"
 	"github.com/jujubeford/jujubeford/internal/logs"
 )
 
@@ -43,7 +44,15 @@
 			"started", e.Upstream.Started, "id", e.ID)
 	} else {
 		logs.Info("probed", "Gateway: upstream lost connections.", "upstream", e.Upstream.ID, "addr", e.Upstream.Addr,
-			"started", e.Upstream.Started, "id", e.ID, "failure", failure)
+			"started", e.Upstream.Started, "id", e.ID, "failure", failureText(failure))
 	}
 	g.step(dispatch.Probed{Upstream: e.Upstream, Connected: failure == nil, Refused: refused})
 }
+
+// failureText describes a failure for logs; it is empty if there is none.
+func failureText(f *exchange.Failure) string {
+	if f == nil {
+		return ""
+	}
+	return f.Error()
+}
