--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -130,6 +130,29 @@
 		Expect(release.Settled[0].Unused).To(BeTrue())
 	})
 
+	It("gets an answer that tells whether it may have run when a drain ends before it does", func() {
+		s := newEntry(&fakeHooks{})
+		sent, waiting := arrive(1), arrive(2)
+		sent.AtMostOnce, sent.Idempotent, sent.Key = true, false, "k"
+		s.HandleArrival(noon, sent)
+		s.HandleGrant(noon, "o.1", grant(1, "e1"))
+		s.HandleArrival(noon, waiting)
+		s.SetDraining()
+		late := firstEffect[core.Refuse](s.HandleArrival(noon, arrive(3)))
+		Expect(late.Reason).To(Equal(core.ReasonDraining))
+		Expect(late.Outcome).To(Equal(core.NotRun))
+		outcomes := map[core.RequestID]core.Outcome{}
+		for _, e := range s.AbortAll(noon.Add(time.Minute)) {
+			switch e := e.(type) {
+			case core.Refuse:
+				outcomes[e.Request] = e.Outcome
+			case core.Abort:
+				outcomes[e.Request] = e.Outcome
+			}
+		}
+		Expect(outcomes).To(Equal(map[core.RequestID]core.Outcome{"q1": core.MayHaveRun, "q2": core.NotRun}))
+	})
+
 	It("is not sent to an upstream that is listed as leaving", func() {
 		s := newEntry(&fakeHooks{})
 		s.HandleArrival(noon, arrive(1))
