Show that a lapse that a peer tells of is taken for a leaving

What callers can see: after an outage of the store, an upstream whose entry lapsed in it gets no requests from routers that heard of the lapse from a peer, until its entry is back (about two seconds). Cause: a copy of a peer's keys carries removals without saying which of them may be lapses.

--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -191,13 +191,20 @@
 	return g.dispatcher.Upstreams()
 }
 
-func TestUpstreamThatLeavesAfterAnOutageGetsNoLateRequests(t *testing.T) {
-	g, feed := NewWithT(t), newFakeFeed()
-	for _, key := range []string{"instances/1", "instances/2", "instances/3", "instances/4"} {
-		feed.put(key, "")
+// followUpstreams returns a router that follows a store with n upstreams.
+func followUpstreams(t *testing.T, feed *fakeFeed, n int) *Gateway {
+	t.Helper()
+	for i := range n {
+		feed.put(fmt.Sprint("instances/", i+1), "")
 	}
 	gw := followFeed(t, feed)
-	g.Eventually(gw.upstreams).Should(Equal(4))
+	NewWithT(t).Eventually(gw.upstreams).Should(Equal(n))
+	return gw
+}
+
+func TestUpstreamThatLeavesAfterAnOutageGetsNoLateRequests(t *testing.T) {
+	g, feed := NewWithT(t), newFakeFeed()
+	gw := followUpstreams(t, feed, 4)
 	feed.setAway(true)
 	g.Eventually(gw.isStoreLost).Should(BeTrue())
 	feed.setAway(false)
@@ -211,11 +218,7 @@
 
 func TestUpstreamsThatLeaveTogetherGetNoLateRequests(t *testing.T) {
 	g, feed := NewWithT(t), newFakeFeed()
-	for _, key := range []string{"instances/1", "instances/2", "instances/3", "instances/4"} {
-		feed.put(key, "")
-	}
-	gw := followFeed(t, feed)
-	g.Eventually(gw.upstreams).Should(Equal(4))
+	gw := followUpstreams(t, feed, 4)
 	time.Sleep(watchPause)
 	feed.remove("instances/1")
 	feed.remove("instances/2")
@@ -394,3 +397,35 @@
 		leases.lost[r.lease] = true
 	}
 }
+
+// The peer learns of the lapse with the answer that ends its outage, the other router from the peer.
+func TestLapsedEntryIsRetainedWhenAPeerTellsOfIt(t *testing.T) {
+	at := func(revision uint64) store.Position { return store.Position{Era: 1, Revision: revision} }
+	var entries []store.Entry
+	for i := range 6 {
+		entries = append(entries, store.Entry{Key: fmt.Sprint("instances/", i), Index: 2})
+	}
+	for _, lost := range []bool{true, false} {
+		for _, whole := range []bool{true, false} {
+			t.Run(fmt.Sprintf("store lost %t, whole copy %t", lost, whole), func(t *testing.T) {
+				g, now := NewWithT(t), time.Now()
+				peer, gw := newFollower(t, newFakeFeed()), newFollower(t, newFakeFeed())
+				peer.mirror.Replace(now, entries, at(2))
+				gw.mirror.Replace(now, entries, at(2))
+				if lost {
+					gw.mirror.MarkStoreUnavailable()
+				}
+				peer.mirror.MarkStoreUnavailable()
+				peer.mirror.MarkStoreAvailable(now)
+				peer.mirror.Apply(now, []store.Change{{Entry: store.Entry{Key: "instances/0", Index: 3}, Deleted: true}}, at(3))
+				after := gw.position()
+				if whole {
+					after = store.Position{}
+				}
+				gw.applyPeerKeys("peer", peer.keysSince(after, 0))
+				g.Expect(peer.mirror.RemoveExpired(now.Add(2 * time.Second))).To(BeEmpty())
+				g.Expect(gw.mirror.RemoveExpired(now.Add(2 * time.Second))).To(BeEmpty())
+			})
+		}
+	}
+}
