Log whose requests a router without processor time refuses most

The line of a quarter of a second has the counts, and a line per refusal the organisation, but most of the latter are suppressed. Whether one organisation is refused at a router that serves others, or everybody is, could not be told.

The organisation with most refusals and their number are on the same line now.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -66,6 +66,8 @@
 	lag time.Duration
 	// admitted and refused count requests since the last sample.
 	admitted, refused int
+	// refusedBy counts the refused requests since the last sample by organisation.
+	refusedBy map[string]int
 	// usage holds the processor time recently charged to each organisation, and
 	// maxUsage the largest of them.
 	usage    map[string]*orgUsage
@@ -80,7 +82,7 @@
 }
 
 func newAdmission(cores float64) *admission {
-	return &admission{cores: cores, cost: initialCost, usage: make(map[string]*orgUsage)}
+	return &admission{cores: cores, cost: initialCost, usage: make(map[string]*orgUsage), refusedBy: make(map[string]int)}
 }
 
 // usageOf returns an organisation's usage, decayed to now. The caller holds mu.
@@ -171,17 +173,35 @@
 	return true
 }
 
+// countRefusal counts a refused request for the logs. The organisation is empty if it is
+// not known.
+func (a *admission) countRefusal(org string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refusedBy[org]++
+}
+
 // admissionStats is the state of the admission control since the last sample, for logs.
 type admissionStats struct {
 	admitted, refused int
 	cost, balance     time.Duration
+	// mostRefused is the organisation with most of the refused requests, and
+	// mostRefusedCount their number.
+	mostRefused      string
+	mostRefusedCount int
 }
 
 // stats returns the counts since the last sample, the cost and the balance.
 func (a *admission) stats() admissionStats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return admissionStats{admitted: a.admitted, refused: a.refused, cost: a.cost, balance: a.balance}
+	stats := admissionStats{admitted: a.admitted, refused: a.refused, cost: a.cost, balance: a.balance}
+	for org, n := range a.refusedBy {
+		if n > stats.mostRefusedCount || n == stats.mostRefusedCount && org < stats.mostRefused {
+			stats.mostRefused, stats.mostRefusedCount = org, n
+		}
+	}
+	return stats
 }
 
 // adjustCost adjusts the cost to how long goroutines waited for the processor since the
@@ -205,6 +225,7 @@
 	}
 	overloaded = lag >= lagLow && float64(a.refused) > overloadRefusedShare*float64(a.admitted)
 	a.admitted, a.refused = 0, 0
+	clear(a.refusedBy)
 	a.dropIdleOrganisations()
 	return overloaded
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -256,7 +256,7 @@
 	stats := g.pressure.admission.stats()
 	if stats.refused > 0 {
 		logs.Info("intake", "Gateway: requests refused for lack of processor time.", "taken", stats.admitted, "refused", stats.refused,
-			"cost", stats.cost, "balance", stats.balance, "used", used, "lag", lag, "cores", g.options.Cores)
+			"mostRefused", stats.mostRefused, "itsRefused", stats.mostRefusedCount, "cost", stats.cost, "balance", stats.balance, "used", used, "lag", lag, "cores", g.options.Cores)
 	}
 	if g.pressure.sample(now, used, lag) {
 		klog.InfoS("Gateway: processor pressure changed.", "short", g.pressure.isHigh(), "running", g.running(), "used", used, "lag", lag)
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -57,6 +57,7 @@
 	if served = l.serveUnderserved(c, reader, header, org); served {
 		return
 	}
+	l.g.pressure.admission.countRefusal(org)
 	l.logRefusal(header, caller, org)
 	length, known := contentLength(header)
 	if complete = complete && known; complete {
