Offload connections to a router of the domain with processor time to spare

Cause: nothing uses the processor time of the other routers of the failure domain.

A router whose budget falls below half of a burst passes new connections on, byte for byte, to the peer that reports most time left; peers admit them after their own callers, once, and close after one answer.

Evidence: TestOrganisationAtOneSmallRouterIsNotStarved failed with 765 of 1,800 and 593 of 7,200 requests served, and has 1,691 and 1,959 now.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -39,6 +39,16 @@
 	// a factor of two.
 	usageWindow      = time.Second
 	underservedShare = 0.5
+	// offloadCostShare is the processor time that passing a connection on to a peer takes,
+	// as a share of the cost of a request: the bytes are copied, but not parsed.
+	offloadCostShare = 0.35
+	// offloadReserve is the share of a burst below which the balance is kept for
+	// offloading while peers have time to spare, and below which no connections of peers
+	// are admitted: a router's own callers come first.
+	offloadReserve = 0.5
+	// spareSmoothing is the weight of the latest sample in what a router reports to
+	// have to spare.
+	spareSmoothing = 0.5
 	// overloadRefusedShare is the share of requests that may be refused for lack of
 	// processor time before the router leaves the rotation. Callers arrive in bursts,
 	// so a few refusals do not mean overload.
@@ -64,10 +74,16 @@
 	cost time.Duration
 	// lag is how long goroutines waited for the processor at the last sample.
 	lag time.Duration
-	// admitted and refused count requests since the last sample.
-	admitted, refused int
+	// admitted, refused and offloaded count requests since the last sample.
+	admitted, refused, offloaded int
 	// refusedBy counts the refused requests since the last sample by organisation.
 	refusedBy map[string]int
+	// spent is the processor time charged since the last sample for what this router's
+	// own callers sent. spare is what it can spend on connections of other routers, in
+	// cores; it was measured at sampledAt.
+	spent     time.Duration
+	spare     float64
+	sampledAt time.Time
 	// usage holds the processor time recently charged to each organisation, and
 	// maxUsage the largest of them.
 	usage    map[string]*orgUsage
@@ -127,7 +143,7 @@
 		return false
 	}
 	a.addUsage(u)
-	a.balance -= a.cost
+	a.spend(a.cost)
 	a.admitted++
 	a.refused--
 	return true
@@ -137,14 +153,60 @@
 func (a *admission) rate() float64        { return admissionShare * a.cores }
 func (a *admission) burst() time.Duration { return time.Duration(a.rate() * float64(admissionBurst)) }
 
-// admit reports whether there is processor time for one more request, and charges it.
-func (a *admission) admit(now time.Time) bool {
+// spend charges processor time for a caller of this router. The caller holds mu.
+func (a *admission) spend(d time.Duration) {
+	a.balance -= d
+	a.spent += d
+}
+
+// reserve is the balance that is kept for offloading. The caller holds mu.
+func (a *admission) reserve() time.Duration {
+	return time.Duration(offloadReserve * float64(a.burst()))
+}
+
+// admit reports whether there is processor time for one more request, and charges it. If
+// the request could be offloaded, the reserve is not used for it.
+func (a *admission) admit(now time.Time, canOffload bool) bool {
 	if a.cores <= 0 {
 		return true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.exhausted(now) {
+	var reserve time.Duration
+	if canOffload {
+		reserve = a.reserve()
+	}
+	if a.exhausted(now, reserve) {
+		return false
+	}
+	a.spend(a.cost)
+	a.admitted++
+	return true
+}
+
+// admitLate admits a request that admit has kept out of the reserve and that could not be
+// offloaded.
+func (a *admission) admitLate() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.balance < a.cost {
+		return false
+	}
+	a.spend(a.cost)
+	a.admitted++
+	a.refused--
+	return true
+}
+
+// admitOffloaded reports whether there is processor time for a request that another router
+// offloads to this one, and charges it.
+func (a *admission) admitOffloaded(now time.Time) bool {
+	if a.cores <= 0 {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.exhausted(now, a.reserve()) {
 		return false
 	}
 	a.balance -= a.cost
@@ -152,9 +214,58 @@
 	return true
 }
 
+// admitOffload reports whether there is processor time to offload a connection that admit
+// has refused, and charges it.
+func (a *admission) admitOffload() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	cost := time.Duration(offloadCostShare * float64(a.cost))
+	if a.balance < cost {
+		return false
+	}
+	a.spend(cost)
+	a.refused--
+	a.offloaded++
+	return true
+}
+
+// requestCost is the processor time that a request is expected to need.
+func (a *admission) requestCost() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.cost
+}
+
+// spareCores is the processor time that can be spent on connections of other routers, in
+// cores.
+func (a *admission) spareCores() float64 {
+	if a.cores <= 0 {
+		return unlimitedSpare
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.spare
+}
+
+// measureSpare measures what can be spent on connections of other routers from what this
+// router's own callers have used since the last sample. The caller holds mu.
+func (a *admission) measureSpare(now time.Time, lag time.Duration) {
+	elapsed := now.Sub(a.sampledAt)
+	if !a.sampledAt.IsZero() && elapsed > 0 {
+		unused := max(0, a.rate()-a.spent.Seconds()/elapsed.Seconds())
+		if lag >= lagLow {
+			// The processor is slower, or used for more, than what was charged shows.
+			unused = 0
+		}
+		a.spare += spareSmoothing * (unused - a.spare)
+	}
+	a.sampledAt, a.spent = now, 0
+}
+
 // exhausted refills the balance up to now and reports whether it is too low for a
-// request. If so, it counts and charges a refusal. The caller holds mu.
-func (a *admission) exhausted(now time.Time) bool {
+// request that leaves the reserve. If so, it counts and charges a refusal. The caller
+// holds mu.
+func (a *admission) exhausted(now time.Time, reserve time.Duration) bool {
 	burst := a.burst()
 	refilled := burst
 	if !a.refilledAt.IsZero() {
@@ -163,12 +274,12 @@
 	a.refilledAt = now
 	a.balance = min(burst, a.balance+refilled)
 	a.refusalBudget = min(burst, a.refusalBudget+time.Duration(refusalShare*float64(refilled)))
-	if a.balance >= a.cost {
+	if a.balance >= a.cost+reserve {
 		return false
 	}
 	a.refused++
 	spent := min(refusalCost, a.refusalBudget)
-	a.balance -= spent
+	a.spend(spent)
 	a.refusalBudget -= spent
 	return true
 }
@@ -183,8 +294,10 @@
 
 // admissionStats is the state of the admission control since the last sample, for logs.
 type admissionStats struct {
-	admitted, refused int
-	cost, balance     time.Duration
+	admitted, refused, offloaded int
+	cost, balance                time.Duration
+	// spare is in cores.
+	spare float64
 	// mostRefused is the organisation with most of the refused requests, and
 	// mostRefusedCount their number.
 	mostRefused      string
@@ -195,7 +308,9 @@
 func (a *admission) stats() admissionStats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	stats := admissionStats{admitted: a.admitted, refused: a.refused, cost: a.cost, balance: a.balance}
+	stats := admissionStats{
+		admitted: a.admitted, refused: a.refused, offloaded: a.offloaded, cost: a.cost, balance: a.balance, spare: a.spare,
+	}
 	for org, n := range a.refusedBy {
 		if n > stats.mostRefusedCount || n == stats.mostRefusedCount && org < stats.mostRefused {
 			stats.mostRefused, stats.mostRefusedCount = org, n
@@ -207,9 +322,10 @@
 // adjustCost adjusts the cost to how long goroutines waited for the processor since the
 // last call. It reports whether the router is overloaded: many requests were refused
 // meanwhile, and the lag confirms the shortage.
-func (a *admission) adjustCost(lag time.Duration) (overloaded bool) {
+func (a *admission) adjustCost(now time.Time, lag time.Duration) (overloaded bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.measureSpare(now, lag)
 	growing := lag >= a.lag
 	a.lag = lag
 	switch {
@@ -217,14 +333,14 @@
 		// The backlog of requests admitted before is still being worked off.
 	case lag >= lagHigh:
 		a.cost = min(maxCost, time.Duration(costIncrease*float64(a.cost)))
-	case lag < lagLow && a.refused > 0:
+	case lag < lagLow && a.refused+a.offloaded > 0:
 		a.cost = max(minCost, time.Duration(costDecrease*float64(a.cost)))
 	case lag < lagLow && a.cost > initialCost:
 		// The shortage is over: lower the cost without having to refuse callers first.
 		a.cost = max(initialCost, time.Duration(costDecrease*float64(a.cost)))
 	}
 	overloaded = lag >= lagLow && float64(a.refused) > overloadRefusedShare*float64(a.admitted)
-	a.admitted, a.refused = 0, 0
+	a.admitted, a.refused, a.offloaded = 0, 0, 0
 	clear(a.refusedBy)
 	a.dropIdleOrganisations()
 	return overloaded
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -54,9 +54,9 @@
 	sample := func(requests int, lag time.Duration) (overloaded bool) {
 		now = now.Add(time.Second)
 		for range requests {
-			a.admit(now)
+			a.admit(now, false)
 		}
-		return a.adjustCost(lag)
+		return a.adjustCost(time.Now(), lag)
 	}
 	const one, many = 1, 10_000
 	sample(one, 0)
@@ -82,6 +82,6 @@
 	// Without a limit of the processor time nothing is refused.
 	unbounded := newAdmission(0)
 	for range many {
-		g.Expect(unbounded.admit(now)).To(BeTrue())
+		g.Expect(unbounded.admit(now, false)).To(BeTrue())
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -24,6 +24,9 @@
 	host    string
 	body    []byte
 	started time.Time
+	// offloadedFrom is the address of the router that the caller is connected to, if it
+	// is another one.
+	offloadedFrom string
 
 	effects chan dispatch.Effect
 	// startMove moves the call's stream to another upstream.
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -12,6 +12,8 @@
 	*net.TCPConn
 	// buffered was read from the connection before it was handed to the server.
 	buffered []byte
+	// offloaded means that another router has passed the connection on to this one.
+	offloaded bool
 	// pendingReads counts the connections whose readPending is set.
 	pendingReads *atomic.Int64
 	// readPending is set while part of a request has been read and its handler does not
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -43,8 +43,8 @@
 	if conn, ok := connOf(r).(*callerConn); ok {
 		defer conn.enterHandler()()
 	}
-	if g.draining.Load() || g.pressure.isHigh() || g.conns.crowded() || len(r.TransferEncoding) > 0 {
-		// Nothing is read after a chunked body: if an intermediary computes the body's
+	if g.draining.Load() || g.pressure.isHigh() || g.conns.crowded() || len(r.TransferEncoding) > 0 || offloadedFrom(r) != "" {
+		// An offloaded connection takes processor time of two routers. Nothing is read after a chunked body: if an intermediary computes the body's
 		// length differently, a second request may be smuggled in behind it.
 		w.Header().Set("Connection", "close")
 	}
@@ -109,7 +109,7 @@
 		return nil, overloadRefusal(w)
 	}
 	if !charged.admitted {
-		charged.admitted = g.pressure.admission.admit(started)
+		charged.admitted = g.pressure.admission.admit(started, false)
 	}
 	route := table.Match(r.Host, r.URL.EscapedPath())
 	if route == nil {
@@ -149,6 +149,7 @@
 	c := &call{
 		key: caller.ID, caller: caller, header: r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
 		body: body, started: started, effects: make(chan dispatch.Effect, effectQueueSize), lastEventID: caller.ResumeAfter,
+		offloadedFrom: offloadedFrom(r),
 	}
 	c.startMove = func(e dispatch.Move) { g.move(c, e) }
 	c.startProbe = g.probe
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -39,8 +39,10 @@
 	// no known limit.
 	max int
 
-	mu   sync.Mutex
-	open int
+	mu sync.Mutex
+	// open is the number of callers' connections, in which offloaded ones count twice,
+	// and offloaded is the number of these.
+	open, offloaded int
 	// idle maps connections without a request to the time at which they became idle.
 	idle map[net.Conn]time.Time
 	// pendingReads counts the connections from which part of a request has been read
@@ -110,6 +112,26 @@
 	}
 }
 
+// beginOffload counts a connection that is going to be offloaded. It reports false if too
+// many are.
+func (c *conns) beginOffload() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.max > 0 && float64(2*(c.offloaded+1)) > offloadConnShare*float64(c.max) {
+		return false
+	}
+	c.offloaded++
+	c.open += 2
+	return true
+}
+
+func (c *conns) endOffload() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offloaded--
+	c.open -= 2
+}
+
 // sweep closes connections that have been idle for longer than limit and, while there
 // are too many connections, those that have been idle for longest. Connections with an
 // unread request stay open.
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,11 @@
 	// storeLost means that the store does not answer the sender, and leaving that the
 	// sender is stopping.
 	storeLost, leaving bool
+	// spare is the processor time that the sender can spend on connections of other
+	// routers, in cores, and offloadPort the port at which it takes them; 0 if it takes
+	// none.
+	spare       float64
+	offloadPort uint16
 	// members is the number of routers whose reports a sum contains. applied is the
 	// serial number of the receiver's report in it, 0 if there is none, and watch tells
 	// the receiver to watch the store.
@@ -74,13 +80,16 @@
 	fieldCrashes     protowire.Number = 22
 	fieldLimits      protowire.Number = 23
 	fieldEra         protowire.Number = 24
+	fieldSpare       protowire.Number = 25
+	fieldOffloadPort protowire.Number = 26
 )
 
-// chargeScale and limitScale are the factors by which charges and limits are multiplied to
-// be sent as integers.
+// chargeScale, limitScale and spareScale are the factors by which charges, limits and spare
+// processor time are multiplied to be sent as integers.
 const (
 	chargeScale = 1e5
 	limitScale  = 1e3
+	spareScale  = 1e4
 )
 
 var errDatagram = errors.New("malformed datagram")
@@ -114,6 +123,8 @@
 	b = appendNumber(b, fieldScope, uint64(d.scope))
 	b = appendNumber(b, fieldStoreLost, boolToUint(d.storeLost))
 	b = appendNumber(b, fieldLeaving, boolToUint(d.leaving))
+	b = appendNumber(b, fieldSpare, uint64(spareScale*d.spare))
+	b = appendNumber(b, fieldOffloadPort, uint64(d.offloadPort))
 	b = appendNumber(b, fieldMembers, uint64(d.members))
 	return appendReport(b, r)
 }
@@ -239,6 +250,12 @@
 		d.leaving = v != 0
 	case fieldMembers:
 		d.members = int(min(v, maxMembers))
+	case fieldSpare:
+		d.spare = float64(min(v, maxSpare)) / spareScale
+	case fieldOffloadPort:
+		if v <= math.MaxUint16 {
+			d.offloadPort = uint16(v)
+		}
 	case fieldApplied:
 		d.applied = v
 	case fieldWatch:
@@ -246,8 +263,12 @@
 	}
 }
 
-// maxMembers bounds the number of routers in a sum.
-const maxMembers = 1 << 20
+// maxMembers bounds the number of routers in a sum, and maxSpare a router's spare processor
+// time, in units of 1/spareScale cores.
+const (
+	maxMembers = 1 << 20
+	maxSpare   = 1 << 24
+)
 
 func (d *datagram) setBytes(field protowire.Number, b []byte) {
 	switch field {
--- a/internal/gateway/datagram_test.go
+++ b/internal/gateway/datagram_test.go
@@ -42,6 +42,7 @@
 	sent := datagram{
 		addr: "10.0.0.1:7400", incarnation: 1 << 60, serial: 9, config: 4, lastChange: 1 << 40, domain: "ga-east-a",
 		scope: scopeDomain, storeLost: true, leaving: true, members: 49, applied: 77, watch: true,
+		spare: 0.5125, offloadPort: 7402,
 	}
 	got, err := decode(sent.appendReceiver(sent.encode(nil, report)))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/domain_test.go
+++ b/internal/gateway/domain_test.go
@@ -6,12 +6,17 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/offload"
 )
 
 // simDomain simulates the routers of a failure domain.
 type simDomain struct {
 	now     time.Time
 	routers []*simProcessor
+	// peers is what each router knows of the others, reported when reported says.
+	peers    []offload.State
+	reported time.Time
 	// asked and served count requests by organisation.
 	asked, served map[string]int
 }
@@ -26,7 +31,7 @@
 		}
 		d.routers = append(d.routers, newSimProcessor(cores, time.Millisecond, 47*time.Microsecond))
 	}
-	d.now = d.routers[0].now
+	d.now, d.peers = d.routers[0].now, make([]offload.State, len(d.routers))
 	return d
 }
 
@@ -47,6 +52,9 @@
 				m.sample()
 			}
 		}
+		if d.now.Sub(d.reported) >= simReportInterval {
+			d.report()
+		}
 		for i, c := range callers {
 			for due[i] += c.perSecond * step.Seconds(); due[i] >= 1; due[i]-- {
 				d.asked[c.organisation]++
@@ -58,9 +66,55 @@
 	}
 }
 
-// request simulates one request and reports whether it was served.
+// report passes on what each router has to spare to the others.
+func (d *simDomain) report() {
+	d.reported = d.now
+	for i := range d.peers {
+		for j, m := range d.routers {
+			if i != j {
+				spare := m.pressure.admission.spareCores()
+				if m.pressure.isHigh() {
+					spare = 0
+				}
+				d.peers[i].Report(d.now, fmt.Sprint(j), spare)
+			}
+		}
+	}
+}
+
+// request simulates one request, as shedListener treats it, and reports whether it was
+// served.
 func (d *simDomain) request(router int, org string) bool {
-	return d.routers[router].request(org)
+	m := d.routers[router]
+	control, peers := m.pressure.admission, &d.peers[router]
+	cost := control.requestCost()
+	if control.admit(d.now, peers.Available(d.now, cost)) {
+		control.attribute(d.now, org)
+		return m.serve()
+	}
+	if peers.Available(d.now, cost) && control.admitOffload() {
+		addr, _ := peers.Choose(d.now, cost)
+		m.spend(m.cost.offload)
+		return d.takeOffloaded(addr, peers)
+	}
+	if control.admitLate() || control.admitUnderserved(d.now, org) {
+		return m.serve()
+	}
+	return m.refuse()
+}
+
+// takeOffloaded simulates a request that is offloaded to a router.
+func (d *simDomain) takeOffloaded(addr string, peers *offload.State) bool {
+	var i int
+	if _, err := fmt.Sscan(addr, &i); err != nil {
+		panic(err)
+	}
+	m := d.routers[i]
+	if !m.pressure.admission.admitOffloaded(d.now) {
+		peers.Refused(d.now, addr)
+		return m.refuse()
+	}
+	return m.serve()
 }
 
 // TestOrganisationAtOneSmallRouterIsNotStarved: the callers of one organisation reach one
@@ -87,7 +141,25 @@
 		d.run(2*time.Second, callers...)
 	}
 	t.Logf("asked %v, served %v", d.asked, d.served)
+	d.expectPrompt(g)
 	// The users compare an organisation with half of what it asked for, or of what the
 	// best-served one got.
 	g.Expect(float64(d.served["herd"])).To(BeNumerically(">=", 0.5*float64(min(d.asked["herd"], d.served["other"]))))
 }
+
+// simReportInterval is the time between two reports of a router.
+const simReportInterval = 150 * time.Millisecond
+
+// expectPrompt checks that no router lets a tenth of its requests wait for the processor
+// for longer than the tightest latency target of the users' requests.
+func (d *simDomain) expectPrompt(g Gomega) {
+	for i, m := range d.routers {
+		late := 0
+		for _, w := range m.waits {
+			if w > 300*time.Millisecond {
+				late++
+			}
+		}
+		g.Expect(late).To(BeNumerically("<=", len(m.waits)/10), "router %d", i)
+	}
+}
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -241,5 +241,8 @@
 		"id", c.caller.ID, "org", c.request.Organisation, "route", c.request.Route.Name, "outcome", outcome,
 		"reason", reason, "status", status, "upstream", c.upstream, "took", took, "first", c.timeToFirstChunk(), "maxGap", c.maxGap,
 	}, pairs...)
+	if c.offloadedFrom != "" {
+		pairs = append(pairs, "offloadedFrom", c.offloadedFrom)
+	}
 	logs.Info("ended-"+outcome, "Gateway: request ended.", pairs...)
 }
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -16,7 +16,7 @@
 	cores    float64
 	// accountedShare is the share of the used time that the process's accounting shows.
 	accountedShare float64
-	cost           struct{ request, refusal time.Duration }
+	cost           struct{ request, refusal, offload time.Duration }
 	now            time.Time
 	// busyUntil is when the accepted work is done.
 	busyUntil, sampled time.Time
@@ -29,7 +29,7 @@
 func newSimProcessor(cores float64, request, refusal time.Duration) *simProcessor {
 	m := &simProcessor{pressure: &pressure{cores: cores, admission: newAdmission(cores)}, cores: cores, accountedShare: 1, now: time.Unix(1000, 0)}
 	m.busyUntil, m.sampled = m.now, m.now
-	m.cost.request, m.cost.refusal = request, refusal
+	m.cost.request, m.cost.refusal, m.cost.offload = request, refusal, time.Duration(offloadCostShare*float64(request))
 	m.pressure.sample(m.now, 0, 0)
 	return m
 }
@@ -47,19 +47,27 @@
 
 // request simulates one request of an organisation and reports whether it was admitted.
 func (m *simProcessor) request(org string) bool {
-	admitted := m.pressure.admission.admit(m.now)
+	admitted := m.pressure.admission.admit(m.now, false)
 	if admitted {
 		m.pressure.admission.attribute(m.now, org)
 	}
 	if m.pressure.shouldShed() || !admitted && !m.pressure.admission.admitUnderserved(m.now, org) {
-		m.refused++
-		m.spend(m.cost.refusal)
-		return false
+		return m.refuse()
 	}
+	return m.serve()
+}
+
+func (m *simProcessor) serve() bool {
 	m.waits = append(m.waits, m.spend(m.cost.request))
 	return true
 }
 
+func (m *simProcessor) refuse() bool {
+	m.refused++
+	m.spend(m.cost.refusal)
+	return false
+}
+
 // spend adds a piece of work and returns how long it takes from now until it is done.
 func (m *simProcessor) spend(work time.Duration) time.Duration {
 	m.busyUntil = later(m.busyUntil, m.now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,11 +51,13 @@
 	bodies   atomic.Int64
 	pressure pressure
 	// lag is used by runTicks only.
-	lag      schedLag
-	conns    *conns
-	peers    *peers
-	stop     chan struct{}
-	stopOnce sync.Once
+	lag   schedLag
+	conns *conns
+	// offloader is nil if there are no peers to offload connections to.
+	offloader *offloader
+	peers     *peers
+	stop      chan struct{}
+	stopOnce  sync.Once
 }
 
 // New checks the options and returns a gateway that is not running yet.
@@ -78,6 +80,7 @@
 		return nil, err
 	}
 	g.peers = newPeers(g)
+	g.offloader = newOffloader(g)
 	return g, nil
 }
 
@@ -103,10 +106,19 @@
 	defer callers.Close()
 	serveErrors := make(chan error, 4)
 	served := make(chan struct{})
+	shed := newShedListener(listener, g)
 	go func() {
-		serveErrors <- callers.Serve(newShedListener(listener, g))
+		serveErrors <- callers.Serve(shed)
 		close(served)
 	}()
+	var offloaded *net.TCPListener
+	if addr := g.options.OffloadListen; addr != "" {
+		if offloaded, err = listenForCallers(ctx, addr); err != nil {
+			return errors.Wrap(err, "listen for connections of other routers")
+		}
+		defer offloaded.Close()
+		go shed.takeOffloaded(offloaded)
+	}
 	for _, s := range []struct {
 		server *http.Server
 		addr   string
@@ -140,7 +152,7 @@
 		return ctx.Err()
 	case <-g.stop:
 	}
-	g.drain(callers, listener, served)
+	g.drain(callers, listener, offloaded, served)
 	klog.InfoS("Gateway: stopped.", "name", g.options.Name)
 	return nil
 }
@@ -173,17 +185,25 @@
 // drain waits until the platform sends no new connections, and then for the requests in
 // progress. Callers with persistent connections are asked to close them in the next
 // answer. A request that has arrived is answered, even if it had not been read when the
-// listener was closed, or does not end within the grace period. served is closed once the server accepts no more connections.
-func (g *Gateway) drain(callers *http.Server, listener *net.TCPListener, served <-chan struct{}) {
+// listener was closed, or does not end within the grace period. served is closed once the
+// server accepts no more connections; offloaded is nil if those of other routers are not taken.
+func (g *Gateway) drain(callers *http.Server, listener, offloaded *net.TCPListener, served <-chan struct{}) {
 	klog.InfoS("Gateway: stopping.", "name", g.options.Name, "running", g.running(), "grace", g.options.Grace)
 	ctx, cancel := context.WithDeadline(context.Background(), g.stopEnd)
 	defer cancel()
 	end := time.AfterFunc(time.Until(g.stopEnd)-endMargin, func() {
 		klog.InfoS("Gateway: grace period over, ending the requests in progress.", "running", g.running())
 		g.step(dispatch.Stopping{})
+		g.offloader.stop()
 	})
 	defer end.Stop()
 	time.Sleep(min(rotationDelay, time.Until(g.stopEnd)))
+	if offloaded != nil {
+		// Peers have heard that this router is leaving.
+		if err := sockets.StopListening(ctx, offloaded); err != nil {
+			klog.InfoS("Gateway: listener for other routers not emptied, waiting connections may be reset.", "err", err)
+		}
+	}
 	if err := sockets.StopListening(ctx, listener); err != nil {
 		klog.InfoS("Gateway: listener not emptied, waiting connections may be reset.", "err", err)
 	}
@@ -199,6 +219,7 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		klog.InfoS("Gateway: connections were cut off at the end of the grace period.", "running", g.running())
 	}
+	g.offloader.wait(ctx)
 }
 
 func (g *Gateway) running() int {
@@ -254,9 +275,10 @@
 	}
 	lag := g.lag.read()
 	stats := g.pressure.admission.stats()
-	if stats.refused > 0 {
-		logs.Info("intake", "Gateway: requests refused for lack of processor time.", "taken", stats.admitted, "refused", stats.refused,
-			"mostRefused", stats.mostRefused, "itsRefused", stats.mostRefusedCount, "cost", stats.cost, "balance", stats.balance, "used", used, "lag", lag, "cores", g.options.Cores)
+	if stats.refused+stats.offloaded > 0 {
+		logs.Info("intake", "Gateway: requests refused or offloaded for lack of processor time.", "taken", stats.admitted, "refused", stats.refused,
+			"mostRefused", stats.mostRefused, "itsRefused", stats.mostRefusedCount, "offloaded", stats.offloaded, "spare", stats.spare,
+			"cost", stats.cost, "balance", stats.balance, "used", used, "lag", lag, "cores", g.options.Cores)
 	}
 	if g.pressure.sample(now, used, lag) {
 		klog.InfoS("Gateway: processor pressure changed.", "short", g.pressure.isHigh(), "running", g.running(), "used", used, "lag", lag)
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -77,13 +77,14 @@
 		}
 		// Charged here, since many connections may be accepted before the first is
 		// served.
-		if l.g.pressure.admission.admit(time.Now()) {
+		now := time.Now()
+		if l.g.pressure.admission.admit(now, l.g.offloader.available(now)) {
 			if !l.handToServer(l.g.conns.wrap(tcp, nil), charge{admitted: true}) {
 				tcp.Close()
 			}
 			continue
 		}
-		go l.refuse(tcp)
+		go l.refuse(tcp, false)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,7 +42,7 @@
 type metrics struct {
 	registry *prometheus.Registry
 
-	requests, placements, storeCalls                      metric.Int64Counter
+	requests, placements, storeCalls, offloads            metric.Int64Counter
 	waitTime, firstByteTime, maxGap, duration, retryAfter metric.Float64Histogram
 
 	// storeAnsweredAt is when the store last answered, in Unix nanoseconds; 0 if never.
@@ -73,6 +73,7 @@
 		{&m.requests, "requests", "Ended requests by kind, outcome and reason."},
 		{&m.placements, "placements", "Attempts by kind and by what decided where they went."},
 		{&m.storeCalls, "store", "Calls on the store by call and result."},
+		{&m.offloads, "offloads", "Connections offloaded to other routers, by outcome."},
 	} {
 		if *c.target, err = meter.Int64Counter(metricPrefix+c.name, metric.WithDescription(c.description)); err != nil {
 			return errors.Wrap(err, c.name)
@@ -120,6 +121,7 @@
 		{"limited", "", "Upstreams that get no more requests than the limit that they name.", locked(g.dispatcher.LimitedUpstreams)},
 		{"blocked", "", "Traits of requests that are refused because such requests crash upstreams.", locked(func() int { return g.dispatcher.BlockedTraits(time.Now()) })},
 		{"connections", "", "Open connections of callers.", func() float64 { return float64(g.conns.count()) }},
+		{"spare", "", "Processor time that this router can spend on connections of others, in cores.", g.spareCores},
 		{"bodies", "By", "Size of the bodies of all requests under way.", func() float64 { return float64(g.bodies.Load()) }},
 		{"store.age", "s", "Time since the store last answered this router.", m.storeAge},
 		{"peers.age", "s", "Time since the last report of the live router that was heard longest ago.", func() float64 { return g.peers.oldestReportAge(time.Now()).Seconds() }},
@@ -149,6 +151,11 @@
 	m.requests.Add(context.Background(), 1, labels)
 }
 
+// recordOffload counts an offloaded connection by its outcome.
+func (m *metrics) recordOffload(outcome string) {
+	m.offloads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // shedLabels are built once: building a label set takes as long as the refusal itself.
 var shedLabels = map[string]metric.MeasurementOption{
 	"refused": metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", ""), attribute.String("outcome", "refused"), attribute.String("reason", reasonOverloaded))),
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -30,6 +30,7 @@
 	m.recordMaxGap("stream", time.Second)
 	m.recordAttempt("stream", dispatch.Send{Attempt: 1, Waited: time.Second})
 	m.recordRetryAfter("overloaded", time.Second)
+	m.recordOffload(string(offloadAnswered))
 	m.recordStoreCall(callList, nil)
 	m.recordStoreCall(callWatch, errors.New("reset"))
 
--- /dev/null
+++ b/internal/gateway/offload.go
@@ -0,0 +1,382 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/offload"
+	"github.com/jujubeford/jujubeford/internal/sockets"
+)
+
+const (
+	// offloadDialTimeout bounds connecting to a peer. Peers are in the same failure
+	// domain, so only a peer that is gone or out of time takes longer.
+	offloadDialTimeout = 200 * time.Millisecond
+	// offloadUserTimeout is how long bytes sent to a peer may stay unacknowledged, and
+	// offloadKeepAlive finds a peer that vanishes while its answer is awaited.
+	offloadUserTimeout = 1500 * time.Millisecond
+	// offloadConnShare is the share of the maximum number of callers' connections that
+	// offloaded ones may take. Each counts twice: it has a second descriptor.
+	offloadConnShare = 0.3
+	// unlimitedSpare is what a router without a limit of processor time reports to have
+	// to spare, in cores.
+	unlimitedSpare = 1.0
+)
+
+var offloadKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+
+// lostAnswer is the answer to a request that was offloaded to a peer whose connection
+// ended before it answered: the request may have run.
+var lostAnswer = []byte("HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+
+// offloader passes connections of callers for which this router has no processor time on to
+// peers that have some. A connection is passed on byte for byte in both directions, and the
+// peer closes it after one answer. It is safe for concurrent use.
+type offloader struct {
+	g      *Gateway
+	dialer net.Dialer
+
+	mu sync.Mutex
+	// state is what the peers have to spare.
+	state offload.State
+	// inUse holds the connections to peers that are in use. No more are added once
+	// stopped is set.
+	inUse   map[net.Conn]struct{}
+	stopped bool
+	// active counts the offloaded connections that have not ended.
+	active sync.WaitGroup
+}
+
+func newOffloader(g *Gateway) *offloader {
+	return &offloader{g: g, inUse: make(map[net.Conn]struct{}), dialer: net.Dialer{
+		Timeout: offloadDialTimeout, KeepAliveConfig: offloadKeepAlive, Control: sockets.UserTimeout(offloadUserTimeout),
+	}}
+}
+
+// handleReport records what the sender of a datagram has to spare.
+func (o *offloader) handleReport(now time.Time, d *datagram) {
+	if d.offloadPort == 0 || d.domain != o.g.options.Domain {
+		return
+	}
+	peer, err := netip.ParseAddrPort(d.addr)
+	if err != nil {
+		return // applyDatagram has logged it.
+	}
+	spare := d.spare
+	if d.leaving {
+		spare = 0
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.Report(now, netip.AddrPortFrom(peer.Addr(), d.offloadPort).String(), spare)
+}
+
+// available reports whether a peer can take a connection.
+func (o *offloader) available(now time.Time) bool {
+	if o == nil {
+		return false
+	}
+	cost := o.g.pressure.admission.requestCost()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Available(now, cost)
+}
+
+// choose returns the peer that takes the next connection, and charges it.
+func (o *offloader) choose(now time.Time) (addr string, ok bool) {
+	cost := o.g.pressure.admission.requestCost()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Choose(now, cost)
+}
+
+func (o *offloader) markRefused(addr string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.Refused(time.Now(), addr)
+}
+
+// offload passes a caller's connection, of which a request's header has been read, on to a
+// peer until it ends. It reports false if the connection is still as it was, because no
+// peer has time to spare or this router has none left even for that.
+func (o *offloader) offload(c *net.TCPConn, reader *bufio.Reader, header []byte, caller Caller, org string) bool {
+	if o == nil || !o.available(time.Now()) || !o.g.conns.beginOffload() {
+		return false
+	}
+	defer o.g.conns.endOffload()
+	if !o.g.pressure.admission.admitOffload() {
+		return false
+	}
+	addr, ok := o.choose(time.Now())
+	if !ok {
+		return false
+	}
+	conn, err := o.dialer.Dial("tcp4", addr)
+	if err != nil {
+		o.markRefused(addr)
+		o.g.metrics.recordOffload("unreachable")
+		logs.Info("offload-dial", "Gateway: connecting to a router with processor time to spare failed.", "id", caller.ID, "peer", addr, "err", err)
+		return false
+	}
+	defer conn.Close()
+	if !o.begin(conn) {
+		return false
+	}
+	defer o.end(conn)
+	logs.Info("offloaded", "Gateway: connection offloaded to another router.", "id", caller.ID, "org", org, "peer", addr)
+	started := time.Now()
+	r := offloadedConn{caller: c, fromCaller: reader, peer: conn, header: header}
+	outcome := r.run()
+	if outcome == offloadRefused {
+		o.markRefused(addr)
+	}
+	o.g.metrics.recordOffload(string(outcome))
+	logs.Info("offload-ended", "Gateway: offloaded connection ended.", "id", caller.ID, "org", org, "peer", addr,
+		"outcome", string(outcome), "bytes", r.answered, "took", time.Since(started))
+	return true
+}
+
+// begin makes a connection to a peer known to stop. It reports false once stopped.
+func (o *offloader) begin(conn net.Conn) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.stopped {
+		return false
+	}
+	o.inUse[conn] = struct{}{}
+	o.active.Add(1)
+	return true
+}
+
+func (o *offloader) end(conn net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.inUse, conn)
+	o.active.Done()
+}
+
+// stop ends all offloaded connections: those whose peer has not answered answer that the request may
+// have run.
+func (o *offloader) stop() {
+	if o == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopped = true
+	for conn := range o.inUse {
+		conn.Close()
+	}
+}
+
+// wait returns once no connection is offloaded, or ctx ends.
+func (o *offloader) wait(ctx context.Context) {
+	if o == nil {
+		return
+	}
+	ended := make(chan struct{})
+	go func() {
+		o.active.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		klog.InfoS("Gateway: offloaded connections were cut off at the end of the grace period.")
+	}
+}
+
+// offloadOutcome says how an offloaded connection ended.
+type offloadOutcome string
+
+const (
+	// offloadAnswered: the peer answered, and its bytes were passed on.
+	offloadAnswered offloadOutcome = "answered"
+	// offloadRefused: the peer had no processor time either, and refused.
+	offloadRefused offloadOutcome = "refused"
+	// offloadLeft: the caller closed its connection first, also after a whole answer.
+	offloadLeft offloadOutcome = "left"
+	// offloadLost: the connection to the peer ended before it answered.
+	offloadLost offloadOutcome = "lost"
+	// offloadBroken: the connection to the peer was reset within its answer.
+	offloadBroken offloadOutcome = "broken"
+)
+
+// offloadedConn is a caller's connection that is passed on to a peer.
+type offloadedConn struct {
+	caller     *net.TCPConn
+	fromCaller *bufio.Reader
+	peer       net.Conn
+	// header has been read from the caller.
+	header []byte
+	// answered is the number of bytes of the answer.
+	answered int
+}
+
+// run copies in both directions until either side closes.
+func (r *offloadedConn) run() offloadOutcome {
+	if err := errors.Join(r.caller.SetDeadline(time.Time{}), r.caller.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true})); err != nil {
+		logs.Info("offload-options", "Gateway: setting the options of an offloaded connection failed.", "err", err)
+	}
+	rest, _ := r.fromCaller.Peek(r.fromCaller.Buffered())
+	if _, err := r.peer.Write(append(r.header, rest...)); err != nil {
+		return r.lose()
+	}
+	// Discarding what is buffered cannot fail.
+	_, _ = r.fromCaller.Discard(len(rest))
+	left := make(chan struct{})
+	forwarded := make(chan struct{})
+	go func() {
+		defer close(forwarded)
+		if _, err := copyChunks(r.peer, r.fromCaller, nil); err == nil {
+			// The caller has closed its connection: the peer must stop the request.
+			close(left)
+			r.peer.Close()
+		}
+	}()
+	refused := false
+	fromPeer := bufio.NewReaderSize(r.peer, shedBuffer)
+	var err error
+	r.answered, err = copyChunks(r.caller, fromPeer, func(first []byte) { refused = bytes.Equal(first, shedAnswer) })
+	outcome := offloadAnswered
+	switch {
+	case isClosed(left):
+		outcome = offloadLeft
+	case r.answered == 0:
+		outcome = r.lose()
+	case refused:
+		outcome = offloadRefused
+	case err != nil:
+		// The caller must not take the part that it has for the whole answer.
+		outcome = offloadBroken
+		_ = r.caller.SetLinger(0) // without it the connection is closed all the same
+	}
+	// Ends the other direction, which uses fromCaller.
+	r.peer.Close()
+	if err := r.caller.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		logs.Info("offload-options", "Gateway: setting the options of an offloaded connection failed.", "err", err)
+	}
+	<-forwarded
+	return outcome
+}
+
+// lose answers that the request may have run.
+func (r *offloadedConn) lose() offloadOutcome {
+	if _, err := r.caller.Write(lostAnswer); err != nil {
+		return offloadLeft
+	}
+	return offloadLost
+}
+
+// copyChunks copies until src ends or an error occurs, and returns the number of bytes
+// copied; nil means that src has ended. onFirst, if set, gets the first chunk. It reads
+// into the buffer of src only: splicing in the kernel would take a pipe, so two more
+// descriptors a connection.
+func copyChunks(dst io.Writer, src *bufio.Reader, onFirst func([]byte)) (n int, err error) {
+	for {
+		if _, err := src.Peek(1); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			return n, err
+		}
+		chunk, _ := src.Peek(src.Buffered())
+		if n == 0 && onFirst != nil {
+			onFirst(chunk)
+		}
+		if _, err := dst.Write(chunk); err != nil {
+			return n, err
+		}
+		n += len(chunk)
+		// Discarding what is buffered cannot fail.
+		_, _ = src.Discard(len(chunk))
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// spareCores is the processor time that this router can spend on connections of others,
+// in cores.
+func (g *Gateway) spareCores() float64 {
+	if !g.Ready() || g.pressure.isHigh() || g.conns.crowded() {
+		return 0
+	}
+	return g.pressure.admission.spareCores()
+}
+
+// offloadPort is the port at which this router takes connections of others, 0 if none.
+func (g *Gateway) offloadPort() uint16 {
+	if g.options.OffloadListen == "" {
+		return 0
+	}
+	_, text, err := net.SplitHostPort(g.options.OffloadListen)
+	if err != nil {
+		return 0 // Options.Check rejects such an address.
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return 0
+	}
+	return uint16(port)
+}
+
+// takeOffloaded hands connections that other routers offload to the callers' server, until
+// ln is closed. One for which there is no time is refused as a caller's is: it is not
+// offloaded again.
+func (l *shedListener) takeOffloaded(ln *net.TCPListener) {
+	for {
+		c, err := ln.AcceptTCP()
+		if err != nil {
+			if !isTemporary(err) {
+				if !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.EINVAL) {
+					klog.ErrorS(err, "Gateway: accepting offloaded connections ended.")
+				}
+				return
+			}
+			logs.Info("accept-offloaded", "Gateway: accepting an offloaded connection failed, retrying.", "err", err)
+			time.Sleep(offloadAcceptPause)
+			continue
+		}
+		if !l.g.pressure.admission.admitOffloaded(time.Now()) {
+			go l.refuse(c, true)
+			continue
+		}
+		conn := l.g.conns.wrap(c, nil)
+		conn.offloaded = true
+		if !l.handToServer(conn, charge{admitted: true}) {
+			c.Close()
+		}
+	}
+}
+
+// offloadAcceptPause is the pause after a failed accept, while descriptors are short.
+const offloadAcceptPause = 5 * time.Millisecond
+
+// offloadedFrom is the address of the router that offloaded a request's connection to this
+// one; empty if the caller is connected to this router.
+func offloadedFrom(r *http.Request) string {
+	if conn, ok := connOf(r).(*callerConn); ok && conn.offloaded {
+		return r.RemoteAddr
+	}
+	return ""
+}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -21,6 +21,9 @@
 	// PeerListen is the address for other routers: UDP for reports and TCP for copies
 	// of the store's keys.
 	PeerListen string
+	// OffloadListen is the address at which other routers of the failure domain offload
+	// callers' connections to this one (TCP); empty if they may not.
+	OffloadListen string
 	// Seeds are the peer addresses of other routers to start from.
 	Seeds []string
 	// Memory is the memory that the process may use, in bytes; 0 if not limited.
@@ -58,6 +61,7 @@
 	}{
 		{"listen", o.Listen, false}, {"ready-listen", o.ReadyListen, false},
 		{"peer-listen", o.PeerListen, false}, {"metrics-listen", o.MetricsListen, true},
+		{"offload-listen", o.OffloadListen, true},
 	} {
 		if a.addr == "" && a.optional {
 			continue
--- a/internal/gateway/refused_by_test.go
+++ b/internal/gateway/refused_by_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -16,6 +17,6 @@
 	stats := a.stats()
 	g.Expect(stats.mostRefused).To(Equal("b"))
 	g.Expect(stats.mostRefusedCount).To(Equal(2))
-	a.adjustCost(0)
+	a.adjustCost(time.Now(), 0)
 	g.Expect(a.stats().mostRefusedCount).To(BeZero())
 }
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -127,7 +127,7 @@
 	return datagram{
 		addr: p.g.options.PeerListen, incarnation: p.incarnation, serial: serial,
 		config: p.g.configVersion(), era: lastChange.Era, lastChange: lastChange.Revision, domain: p.g.options.Domain, scope: s,
-		storeLost: p.g.isStoreLost(), leaving: p.g.draining.Load(),
+		storeLost: p.g.isStoreLost(), leaving: p.g.draining.Load(), spare: p.g.spareCores(), offloadPort: p.g.offloadPort(),
 	}
 }
 
@@ -174,6 +174,7 @@
 	sender.reportedAt, sender.live, sender.domain = now, true, d.domain
 	sender.incarnation, sender.serial, sender.storeLost, sender.leaving = d.incarnation, d.serial, d.storeLost, d.leaving
 	p.mu.Unlock()
+	p.g.offloader.handleReport(now, d)
 	var err error
 	if p.usesRelays() {
 		err = p.applyByRelays(now, d)
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -27,9 +27,10 @@
 )
 
 // refuse refuses the first request on a connection as not run and closes the
-// connection, unless the request's organisation is underserved; then it hands the
-// connection to the server.
-func (l *shedListener) refuse(c *net.TCPConn) {
+// connection, unless it can be offloaded to another router, or there is time for it after
+// all, as for the request of an underserved organisation; then it hands the connection to
+// the server. Connections that another router has offloaded are not offloaded again.
+func (l *shedListener) refuse(c *net.TCPConn, offloaded bool) {
 	served := false
 	defer func() {
 		if !served {
@@ -54,7 +55,10 @@
 		return
 	}
 	caller, org := l.parseCaller(header)
-	if served = l.serveUnderserved(c, reader, header, org); served {
+	if !offloaded && l.g.offloader.offload(c, reader, header, caller, org) {
+		return
+	}
+	if served = l.serveAfterAll(c, reader, header, org, offloaded); served {
 		return
 	}
 	l.g.pressure.admission.countRefusal(org)
@@ -86,10 +90,16 @@
 	return caller, l.g.organisationOf(caller)
 }
 
-// serveUnderserved hands a request to the server if its organisation has used less than
-// its share of the processor time (see admitUnderserved). It reports whether it did.
-func (l *shedListener) serveUnderserved(c *net.TCPConn, reader *bufio.Reader, header []byte, org string) bool {
-	if org == "" || !l.g.pressure.admission.admitUnderserved(time.Now(), org) {
+// serveAfterAll hands a request to the server if the reserve has time for it, or if its
+// organisation has used less than its share of the processor time (see admitUnderserved).
+// It reports whether it did.
+func (l *shedListener) serveAfterAll(c *net.TCPConn, reader *bufio.Reader, header []byte, org string, offloaded bool) bool {
+	ch := charge{admitted: true}
+	switch control := l.g.pressure.admission; {
+	case !offloaded && control.admitLate():
+	case org != "" && control.admitUnderserved(time.Now(), org):
+		ch.attributed = true
+	default:
 		return false
 	}
 	if err := c.SetDeadline(time.Time{}); err != nil {
@@ -100,7 +110,9 @@
 	if err != nil {
 		return false
 	}
-	return l.handToServer(l.g.conns.wrap(c, append(bytes.Clone(header), rest...)), charge{admitted: true, attributed: true})
+	conn := l.g.conns.wrap(c, append(bytes.Clone(header), rest...))
+	conn.offloaded = offloaded
+	return l.handToServer(conn, ch)
 }
 
 // logRefusal logs a refusal, subject to the rate limit of the log.
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -123,7 +123,7 @@
 		{Name: "underserved", Keys: []string{"underserved"}}, {Name: "served", Keys: []string{"served"}},
 	}))
 	admissionControl := gw.pressure.admission
-	admissionControl.admit(time.Now())
+	admissionControl.admit(time.Now(), false)
 	for range 100 {
 		admissionControl.attribute(time.Now(), "served")
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -42,7 +42,7 @@
 	go func() {
 		defer close(drained)
 		gw.beginStop(time.Now())
-		gw.drain(callers, tcpListener, served)
+		gw.drain(callers, tcpListener, nil, served)
 	}()
 	// The listener has stopped by then; the server gets the connection late.
 	time.Sleep(rotationDelay + 300*time.Millisecond)
