Refuse in a flood without a goroutine or the runtime's poller

What callers saw: a router serves less the more it is asked (131 requests in two seconds unflooded, 1 in the flood), since refusing takes all its time.

Cause: a refusal takes an accept with registration at the poller, a goroutine, two deadlines, most often a wake-up, and a buffer for parsing.

While the budget pays for nothing else, connections are accepted unregistered; a request that has arrived is peeked at, read, answered and closed, one that is still coming keeps its connection for half a second in a list.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -29,9 +29,11 @@
 	// refusalCost is the processor time that a refusal without an http.Server takes:
 	// the half of BenchmarkRefusal that is not the caller's. refusalShare is the share
 	// of the budget that refusals may use: a flood of them must not stop admission
-	// altogether.
-	refusalCost  = 60 * time.Microsecond
-	refusalShare = 0.5
+	// altogether. unpolledRefusalCost is what one takes whose request has arrived whole
+	// (BenchmarkUnpolledRefusal).
+	refusalCost         = 60 * time.Microsecond
+	unpolledRefusalCost = 20 * time.Microsecond
+	refusalShare        = 0.5
 	// usageWindow is the time constant over which the usage of organisations decays:
 	// over several seconds an organisation that sends in bursts would be credited for
 	// its pauses. An organisation is underserved while it has used less than
@@ -138,17 +140,31 @@
 func (a *admission) admitUnderserved(now time.Time, org string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	u := a.usageOf(now, org)
-	if float64(u.used+a.cost) > underservedShare*float64(a.maxUsage) || a.balance < -a.burst() {
+	if !a.isUnderserved(now, org) {
 		return false
 	}
-	a.addUsage(u)
+	a.addUsage(a.usageOf(now, org))
 	a.spend(a.cost)
 	a.admitted++
 	a.refused--
 	return true
 }
 
+// isUnderserved reports whether admitUnderserved would admit a request of an organisation.
+// The caller holds mu.
+func (a *admission) isUnderserved(now time.Time, org string) bool {
+	u := a.usageOf(now, org)
+	return float64(u.used+a.cost) <= underservedShare*float64(a.maxUsage) && a.balance >= -a.burst()
+}
+
+// wouldServe reports whether a request that must be refused would be admitted for its
+// organisation's sake.
+func (a *admission) wouldServe(now time.Time, org string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return org != "" && a.isUnderserved(now, org)
+}
+
 // rate is the refill rate of the balance, in cores, and burst its upper bound.
 func (a *admission) rate() float64        { return admissionShare * a.cores }
 func (a *admission) burst() time.Duration { return time.Duration(a.rate() * float64(admissionBurst)) }
@@ -219,7 +235,7 @@
 func (a *admission) admitOffload() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	cost := time.Duration(offloadCostShare * float64(a.cost))
+	cost := a.offloadCost()
 	if a.balance < cost {
 		return false
 	}
@@ -266,6 +282,16 @@
 // request that leaves the reserve. If so, it counts and charges a refusal. The caller
 // holds mu.
 func (a *admission) exhausted(now time.Time, reserve time.Duration) bool {
+	a.refill(now)
+	if a.balance >= a.cost+reserve {
+		return false
+	}
+	a.chargeRefusal(refusalCost)
+	return true
+}
+
+// refill adds what the budgets have gained up to now. The caller holds mu.
+func (a *admission) refill(now time.Time) {
 	burst := a.burst()
 	refilled := burst
 	if !a.refilledAt.IsZero() {
@@ -274,14 +300,49 @@
 	a.refilledAt = now
 	a.balance = min(burst, a.balance+refilled)
 	a.refusalBudget = min(burst, a.refusalBudget+time.Duration(refusalShare*float64(refilled)))
-	if a.balance >= a.cost+reserve {
-		return false
-	}
+}
+
+// chargeRefusal counts and charges a refusal. The caller holds mu.
+func (a *admission) chargeRefusal(cost time.Duration) {
 	a.refused++
-	spent := min(refusalCost, a.refusalBudget)
+	spent := min(cost, a.refusalBudget)
 	a.spend(spent)
 	a.refusalBudget -= spent
-	return true
+}
+
+// offloadCost is the processor time that offloading a connection is expected to need. The
+// caller holds mu.
+func (a *admission) offloadCost() time.Duration {
+	return time.Duration(offloadCostShare * float64(a.cost))
+}
+
+// mustRefuse reports whether the budget pays neither for a request nor, if peers have time
+// to spare, for offloading one.
+func (a *admission) mustRefuse(now time.Time, canOffload bool) bool {
+	if a.cores <= 0 {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refill(now)
+	if canOffload {
+		return a.balance < a.offloadCost()
+	}
+	return a.balance < a.cost
+}
+
+// recordRefusal counts and charges a refusal that is not decided by admit.
+func (a *admission) recordRefusal() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.chargeRefusal(refusalCost)
+}
+
+// recordUnpolledRefusal counts and charges a refusal by refuseUnpolled.
+func (a *admission) recordUnpolledRefusal() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.chargeRefusal(unpolledRefusalCost)
 }
 
 // countRefusal counts a refused request for the logs. The organisation is empty if it is
--- a/internal/gateway/domain_test.go
+++ b/internal/gateway/domain_test.go
@@ -88,6 +88,10 @@
 	m := d.routers[router]
 	control, peers := m.pressure.admission, &d.peers[router]
 	cost := control.requestCost()
+	if control.mustRefuse(d.now, peers.Available(d.now, cost)) && !control.wouldServe(d.now, org) {
+		control.recordUnpolledRefusal()
+		return m.refuse(unpolledRefusalCost)
+	}
 	if control.admit(d.now, peers.Available(d.now, cost)) {
 		control.attribute(d.now, org)
 		return m.serve()
@@ -100,7 +104,7 @@
 	if control.admitLate() || control.admitUnderserved(d.now, org) {
 		return m.serve()
 	}
-	return m.refuse()
+	return m.refuse(m.cost.refusal)
 }
 
 // takeOffloaded simulates a request that is offloaded to a router.
@@ -112,7 +116,7 @@
 	m := d.routers[i]
 	if !m.pressure.admission.admitOffloaded(d.now) {
 		peers.Refused(d.now, addr)
-		return m.refuse()
+		return m.refuse(m.cost.refusal)
 	}
 	return m.serve()
 }
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -52,7 +52,7 @@
 		m.pressure.admission.attribute(m.now, org)
 	}
 	if m.pressure.shouldShed() || !admitted && !m.pressure.admission.admitUnderserved(m.now, org) {
-		return m.refuse()
+		return m.refuse(m.cost.refusal)
 	}
 	return m.serve()
 }
@@ -62,9 +62,9 @@
 	return true
 }
 
-func (m *simProcessor) refuse() bool {
+func (m *simProcessor) refuse(cost time.Duration) bool {
 	m.refused++
-	m.spend(m.cost.refusal)
+	m.spend(cost)
 	return false
 }
 
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/sockets"
 )
 
 // shedListener returns connections from Accept while there is processor time for their
@@ -20,8 +21,13 @@
 	// accept accepts the next connection.
 	accept func() (net.Conn, error)
 	g      *Gateway
+	// raw is the listener's socket; nil if connections come from elsewhere.
+	raw syscall.RawConn
 	// buffers is a pool of *bufio.Reader.
 	buffers sync.Pool
+	// unpolledBuffer holds what has arrived on a connection that is refused unpolled.
+	unpolledBuffer []byte
+	lingerer       sockets.Lingerer
 	// accepted passes connections to be served, and errors of accept, to Accept.
 	accepted chan acceptResult
 	// closed is closed when the listener is.
@@ -47,12 +53,21 @@
 }
 
 func newShedListener(ln *net.TCPListener, g *Gateway) *shedListener {
-	return newShedListenerFunc(ln, g, ln.Accept)
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		logs.Info("accept", "Gateway: the listener does not expose its socket, refusals take more processor time.", "err", err)
+		raw = nil
+	}
+	return newShedListenerFunc(ln, g, ln.Accept, raw)
 }
 
-// newShedListenerFunc is newShedListener with a custom accept function.
-func newShedListenerFunc(ln *net.TCPListener, g *Gateway, accept func() (net.Conn, error)) *shedListener {
-	l := &shedListener{TCPListener: ln, accept: accept, g: g, accepted: make(chan acceptResult), closed: make(chan struct{})}
+// newShedListenerFunc is newShedListener with a custom accept function. raw is nil if that
+// does not accept from the listener's socket.
+func newShedListenerFunc(ln *net.TCPListener, g *Gateway, accept func() (net.Conn, error), raw syscall.RawConn) *shedListener {
+	l := &shedListener{
+		TCPListener: ln, accept: accept, raw: raw, g: g, accepted: make(chan acceptResult), closed: make(chan struct{}),
+		unpolledBuffer: make([]byte, unpolledRequestBytes),
+	}
 	go l.acceptLoop()
 	return l
 }
@@ -62,6 +77,12 @@
 // hand-over.
 func (l *shedListener) acceptLoop() {
 	for {
+		if l.raw != nil {
+			if err := sockets.AcceptUnpolled(l.raw, l.mustRefuse, l.refuseUnpolled); isTemporary(err) {
+				logs.Info("accept", "Gateway: accepting a connection to refuse failed.", "err", err)
+			}
+			// The accept below fails with any other error as well.
+		}
 		c, err := l.accept()
 		if err != nil {
 			if !l.handOver(acceptResult{err: err}) || !isTemporary(err) {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/sockets"
 )
 
 const (
@@ -20,12 +21,79 @@
 	// shedBuffer is the size of the buffer for such a request, in bytes. A longer
 	// header is answered before it has been read whole.
 	shedBuffer = 4 << 10
+	// unpolledRequestBytes is how much is read of a request that is refused without a
+	// goroutine, in bytes.
+	unpolledRequestBytes = 64 << 10
 	// shedLinger is how long a connection is read from after an answer that was sent
 	// before the end of the request: closing it with unread bytes would reset it and
 	// lose the answer.
 	shedLinger = 500 * time.Millisecond
 )
 
+// mustRefuse reports whether the next connection can only be refused.
+func (l *shedListener) mustRefuse() bool {
+	now := time.Now()
+	return l.g.pressure.admission.mustRefuse(now, l.g.offloader.available(now))
+}
+
+// refuseUnpolled refuses the request on a new connection as refuse does. In a flood the
+// requests have arrived by the time their connections are accepted: such a one is read,
+// answered and closed at once. Others are left to refuse.
+func (l *shedListener) refuseUnpolled(fd int) {
+	control := l.g.pressure.admission
+	n, err := sockets.PeekUnpolled(fd, l.unpolledBuffer)
+	request := l.unpolledBuffer[:n]
+	header, whole := splitRequest(request)
+	if err == nil && header != nil {
+		caller, org := l.parseCaller(header)
+		if !control.wouldServe(time.Now(), org) {
+			control.recordUnpolledRefusal()
+			l.recordRefusal(header, caller, org, l.answerUnpolled(fd, request, whole))
+			return
+		}
+	}
+	c, err := sockets.Polled(fd)
+	if err != nil {
+		logs.Info("shed", "Gateway: a connection to refuse cannot be used, closed.", "err", err)
+		return
+	}
+	control.recordRefusal()
+	go l.refuse(c, false)
+}
+
+// answerUnpolled sends the refusal and closes the connection, at once if the whole request
+// has been read.
+func (l *shedListener) answerUnpolled(fd int, request []byte, whole bool) error {
+	err := sockets.AnswerUnpolled(fd, request, shedAnswer)
+	if err == nil && !whole {
+		return l.lingerer.Close(fd, shedLinger)
+	}
+	return errors.Join(err, sockets.CloseUnpolled(fd))
+}
+
+// splitRequest returns the header of what has been read of a request, nil if that is not
+// complete, and whether it is the whole request.
+func splitRequest(b []byte) (header []byte, whole bool) {
+	i := bytes.Index(b, endOfHeader)
+	if i < 0 {
+		return nil, false
+	}
+	header = b[:i+len(endOfHeader)]
+	length, known := contentLength(header)
+	return header, known && len(b) == len(header)+length
+}
+
+// recordRefusal counts and logs a refusal; err is the error of the answer.
+func (l *shedListener) recordRefusal(header []byte, caller Caller, org string, err error) {
+	l.g.pressure.admission.countRefusal(org)
+	l.logRefusal(header, caller, org)
+	if err != nil {
+		l.g.metrics.recordShed("left")
+		return
+	}
+	l.g.metrics.recordShed("refused")
+}
+
 // refuse refuses the first request on a connection as not run and closes the
 // connection, unless it can be offloaded to another router, or there is time for it after
 // all, as for the request of an underserved organisation; then it hands the connection to
@@ -42,12 +110,7 @@
 		logs.Info("shed", "Gateway: setting the deadlines of a refusal failed, connection closed.", "err", err)
 		return
 	}
-	reader, _ := l.buffers.Get().(*bufio.Reader)
-	if reader == nil {
-		reader = bufio.NewReaderSize(c, shedBuffer)
-	} else {
-		reader.Reset(c)
-	}
+	reader := l.bufferFor(c)
 	defer l.buffers.Put(reader)
 	header, complete, err := readHeader(reader)
 	if err != nil {
@@ -61,27 +124,34 @@
 	if served = l.serveAfterAll(c, reader, header, org, offloaded); served {
 		return
 	}
-	l.g.pressure.admission.countRefusal(org)
-	l.logRefusal(header, caller, org)
 	length, known := contentLength(header)
 	if complete = complete && known; complete {
 		_, err = io.CopyN(io.Discard, reader, int64(length))
 		complete = err == nil
 	}
-	if _, err := c.Write(shedAnswer); err != nil {
-		l.g.metrics.recordShed("left")
-		return
-	}
-	l.g.metrics.recordShed("refused")
-	if !complete {
+	_, err = c.Write(shedAnswer)
+	l.recordRefusal(header, caller, org, err)
+	if err == nil && !complete {
 		lingerClose(c)
 	}
 }
 
+// bufferFor returns a buffer of the pool that reads from r.
+func (l *shedListener) bufferFor(r io.Reader) *bufio.Reader {
+	reader, _ := l.buffers.Get().(*bufio.Reader)
+	if reader == nil {
+		return bufio.NewReaderSize(r, shedBuffer)
+	}
+	reader.Reset(r)
+	return reader
+}
+
 // parseCaller parses the caller and its organisation from a request's header. Fields
 // that cannot be parsed are empty.
 func (l *shedListener) parseCaller(header []byte) (caller Caller, org string) {
-	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(header)))
+	reader := l.bufferFor(bytes.NewReader(header))
+	defer l.buffers.Put(reader)
+	r, err := http.ReadRequest(reader)
 	if err != nil {
 		return caller, ""
 	}
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -213,7 +213,7 @@
 			return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
 		}
 		return ln.Accept()
-	})
+	}, nil)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(l) }()
@@ -224,3 +224,61 @@
 	g.Expect(server.Close()).To(Succeed())
 	g.Eventually(ended, 30*time.Second).Should(Receive(MatchError(http.ErrServerClosed)))
 }
+
+// BenchmarkFlood measures refusals of requests that have arrived by the time their
+// connections are accepted, without the callers' part: with a goroutine each and without.
+func BenchmarkFlood(b *testing.B) {
+	const batch = 100
+	request := []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2400\r\n\r\n" + strings.Repeat("x", 2400))
+	for name, unpolled := range map[string]bool{"polled": false, "unpolled": true} {
+		b.Run(name, func(b *testing.B) {
+			ln, err := listenForCallers(b.Context(), "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer ln.Close()
+			gw := &Gateway{options: Options{Protocol: anonymous{}}, pressure: pressure{admission: newAdmission(1e-9)}, conns: newConns(0), dispatcher: dispatch.New(dispatch.DefaultOptions())}
+			if gw.metrics, err = newMetrics(gw); err != nil {
+				b.Fatal(err)
+			}
+			raw, err := ln.SyscallConn()
+			if err != nil {
+				b.Fatal(err)
+			}
+			l := &shedListener{TCPListener: ln, g: gw, unpolledBuffer: make([]byte, unpolledRequestBytes)}
+			var callers [batch]net.Conn
+			for i := 0; b.Loop(); i++ {
+				if i%batch == 0 {
+					b.StopTimer()
+					for j := range callers {
+						if callers[j] != nil {
+							callers[j].Close()
+						}
+						if callers[j], err = net.Dial("tcp4", ln.Addr().String()); err != nil {
+							b.Fatal(err)
+						}
+						if _, err := callers[j].Write(request); err != nil {
+							b.Fatal(err)
+						}
+					}
+					b.StartTimer()
+				}
+				left := 1
+				if unpolled {
+					err = sockets.AcceptUnpolled(raw, func() bool { return left > 0 }, func(fd int) {
+						left--
+						l.refuseUnpolled(fd)
+					})
+				} else {
+					var c *net.TCPConn
+					if c, err = ln.AcceptTCP(); err == nil {
+						l.refuse(c, false)
+					}
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
