Charge offloading what it takes, not a share of a cost that a flood has raised

In a flood the assumed cost of a request is at 1.2 to 5 ms (its bound), so an offloaded connection was charged 0.4 to 1.75 ms and few were.

A fifth of a request's cost now, 0.15 ms at least.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -43,7 +43,9 @@
 	underservedShare = 0.5
 	// offloadCostShare is the processor time that passing a connection on to a peer takes,
 	// as a share of the cost of a request: the bytes are copied, but not parsed.
-	offloadCostShare = 0.35
+	// minOffloadCost is what it takes where requests are short.
+	offloadCostShare = 0.2
+	minOffloadCost   = 150 * time.Microsecond
 	// offloadReserve is the share of a burst below which the balance is kept for
 	// offloading while peers have time to spare, and below which no connections of peers
 	// are admitted: a router's own callers come first.
@@ -313,7 +315,7 @@
 // offloadCost is the processor time that offloading a connection is expected to need. The
 // caller holds mu.
 func (a *admission) offloadCost() time.Duration {
-	return time.Duration(offloadCostShare * float64(a.cost))
+	return max(minOffloadCost, time.Duration(offloadCostShare*float64(a.cost)))
 }
 
 // mustRefuse reports whether the budget pays neither for a request nor, if peers have time
