Do not take the lag of refusals for the cost of requests

Cause: adjustCost raises the cost of a request whenever goroutines wait 40 ms. In a flood they wait because of refusals (5 to 8 requests beside 200 to 1,600 refusals a quarter of a second), and the cost goes to its bound of 5 ms while the processor time that is used allows some 0.3 ms: fewer are admitted, the share of what refusals take grows.

With more than twenty refusals for each admitted request the cost is kept. Below the initial cost it still rises, so that a router is not held to a cost that was learnt in calm times.

TestRefusalsDoNotRaiseTheCostOfRequests failed before (1.5 ms in place of 1).

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -41,6 +41,9 @@
 	// a factor of two.
 	usageWindow      = time.Second
 	underservedShare = 0.5
+	// floodRefusals is the number of refusals for each admitted request from which a lag
+	// is taken for theirs: about what a request costs in refusals.
+	floodRefusals = 20
 	// offloadCostShare is the processor time that passing a connection on to a peer takes,
 	// as a share of the cost of a request: the bytes are copied, but not parsed.
 	// minOffloadCost is what it takes where requests are short.
@@ -394,6 +397,8 @@
 	switch {
 	case lag >= lagHigh && !growing:
 		// The backlog of requests admitted before is still being worked off.
+	case lag >= lagHigh && a.cost >= initialCost && float64(a.refused) > floodRefusals*float64(a.admitted):
+		// What runs are refusals, not requests.
 	case lag >= lagHigh:
 		a.cost = min(maxCost, time.Duration(costIncrease*float64(a.cost)))
 	case lag < lagLow && a.refused+a.offloaded > 0:
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -85,3 +85,25 @@
 		g.Expect(unbounded.admit(now, false)).To(BeTrue())
 	}
 }
+
+// TestRefusalsDoNotRaiseTheCostOfRequests: goroutines that wait because of refusals say
+// nothing about requests, of which hardly any run.
+func TestRefusalsDoNotRaiseTheCostOfRequests(t *testing.T) {
+	g := NewWithT(t)
+	adjusted := func(refusals int) time.Duration {
+		a := newAdmission(0.192)
+		now := time.Unix(1000, 0)
+		for admitted := 0; admitted < 5; now = now.Add(10 * time.Millisecond) {
+			if a.admit(now, false) {
+				admitted++
+			}
+		}
+		for range refusals {
+			a.recordUnpolledRefusal()
+		}
+		a.adjustCost(now, 2*lagHigh)
+		return a.requestCost()
+	}
+	g.Expect(adjusted(10)).To(BeNumerically(">", initialCost), "requests may be the reason")
+	g.Expect(adjusted(500)).To(Equal(initialCost))
+}
