Let the upstream that fills the memory give way, not whoever reads next

Reported by another operator: a replica sent bytes without an end, and the machine that had called it ran out of memory. Here memory is bounded, but the bound failed the wrong requests.

Cause: bodies that are read whole share a quarter of the memory, and the read that exceeds it fails, whoever's it is.

The largest unfinished body of the upstream whose bodies take most gives way now.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -79,16 +78,15 @@
 
 // Client sends requests to upstreams. It is safe for concurrent use.
 type Client struct {
-	pool *pool
-	// memoryLimit bounds the total size of the bodies that are held whole, in
-	// bytes; 0 means no bound. held is their current total.
-	memoryLimit int64
-	held        atomic.Int64
+	pool   *pool
+	memory memory
 }
 
 // New returns a client without connections. The bodies that ReadAll has read may take
 // up memoryLimit bytes in total until their responses are closed; 0 means no bound.
-func New(memoryLimit int64) *Client { return &Client{pool: newPool(), memoryLimit: memoryLimit} }
+func New(memoryLimit int64) *Client {
+	return &Client{pool: newPool(), memory: memory{limit: memoryLimit, readers: make(map[*Response]struct{})}}
+}
 
 // CloseExpired closes the connections whose idle timeout has expired.
 func (c *Client) CloseExpired(now time.Time) { c.pool.closeExpired(now) }
@@ -121,8 +119,12 @@
 	body     io.ReadCloser
 	// ended means that the body was read to its end.
 	ended bool
-	// held is the number of bytes that ReadAll has read.
-	held int64
+	// held is the number of bytes that ReadAll has read, evicted is not nil if they had to
+	// give way, and whole means that the body has been read whole. They are guarded by the
+	// client's memory.
+	held    int64
+	evicted error
+	whole   bool
 }
 
 // Exchange is one request in flight.
@@ -161,6 +163,15 @@
 	}
 }
 
+// interrupt closes the connection, so that the reader fails with its own error.
+func (e *Exchange) interrupt() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn != nil {
+		e.conn.Close()
+	}
+}
+
 // AbortIfSilent aborts the exchange unless a part of the response, or its end, is
 // waiting to be read. It reports whether it aborted the exchange.
 func (e *Exchange) AbortIfSilent() bool {
@@ -333,14 +344,15 @@
 // Read implements io.Reader.
 func (r memoryReader) Read(p []byte) (int, error) {
 	n, err := r.Response.Read(p)
-	c := r.exchange.client
-	r.held += int64(n)
-	if total := c.held.Add(int64(n)); err == nil && c.memoryLimit > 0 && total > c.memoryLimit {
-		err = errMemoryLimit
+	if evicted := r.exchange.client.memory.take(r.Response, int64(n)); evicted != nil && err != io.EOF {
+		err = evicted
 	}
 	return n, err
 }
 
+// addr is the address of the upstream.
+func (r *Response) addr() string { return r.exchange.req.Addr }
+
 // ReadAll reads the whole body, which may have at most limit bytes.
 func (r *Response) ReadAll(limit int64) ([]byte, *Failure) {
 	body, err := io.ReadAll(io.LimitReader(memoryReader{r}, limit+1))
@@ -353,6 +365,7 @@
 	if err != nil {
 		return nil, r.Fail(err)
 	}
+	r.exchange.client.memory.finish(r)
 	return body, nil
 }
 
@@ -385,9 +398,8 @@
 // reused.
 func (r *Response) Close() {
 	e := r.exchange
-	e.client.held.Add(-r.held)
-	r.held = 0
-	if !r.ended || r.Closing || !e.reusable || !e.requestWritten() {
+	evicted := e.client.memory.release(r)
+	if evicted || !r.ended || r.Closing || !e.reusable || !e.requestWritten() {
 		e.Abort()
 		return
 	}
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -151,7 +151,7 @@
 			a.Close()
 		}
 	}
-	g.Expect(client.held.Load()).To(BeZero())
+	g.Expect(client.memory.total).To(BeZero())
 }
 
 // TestBodyThatNeverComes checks that Discard does not wait for a body whose end
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -20,6 +20,7 @@
 	errHeaderTooLarge  = errors.New("response header exceeds its size limit")
 	errBodyTooLarge    = errors.New("response body exceeds its size limit")
 	errMemoryLimit     = errors.Wrap(syscall.ENOMEM, "response bodies in flight exceed their memory limit")
+	errBodyGaveWay     = errors.New("response body takes most of the memory for bodies in flight, and gave way")
 	errBodyTruncated   = errors.New("response body ended early")
 )
 
