Tell the other routers that an upstream has said it is leaving

Cause: that an upstream is leaving is learnt from its answers by the router that got them only. Since connections are offloaded, a router also passes on answers that it does not read: it would send to that upstream itself later than the users' drainMs after its caller was told.

Runs of upstreams that have said so are in the reports and in the sums of relays, by a hash of what tells a run from the next. A router reports such news at its next interval.

TestPeersHearThatAnUpstreamIsLeaving: without it the peer sends there (p00).

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -36,9 +36,8 @@
 		s.delisted[e.Instance.ID] = l
 		return
 	}
-	if e.Leaving {
-		u.leaving = true
-		u.markLeft(now)
+	if e.Leaving && !u.leaving {
+		s.setLeaving(now, u)
 	}
 	u.unavailableUntil = laterOf(u.unavailableUntil, until)
 	if !e.LimitUnknown {
@@ -46,6 +45,18 @@
 	}
 }
 
+// setLeaving marks an upstream that has stated that it is leaving. Other routers are to
+// hear of it with the next report.
+func (s *State) setLeaving(now time.Time, u *upstream) {
+	u.leaving = true
+	u.markLeft(now)
+	s.unreportedTokens += leavingTokens
+}
+
+// leavingTokens is what an upstream that is leaving adds to UnreportedTokens: as much as
+// makes a router report at its next interval.
+const leavingTokens = 2000
+
 // laterOf returns the later of two times.
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -49,6 +49,38 @@
 	g.Expect(sentTo()).To(HaveKey("p00"))
 }
 
+// A router whose caller got its answer by way of another router, or that has not asked the
+// upstream itself, hears from the reports that it is leaving, also as part of a sum.
+func TestPeersHearThatAnUpstreamIsLeaving(t *testing.T) {
+	g := NewWithT(t)
+	here, there := newFixture(t, 2), newFixture(t, 2)
+	list := instances(2)
+	before := here.UnreportedTokens()
+	here.step(InstanceReported{Instance: list[1], Leaving: true})
+	g.Expect(here.UnreportedTokens() - before).To(Equal(leavingTokens))
+	sum := NewReport()
+	for range 2 {
+		sum.Add(here.Report(here.now))
+	}
+	g.Expect(sum.Leaving).To(HaveLen(1))
+	there.step(PeerReported{Peer: "here", Report: sum})
+	sends := func() map[string]int {
+		to := make(map[string]int)
+		for range 20 {
+			send, ok := there.last[there.arrive(lookup, plain, 0)].(Send)
+			g.Expect(ok).To(BeTrue())
+			to[send.Upstream.ID]++
+			there.step(Done{ID: send.ID, Attempt: send.Attempt})
+		}
+		return to
+	}
+	g.Expect(sends()).NotTo(HaveKey("p00"))
+	list[1].Started = 1
+	there.step(InstancesChanged{Instances: list})
+	there.step(PeerReported{Peer: "here", Report: sum})
+	g.Expect(sends()).To(HaveKey("p00"), "the instance restarted")
+}
+
 // An upstream gets no requests during its hold-off, also if its entry is removed from the
 // list and returns. If the hold-off of all upstreams ends too late for a request, it is
 // refused immediately with a matching Retry-After.
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -27,6 +29,10 @@
 	Contended []uint32
 	// Limits holds the limits that upstreams name, and those that ended lately.
 	Limits map[uint32]Limit
+	// Leaving lists the runs of upstreams, by runKey, that have stated in an answer that
+	// they are leaving. An answer that is passed on by one router may come from another
+	// one's upstream, so that a router alone would not know.
+	Leaving []uint64
 	// Crashes is what the router has seen of requests that crash upstreams since the
 	// previous report.
 	Crashes []poison.Fact
@@ -70,6 +76,9 @@
 		if l, ok := u.limit.report(now); ok {
 			r.Limits[u.key] = l
 		}
+		if u.leaving {
+			r.Leaving = append(r.Leaving, runKey(u.Instance))
+		}
 	}
 	for org, m := range s.shares.local {
 		m.decay(now, s.shares.window)
@@ -102,6 +111,7 @@
 			s.setLimit(now, u, l.PerSecond, now.Add(-l.Age))
 		}
 	}
+	s.learnLeaving(now, r.Leaving)
 	for _, p := range r.Placements {
 		if u := s.byKey[p.Upstream]; u != nil {
 			u.cache.recordUse(now, []Part{p.Part}, p.Read)
@@ -111,6 +121,25 @@
 	// fleet reports arrive every few milliseconds.
 }
 
+// learnLeaving marks the upstreams that other routers know to be leaving.
+func (s *State) learnLeaving(now time.Time, runs []uint64) {
+	if len(runs) == 0 {
+		return
+	}
+	for _, u := range s.upstreams {
+		if !u.leaving && slices.Contains(runs, runKey(u.Instance)) {
+			s.setLeaving(now, u)
+		}
+	}
+}
+
+// runKey identifies a run of an instance among routers, by what SameStart compares.
+func runKey(in Instance) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s %d %s %s", in.ID, in.Started, in.Addr, in.Service)
+	return h.Sum64()
+}
+
 // replaceLoads subtracts the loads of one report and adds those of another.
 func (s *State) replaceLoads(old, new Report) {
 	for key, l := range old.Loads {
@@ -153,6 +182,11 @@
 			r.Contended = append(r.Contended, key)
 		}
 	}
+	for _, run := range o.Leaving {
+		if !slices.Contains(r.Leaving, run) {
+			r.Leaving = append(r.Leaving, run)
+		}
+	}
 	for key, l := range o.Limits {
 		if known, ok := r.Limits[key]; !ok || l.Age < known.Age {
 			r.Limits[key] = l
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -57,7 +57,7 @@
 }
 
 // encodedReport has the sections of an encoded report: sequences of varints.
-type encodedReport struct{ loads, usage, placements, contended, crashes, limits []byte }
+type encodedReport struct{ loads, usage, placements, contended, crashes, limits, leaving []byte }
 
 // The field numbers of a datagram. Numbers 7 to 10 and 12 had other encodings.
 const (
@@ -82,6 +82,7 @@
 	fieldEra         protowire.Number = 24
 	fieldSpare       protowire.Number = 25
 	fieldOffloadPort protowire.Number = 26
+	fieldRunsLeaving protowire.Number = 27
 )
 
 // chargeScale, limitScale and spareScale are the factors by which charges, limits and spare
@@ -175,7 +176,12 @@
 		section = binary.LittleEndian.AppendUint32(section, key)
 		section = appendVarints(section, uint64(limitScale*l.PerSecond), uint64(l.Age/time.Millisecond))
 	}
-	return appendSection(b, fieldLimits, section)
+	b = appendSection(b, fieldLimits, section)
+	section = section[:0]
+	for _, run := range r.Leaving {
+		section = binary.LittleEndian.AppendUint64(section, run)
+	}
+	return appendSection(b, fieldRunsLeaving, section)
 }
 
 func appendSection(b []byte, field protowire.Number, section []byte) []byte {
@@ -288,6 +294,8 @@
 		d.encoded.crashes = b
 	case fieldLimits:
 		d.encoded.limits = b
+	case fieldRunsLeaving:
+		d.encoded.leaving = b
 	}
 }
 
@@ -352,6 +360,11 @@
 			Age:       time.Duration(min(in.number(), maxMillisecondsAge)) * time.Millisecond,
 		}
 	}
+	failed = failed || in.failed
+	in = sectionReader{b: e.leaving}
+	for in.more() {
+		r.Leaving = append(r.Leaving, in.id())
+	}
 	if failed || in.failed {
 		return dispatch.Report{}, errDatagram
 	}
--- a/internal/gateway/datagram_test.go
+++ b/internal/gateway/datagram_test.go
@@ -26,6 +26,7 @@
 		})
 	}
 	r.Contended = []uint32{5, 1 << 31}
+	r.Leaving = []uint64{7, 1 << 63}
 	r.Limits[dispatch.Key("i0")] = dispatch.Limit{PerSecond: 6.125, Age: 40 * time.Millisecond}
 	r.Limits[dispatch.Key("i1")] = dispatch.Limit{Age: 3 * time.Second}
 	r.Crashes = []poison.Fact{
