Charge refusals where they are made, and offloading as connections are accepted

Cause, in two forms of one fault: what is charged at another moment than it is decided. A connection that could not be admitted was charged 60 us for a refusal before it was known whether it would be offloaded, and what was left then was often too little to offload it. And offloading was charged once a header had been read: while the first of them were read, hundreds more were accepted, of which each took a goroutine and was then refused.

Refusals are charged by those who refuse; a connection that is to be offloaded is charged at its accept, with a refund if it is not.

TestOffloadsAreChargedWhenAccepted: none was charged before.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -151,7 +151,6 @@
 	a.addUsage(a.usageOf(now, org))
 	a.spend(a.cost)
 	a.admitted++
-	a.refused--
 	return true
 }
 
@@ -197,7 +196,8 @@
 	if canOffload {
 		reserve = a.reserve()
 	}
-	if a.exhausted(now, reserve) {
+	a.refill(now)
+	if a.balance < a.cost+reserve {
 		return false
 	}
 	a.spend(a.cost)
@@ -215,7 +215,6 @@
 	}
 	a.spend(a.cost)
 	a.admitted++
-	a.refused--
 	return true
 }
 
@@ -227,7 +226,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.exhausted(now, a.reserve()) {
+	a.refill(now)
+	if a.balance < a.cost+a.reserve() {
 		return false
 	}
 	a.balance -= a.cost
@@ -235,19 +235,33 @@
 	return true
 }
 
-// admitOffload reports whether there is processor time to offload a connection that admit
-// has refused, and charges it.
-func (a *admission) admitOffload() bool {
+// chargeOffload reports whether there is processor time to offload a connection that admit
+// has not admitted, and charges it. The connection is charged as it is accepted, like one
+// that is admitted, since many may be accepted before the first of them is read.
+func (a *admission) chargeOffload() (charged time.Duration, ok bool) {
+	if a.cores <= 0 {
+		return 0, false
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	cost := a.offloadCost()
 	if a.balance < cost {
-		return false
+		return 0, false
 	}
 	a.spend(cost)
-	a.refused--
 	a.offloaded++
-	return true
+	return cost, true
+}
+
+// refundOffload takes back a charge for a connection that was not offloaded.
+func (a *admission) refundOffload(charged time.Duration) {
+	if charged <= 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.spend(-charged)
+	a.offloaded = max(0, a.offloaded-1)
 }
 
 // requestCost is the processor time that a request is expected to need.
@@ -283,18 +297,6 @@
 	a.sampledAt, a.spent = now, 0
 }
 
-// exhausted refills the balance up to now and reports whether it is too low for a
-// request that leaves the reserve. If so, it counts and charges a refusal. The caller
-// holds mu.
-func (a *admission) exhausted(now time.Time, reserve time.Duration) bool {
-	a.refill(now)
-	if a.balance >= a.cost+reserve {
-		return false
-	}
-	a.chargeRefusal(refusalCost)
-	return true
-}
-
 // refill adds what the budgets have gained up to now. The caller holds mu.
 func (a *admission) refill(now time.Time) {
 	burst := a.burst()
@@ -336,7 +338,7 @@
 	return a.balance < a.cost
 }
 
-// recordRefusal counts and charges a refusal that is not decided by admit.
+// recordRefusal counts and charges a refusal with a goroutine.
 func (a *admission) recordRefusal() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -54,7 +54,9 @@
 	sample := func(requests int, lag time.Duration) (overloaded bool) {
 		now = now.Add(time.Second)
 		for range requests {
-			a.admit(now, false)
+			if !a.admit(now, false) {
+				a.recordRefusal()
+			}
 		}
 		return a.adjustCost(time.Now(), lag)
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -136,6 +136,7 @@
 	case charged.admitted:
 		g.pressure.admission.attribute(started, org)
 	case !g.pressure.admission.admitUnderserved(started, org):
+		g.pressure.admission.recordRefusal()
 		return nil, overloadRefusal(w)
 	}
 	if g.options.Memory > 0 && float64(g.bodies.Load()) > bodyShare*float64(g.options.Memory) {
--- a/internal/gateway/domain_test.go
+++ b/internal/gateway/domain_test.go
@@ -90,16 +90,18 @@
 	cost := control.requestCost()
 	if control.mustRefuse(d.now, peers.Available(d.now, cost)) && !control.wouldServe(d.now, org) {
 		control.recordUnpolledRefusal()
-		return m.refuse(unpolledRefusalCost)
+		return m.drop(unpolledRefusalCost)
 	}
 	if control.admit(d.now, peers.Available(d.now, cost)) {
 		control.attribute(d.now, org)
 		return m.serve()
 	}
-	if peers.Available(d.now, cost) && control.admitOffload() {
-		addr, _ := peers.Choose(d.now, cost)
-		m.spend(m.cost.offload)
-		return d.takeOffloaded(addr, peers)
+	if peers.Available(d.now, cost) {
+		if _, ok := control.chargeOffload(); ok {
+			addr, _ := peers.Choose(d.now, cost)
+			m.spend(m.cost.offload)
+			return d.takeOffloaded(addr, peers)
+		}
 	}
 	if control.admitLate() || control.admitUnderserved(d.now, org) {
 		return m.serve()
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -63,6 +63,12 @@
 }
 
 func (m *simProcessor) refuse(cost time.Duration) bool {
+	m.pressure.admission.recordRefusal()
+	return m.drop(cost)
+}
+
+// drop simulates what a refusal takes that admission control has recorded.
+func (m *simProcessor) drop(cost time.Duration) bool {
 	m.refused++
 	m.spend(cost)
 	return false
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -99,13 +99,18 @@
 		// Charged here, since many connections may be accepted before the first is
 		// served.
 		now := time.Now()
-		if l.g.pressure.admission.admit(now, l.g.offloader.available(now)) {
+		canOffload := l.g.offloader.available(now)
+		if l.g.pressure.admission.admit(now, canOffload) {
 			if !l.handToServer(l.g.conns.wrap(tcp, nil), charge{admitted: true}) {
 				tcp.Close()
 			}
 			continue
 		}
-		go l.refuse(tcp, false)
+		pending := unadmitted{conn: tcp}
+		if canOffload {
+			pending.offloadCharge, _ = l.g.pressure.admission.chargeOffload()
+		}
+		go l.refuse(pending)
 	}
 }
 
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -111,15 +111,12 @@
 
 // offload passes a caller's connection, of which a request's header has been read, on to a
 // peer until it ends. It reports false if the connection is still as it was, because no
-// peer has time to spare or this router has none left even for that.
+// peer has time to spare.
 func (o *offloader) offload(c *net.TCPConn, reader *bufio.Reader, header []byte, caller Caller, org string) bool {
-	if o == nil || !o.available(time.Now()) || !o.g.conns.beginOffload() {
+	if !o.g.conns.beginOffload() {
 		return false
 	}
 	defer o.g.conns.endOffload()
-	if !o.g.pressure.admission.admitOffload() {
-		return false
-	}
 	addr, ok := o.choose(time.Now())
 	if !ok {
 		return false
@@ -182,11 +179,14 @@
 	}
 }
 
-// wait returns once no connection is offloaded, or ctx ends.
+// wait offloads no more connections and returns once none is, or ctx ends.
 func (o *offloader) wait(ctx context.Context) {
 	if o == nil {
 		return
 	}
+	o.mu.Lock()
+	o.stopped = true
+	o.mu.Unlock()
 	ended := make(chan struct{})
 	go func() {
 		o.active.Wait()
@@ -358,7 +358,7 @@
 			continue
 		}
 		if !l.g.pressure.admission.admitOffloaded(time.Now()) {
-			go l.refuse(c, true)
+			go l.refuse(unadmitted{conn: c, offloaded: true})
 			continue
 		}
 		conn := l.g.conns.wrap(c, nil)
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -57,8 +57,7 @@
 		logs.Info("shed", "Gateway: a connection to refuse cannot be used, closed.", "err", err)
 		return
 	}
-	control.recordRefusal()
-	go l.refuse(c, false)
+	go l.refuse(unadmitted{conn: c})
 }
 
 // answerUnpolled sends the refusal and closes the connection, at once if the whole request
@@ -94,12 +93,22 @@
 	l.g.metrics.recordShed("refused")
 }
 
+// unadmitted is a connection that admission control has not admitted.
+type unadmitted struct {
+	conn *net.TCPConn
+	// offloaded means that another router has passed the connection on to this one. It is
+	// not offloaded again.
+	offloaded bool
+	// offloadCharge is what has been charged for offloading it; 0 if it is not to be.
+	offloadCharge time.Duration
+}
+
 // refuse refuses the first request on a connection as not run and closes the
 // connection, unless it can be offloaded to another router, or there is time for it after
 // all, as for the request of an underserved organisation; then it hands the connection to
-// the server. Connections that another router has offloaded are not offloaded again.
-func (l *shedListener) refuse(c *net.TCPConn, offloaded bool) {
-	served := false
+// the server.
+func (l *shedListener) refuse(u unadmitted) {
+	c, served := u.conn, false
 	defer func() {
 		if !served {
 			c.Close()
@@ -114,16 +123,20 @@
 	defer l.buffers.Put(reader)
 	header, complete, err := readHeader(reader)
 	if err != nil {
+		l.g.pressure.admission.refundOffload(u.offloadCharge)
+		l.g.pressure.admission.recordRefusal()
 		l.g.metrics.recordShed("left")
 		return
 	}
 	caller, org := l.parseCaller(header)
-	if !offloaded && l.g.offloader.offload(c, reader, header, caller, org) {
+	if u.offloadCharge > 0 && l.g.offloader.offload(c, reader, header, caller, org) {
 		return
 	}
-	if served = l.serveAfterAll(c, reader, header, org, offloaded); served {
+	l.g.pressure.admission.refundOffload(u.offloadCharge)
+	if served = l.serveAfterAll(c, reader, header, org, u.offloaded); served {
 		return
 	}
+	l.g.pressure.admission.recordRefusal()
 	length, known := contentLength(header)
 	if complete = complete && known; complete {
 		_, err = io.CopyN(io.Discard, reader, int64(length))
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -107,6 +107,31 @@
 	g.Expect(float64(acceptedCount)).To(BeNumerically("<=", 1+admissionShare*cores*elapsed.Seconds()/initialCost.Seconds()))
 }
 
+// TestOffloadsAreChargedWhenAccepted: connections that are to be offloaded are bounded by
+// the budget even before the first of them has sent its request.
+func TestOffloadsAreChargedWhenAccepted(t *testing.T) {
+	g := NewWithT(t)
+	const cores, dials = 0.01, 100
+	addr, accepted, gw := startShedListener(t, cores, anonymous{})
+	gw.offloader = newOffloader(gw)
+	gw.options.Domain = "d"
+	report := datagram{addr: "127.0.0.1:1", domain: "d", spare: 100, offloadPort: 2}
+	gw.offloader.handleReport(time.Now(), &report)
+	time.Sleep(20 * time.Millisecond)
+	started := time.Now()
+	for range dials {
+		c, err := net.Dial("tcp4", addr)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+	}
+	budget := admissionShare * cores * (admissionBurst + time.Since(started) + time.Second).Seconds()
+	time.Sleep(50 * time.Millisecond)
+	g.Expect(accepted).To(BeEmpty(), "what is above the reserve is kept for offloading")
+	offloaded := gw.pressure.admission.stats().offloaded
+	g.Expect(offloaded).To(BeNumerically(">", 0))
+	g.Expect(float64(offloaded)).To(BeNumerically("<=", budget/(offloadCostShare*initialCost.Seconds())))
+}
+
 // keyed is a Protocol that finds the id and the key in a caller's header.
 type keyed struct{ Protocol }
 
@@ -272,7 +297,7 @@
 				} else {
 					var c *net.TCPConn
 					if c, err = ln.AcceptTCP(); err == nil {
-						l.refuse(c, false)
+						l.refuse(unadmitted{conn: c})
 					}
 				}
 				if err != nil {
