Keep the cost of a request above the processor time that requests take

Cause: the assumed cost falls by a third a quarter of a second while goroutines wait little, from 1 ms to its bound of 0.2 within a second. A stream needs most of its time later, so nothing waits until hundreds too many are admitted: 647 at 0.2 ms, and a wait of 1.07 s a second later.

The cost does not fall below the processor time used over two seconds for each request admitted, 1 ms at most, without what refusals and offloading take.

TestCostStaysAboveWhatRequestsTake failed before (0.2 ms where requests take 0.6).

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -26,6 +26,9 @@
 	// It rises faster than it falls, since an admitted request cannot be handed back.
 	costIncrease = 1.5
 	costDecrease = 0.7
+	// costWindow is the time constant over which the processor time used tells the least
+	// cost of a request. It exceeds the duration of most streams.
+	costWindow = 2 * time.Second
 	// refusalCost is the processor time that a refusal without an http.Server takes:
 	// the half of BenchmarkRefusal that is not the caller's. refusalShare is the share
 	// of the budget that refusals may use: a flood of them must not stop admission
@@ -81,6 +84,10 @@
 	cost time.Duration
 	// lag is how long goroutines waited for the processor at the last sample.
 	lag time.Duration
+	// usedRecently is the processor time used for requests, in seconds, and
+	// admittedRecently the number of requests admitted, as exponentially decaying sums
+	// with the time constant costWindow.
+	usedRecently, admittedRecently float64
 	// admitted, refused and offloaded count requests since the last sample.
 	admitted, refused, offloaded int
 	// refusedBy counts the refused requests since the last sample by organisation.
@@ -388,11 +395,12 @@
 }
 
 // adjustCost adjusts the cost to how long goroutines waited for the processor since the
-// last call. It reports whether the router is overloaded: many requests were refused
-// meanwhile, and the lag confirms the shortage.
-func (a *admission) adjustCost(now time.Time, lag time.Duration) (overloaded bool) {
+// last call, and to the processor time used since then. It reports whether the router is
+// overloaded: many requests were refused meanwhile, and the lag confirms the shortage.
+func (a *admission) adjustCost(now time.Time, lag, used time.Duration) (overloaded bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	floor := a.measureCost(now, used)
 	a.measureSpare(now, lag)
 	growing := lag >= a.lag
 	a.lag = lag
@@ -404,7 +412,7 @@
 	case lag >= lagHigh:
 		a.cost = min(maxCost, time.Duration(costIncrease*float64(a.cost)))
 	case lag < lagLow && a.refused+a.offloaded > 0:
-		a.cost = max(minCost, time.Duration(costDecrease*float64(a.cost)))
+		a.cost = max(minCost, min(a.cost, floor), time.Duration(costDecrease*float64(a.cost)))
 	case lag < lagLow && a.cost > initialCost:
 		// The shortage is over: lower the cost without having to refuse callers first.
 		a.cost = max(initialCost, time.Duration(costDecrease*float64(a.cost)))
@@ -416,6 +424,22 @@
 	return overloaded
 }
 
+// measureCost returns what a request has taken recently by the processor time used, at most
+// initialCost: a stream needs most of its time after its admission, so nothing may wait yet
+// although too many have been admitted. The caller holds mu.
+func (a *admission) measureCost(now time.Time, used time.Duration) time.Duration {
+	if elapsed := now.Sub(a.sampledAt); !a.sampledAt.IsZero() && elapsed > 0 {
+		decay := math.Exp(-elapsed.Seconds() / costWindow.Seconds())
+		shedding := time.Duration(a.refused)*unpolledRefusalCost + time.Duration(a.offloaded)*minOffloadCost
+		a.usedRecently = decay*a.usedRecently + max(0, (used-shedding).Seconds())
+		a.admittedRecently = decay*a.admittedRecently + float64(a.admitted)
+	}
+	if a.admittedRecently < 1 {
+		return initialCost
+	}
+	return min(initialCost, time.Duration(a.usedRecently/a.admittedRecently*float64(time.Second)))
+}
+
 // dropIdleOrganisations drops organisations whose usage has decayed to almost nothing,
 // and recomputes maxUsage. The caller holds mu.
 func (a *admission) dropIdleOrganisations() {
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -58,7 +58,7 @@
 				a.recordRefusal()
 			}
 		}
-		return a.adjustCost(time.Now(), lag)
+		return a.adjustCost(time.Now(), lag, 0)
 	}
 	const one, many = 1, 10_000
 	sample(one, 0)
@@ -103,9 +103,30 @@
 		for range refusals {
 			a.recordUnpolledRefusal()
 		}
-		a.adjustCost(now, 2*lagHigh)
+		a.adjustCost(now, 2*lagHigh, 0)
 		return a.requestCost()
 	}
 	g.Expect(adjusted(10)).To(BeNumerically(">", initialCost), "requests may be the reason")
 	g.Expect(adjusted(500)).To(Equal(initialCost))
 }
+
+// TestCostStaysAboveWhatRequestsTake: a router that refuses while nothing waits yet does not
+// take its streams, which need their time later, for cheaper than they are.
+func TestCostStaysAboveWhatRequestsTake(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission(0.192)
+	now := time.Unix(1000, 0)
+	const took = 600 * time.Microsecond
+	for range 20 {
+		admitted := 0
+		for range 25 {
+			now = now.Add(10 * time.Millisecond)
+			if a.admit(now, false) {
+				admitted++
+			}
+		}
+		a.recordUnpolledRefusal()
+		a.adjustCost(now, 0, time.Duration(admitted)*took+unpolledRefusalCost)
+	}
+	g.Expect(a.requestCost()).To(BeNumerically("~", took, took/20))
+}
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -76,7 +76,7 @@
 		return false
 	}
 	utilisation := spent.Seconds() / (wall.Seconds() * p.cores)
-	if p.admission.adjustCost(now, lag) {
+	if p.admission.adjustCost(now, lag, spent) {
 		// Overload that shows in refusals counts as high utilisation.
 		utilisation = max(utilisation, pressureHigh)
 	}
--- a/internal/gateway/refused_by_test.go
+++ b/internal/gateway/refused_by_test.go
@@ -17,6 +17,6 @@
 	stats := a.stats()
 	g.Expect(stats.mostRefused).To(Equal("b"))
 	g.Expect(stats.mostRefusedCount).To(Equal(2))
-	a.adjustCost(time.Now(), 0)
+	a.adjustCost(time.Now(), 0, 0)
 	g.Expect(a.stats().mostRefusedCount).To(BeZero())
 }
