Do not offload the connection of a caller that has left

Cause: in a flood a connection may wait for longer than its caller does.

A connection whose whole request has been read is looked at before it is offloaded or served. TestCallerThatHasLeftIsNotOffloaded failed before.

--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -129,6 +129,13 @@
 		return
 	}
 	caller, org := l.parseCaller(header)
+	if hasWholeRequest(reader, header) && sockets.ClosedByPeer(c) {
+		// It has waited for longer than its caller.
+		l.g.pressure.admission.refundOffload(u.offloadCharge)
+		l.g.pressure.admission.recordRefusal()
+		l.g.metrics.recordShed("left")
+		return
+	}
 	if u.offloadCharge > 0 && l.g.offloader.offload(c, reader, header, caller, org) {
 		return
 	}
@@ -149,6 +156,13 @@
 	}
 }
 
+// hasWholeRequest reports whether the body of the request whose header has been read is
+// buffered whole, so that the end of the connection would be next.
+func hasWholeRequest(reader *bufio.Reader, header []byte) bool {
+	length, known := contentLength(header)
+	return known && reader.Buffered() == length
+}
+
 // bufferFor returns a buffer of the pool that reads from r.
 func (l *shedListener) bufferFor(r io.Reader) *bufio.Reader {
 	reader, _ := l.buffers.Get().(*bufio.Reader)
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -132,6 +132,54 @@
 	g.Expect(float64(offloaded)).To(BeNumerically("<=", budget/(offloadCostShare*initialCost.Seconds())))
 }
 
+// TestCallerThatHasLeftIsNotOffloaded: in a flood connections wait for longer than their
+// callers do.
+func TestCallerThatHasLeftIsNotOffloaded(t *testing.T) {
+	g := NewWithT(t)
+	peer, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer peer.Close()
+	offloaded := make(chan struct{}, 2)
+	go func() {
+		for {
+			c, err := peer.Accept()
+			if err != nil {
+				return
+			}
+			c.Close()
+			offloaded <- struct{}{}
+		}
+	}()
+	ln, err := listenForCallers(t.Context(), "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	gw := &Gateway{options: Options{Protocol: anonymous{}, Domain: "d"}, pressure: pressure{admission: newAdmission(1e-6)}, conns: newConns(0), dispatcher: dispatch.New(dispatch.DefaultOptions())}
+	gw.metrics, err = newMetrics(gw)
+	g.Expect(err).NotTo(HaveOccurred())
+	gw.offloader = newOffloader(gw)
+	port := uint16(peer.Addr().(*net.TCPAddr).Port)
+	gw.offloader.handleReport(time.Now(), &datagram{addr: "127.0.0.1:1", domain: "d", spare: 100, offloadPort: port})
+	time.Sleep(20 * time.Millisecond)
+	l := &shedListener{TCPListener: ln, g: gw}
+	refuse := func(leaves bool) {
+		c, err := net.Dial("tcp4", ln.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+		g.Expect(err).NotTo(HaveOccurred())
+		if leaves {
+			c.Close()
+		}
+		accepted, err := ln.AcceptTCP()
+		g.Expect(err).NotTo(HaveOccurred())
+		l.refuse(unadmitted{conn: accepted, offloadCharge: 1})
+	}
+	refuse(true)
+	g.Consistently(offloaded, 100*time.Millisecond).ShouldNot(Receive())
+	refuse(false)
+	g.Eventually(offloaded, 30*time.Second).Should(Receive())
+}
+
 // keyed is a Protocol that finds the id and the key in a caller's header.
 type keyed struct{ Protocol }
 
