Guard offloading against peers that would answer otherwise, and a port in use

A peer that has lost the store, or has an older configuration than this router, would answer a caller of this one with a 401 or 404 that is no longer in force: it gets no connections (TestOffloadsGoToPeersThatWouldAnswerAlike). One whose goroutines wait 20 ms reports no time to spare at once; smoothed, it took a second. A port in use made Run fail, though callers can be served: it is logged now, and peers hear of no port.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -295,11 +295,11 @@
 	elapsed := now.Sub(a.sampledAt)
 	if !a.sampledAt.IsZero() && elapsed > 0 {
 		unused := max(0, a.rate()-a.spent.Seconds()/elapsed.Seconds())
+		a.spare += spareSmoothing * (unused - a.spare)
 		if lag >= lagLow {
 			// The processor is slower, or used for more, than what was charged shows.
-			unused = 0
+			a.spare = 0
 		}
-		a.spare += spareSmoothing * (unused - a.spare)
 	}
 	a.sampledAt, a.spent = now, 0
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,9 +55,12 @@
 	conns *conns
 	// offloader is nil if there are no peers to offload connections to.
 	offloader *offloader
-	peers     *peers
-	stop      chan struct{}
-	stopOnce  sync.Once
+	// offloadPort is the port at which connections of other routers are taken, 0 if they
+	// are not.
+	offloadPort atomic.Uint32
+	peers       *peers
+	stop        chan struct{}
+	stopOnce    sync.Once
 }
 
 // New checks the options and returns a gateway that is not running yet.
@@ -111,11 +114,8 @@
 		serveErrors <- callers.Serve(shed)
 		close(served)
 	}()
-	var offloaded *net.TCPListener
-	if addr := g.options.OffloadListen; addr != "" {
-		if offloaded, err = listenForCallers(ctx, addr); err != nil {
-			return errors.Wrap(err, "listen for connections of other routers")
-		}
+	offloaded := g.listenForPeers(ctx)
+	if offloaded != nil {
 		defer offloaded.Close()
 		go shed.takeOffloaded(offloaded)
 	}
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -76,7 +75,8 @@
 		return // applyDatagram has logged it.
 	}
 	spare := d.spare
-	if d.leaving {
+	if d.leaving || d.storeLost || d.config < o.g.configVersion() {
+		// It would answer by what is no longer in force, or is stopping.
 		spare = 0
 	}
 	o.mu.Lock()
@@ -324,20 +324,21 @@
 	return g.pressure.admission.spareCores()
 }
 
-// offloadPort is the port at which this router takes connections of others, 0 if none.
-func (g *Gateway) offloadPort() uint16 {
+// listenForPeers opens the listener for connections of other routers, and returns nil if
+// they cannot be taken: callers are served all the same.
+func (g *Gateway) listenForPeers(ctx context.Context) *net.TCPListener {
 	if g.options.OffloadListen == "" {
-		return 0
+		return nil
 	}
-	_, text, err := net.SplitHostPort(g.options.OffloadListen)
+	ln, err := listenForCallers(ctx, g.options.OffloadListen)
 	if err != nil {
-		return 0 // Options.Check rejects such an address.
+		klog.ErrorS(err, "Gateway: no connections of other routers are taken.", "listen", g.options.OffloadListen)
+		return nil
 	}
-	port, err := strconv.ParseUint(text, 10, 16)
-	if err != nil {
-		return 0
+	if addr, ok := ln.Addr().(*net.TCPAddr); ok {
+		g.offloadPort.Store(uint32(addr.Port))
 	}
-	return uint16(port)
+	return ln
 }
 
 // takeOffloaded hands connections that other routers offload to the callers' server, until
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -127,7 +127,7 @@
 	return datagram{
 		addr: p.g.options.PeerListen, incarnation: p.incarnation, serial: serial,
 		config: p.g.configVersion(), era: lastChange.Era, lastChange: lastChange.Revision, domain: p.g.options.Domain, scope: s,
-		storeLost: p.g.isStoreLost(), leaving: p.g.draining.Load(), spare: p.g.spareCores(), offloadPort: p.g.offloadPort(),
+		storeLost: p.g.isStoreLost(), leaving: p.g.draining.Load(), spare: p.g.spareCores(), offloadPort: uint16(p.g.offloadPort.Load()),
 	}
 }
 
