--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -32,8 +32,8 @@
 	// refusalCost is the processor time that a refusal without an http.Server takes:
 	// the half of BenchmarkRefusal that is not the caller's. refusalShare is the share
 	// of the budget that refusals may use: a flood of them must not stop admission
-	// altogether. unpolledRefusalCost is what one takes whose request has arrived whole
-	// (BenchmarkUnpolledRefusal).
+	// altogether. unpolledRefusalCost is what one without a goroutine takes
+	// (BenchmarkFlood).
 	refusalCost         = 60 * time.Microsecond
 	unpolledRefusalCost = 20 * time.Microsecond
 	refusalShare        = 0.5
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -165,8 +165,8 @@
 	o.active.Done()
 }
 
-// stop ends all offloaded connections: those whose peer has not answered answer that the request may
-// have run.
+// stop ends all offloaded connections. The callers whose peer has not answered are told that
+// the request may have run.
 func (o *offloader) stop() {
 	if o == nil {
 		return
