--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -26,6 +26,11 @@
 // startShedListener starts a shedListener for a router with a number of cores. It
 // returns the listener's address and the connections returned by Accept.
 func startShedListener(t testing.TB, cores float64, protocol Protocol) (addr string, accepted chan net.Conn, gw *Gateway) {
+	return startPreparedShedListener(t, cores, protocol, func(*Gateway) {})
+}
+
+// startPreparedShedListener is startShedListener with a router that is prepared before.
+func startPreparedShedListener(t testing.TB, cores float64, protocol Protocol, prepare func(*Gateway)) (addr string, accepted chan net.Conn, gw *Gateway) {
 	g := NewWithT(t)
 	ln, err := listenForCallers(t.Context(), "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -36,6 +41,7 @@
 	gw.metrics, err = newMetrics(gw)
 	g.Expect(err).NotTo(HaveOccurred())
 	gw.conns = newConns(0)
+	prepare(gw)
 	l := newShedListener(ln, gw)
 	t.Cleanup(func() { l.Close() })
 	accepted = make(chan net.Conn, 1)
@@ -112,11 +118,12 @@
 func TestOffloadsAreChargedWhenAccepted(t *testing.T) {
 	g := NewWithT(t)
 	const cores, dials = 0.01, 100
-	addr, accepted, gw := startShedListener(t, cores, anonymous{})
-	gw.offloader = newOffloader(gw)
-	gw.options.Domain = "d"
-	report := datagram{addr: "127.0.0.1:1", domain: "d", spare: 100, offloadPort: 2}
-	gw.offloader.handleReport(time.Now(), &report)
+	addr, accepted, gw := startPreparedShedListener(t, cores, anonymous{}, func(gw *Gateway) {
+		gw.offloader = newOffloader(gw)
+		gw.options.Domain = "d"
+		report := datagram{addr: "127.0.0.1:1", domain: "d", spare: 100, offloadPort: 2}
+		gw.offloader.handleReport(time.Now(), &report)
+	})
 	time.Sleep(20 * time.Millisecond)
 	started := time.Now()
 	for range dials {
