--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -126,3 +126,30 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapInuse
 }
+
+// TestOrderAnswersHaveBoundedHeaders: bytes that an engine sends as a header are not kept
+// beyond the limit.
+func TestOrderAnswersHaveBoundedHeaders(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := c.Read(make([]byte, 4096)); err != nil {
+					return
+				}
+				long := strings.Repeat("X-Line: "+strings.Repeat("x", 1000)+"\r\n", 1000)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+long+"Content-Length: 2\r\n\r\n[]")
+			}()
+		}
+	}()
+	_, err = NewOrderClient().fetchOrders(t.Context(), ln.Addr().String())
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/upstream/order.go
+++ b/internal/upstream/order.go
@@ -23,6 +23,8 @@
 	ordersPath    = "/v1/orders"
 	// orderDialTimeout bounds connection establishment for an order.
 	orderDialTimeout = time.Second
+	// maxOrderHeaderBytes bounds the size of the header of a response.
+	maxOrderHeaderBytes = 64 << 10
 	// maxOrderListBytes bounds the size of the list of orders that is read.
 	maxOrderListBytes = 4 << 20
 )
@@ -43,8 +45,9 @@
 	c := &OrderClient{now: time.Now}
 	dialer := &net.Dialer{Timeout: orderDialTimeout}
 	c.transport = &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxOrderHeaderBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if w, ok := ctx.Value(windowKey{}).(*writeWindow); ok && err == nil {
--- a/router/query_admin.go
+++ b/router/query_admin.go
@@ -15,8 +15,9 @@
 
 const (
 	queryPath = "/v1/query/"
-	// maxAnswerBytes bounds another router's answer.
-	maxAnswerBytes = 16 << 20
+	// maxAnswerBytes bounds another router's answer, and maxAnswerHeaderBytes its header.
+	maxAnswerBytes       = 16 << 20
+	maxAnswerHeaderBytes = 64 << 10
 	// maxErrorBytes bounds the error text of another router.
 	maxErrorBytes = 1 << 10
 )
@@ -51,7 +52,7 @@
 // newQueryClient returns the client for queries to admin ports. It keeps no idle
 // connections.
 func newQueryClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeaderBytes}}
 }
 
 // serveQuery answers a query of a router that has no peer connection to this one. It
