--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -94,7 +94,7 @@
 	refusedBy map[string]int
 	// spent is the processor time charged since the last sample for what this router's
 	// own callers sent. spare is what it can spend on connections of other routers, in
-	// cores; it was measured at sampledAt.
+	// cores, as of sampledAt.
 	spent     time.Duration
 	spare     float64
 	sampledAt time.Time
