review: case 4, connections offloaded to a router that freezes

Seen: with one of three routers frozen for 4 s, 18 requests that the busy router, itself in touch, had offloaded to it were unanswered at timeoutMs, and all of them half a second later; with TROUBLE=0 none.

--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -158,6 +158,8 @@
 	Zones    []string // one router for each entry
 	MemoryMb int
 	MaxFds   int
+	// CPUShare is cpuShare; 0 stands for 1, so that no case depends on the speed of the machine.
+	CPUShare float64
 }
 
 const settingsText = `node = %q
@@ -180,8 +182,8 @@
 readiness = "%[2]s:%[6]d"
 control = "%[2]s:%[7]d"
 [limits]
-cpuShare = 1.0
-cores = 2
+cpuShare = %[11]g
+cores = 1
 memoryMb = %[8]d
 maxFds = %[9]d
 linkMbps = 1000.0
@@ -235,6 +237,9 @@
 		CannotRun(err)
 	}
 	fmt.Println("logs of the routers:", dir)
+	if s.CPUShare == 0 {
+		s.CPUShare = 1
+	}
 	block := freeBlock(len(s.Zones))
 	var list []*Router
 	for i, zone := range s.Zones {
@@ -242,7 +247,7 @@
 		r := &Router{Name: fmt.Sprintf("front-%s-%d", zone, i+1), Front: fmt.Sprint(ip, ":", frontPort), Ready: fmt.Sprint(ip, ":", readyPort)}
 		r.settings = filepath.Join(dir, r.Name+".toml")
 		text := fmt.Sprintf(settingsText, r.Name, ip, zone, fmt.Sprint(block, ".1:", controlPort), frontPort, readyPort, controlPort,
-			s.MemoryMb, s.MaxFds, store.Addr)
+			s.MemoryMb, s.MaxFds, store.Addr, s.CPUShare)
 		if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 			CannotRun(err)
 		}
@@ -394,7 +399,7 @@
 	return fmt.Appendf(nil, `{"version":%d,"routes":[
 {"name":"r-chat","host":"ficu95.example","prefix":"/chat/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":800,"priority":1,"service":"model","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"targetGapMs":250},
 {"name":"r-book","host":"ficu95.example","prefix":"/book/","kind":"unsafe","timeoutMs":5000,"targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":1,"public":false},
-{"name":"r-look","host":"ficu95.example","prefix":"/look/","kind":"safe","timeoutMs":5000,"targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":2,"public":false}],
+{"name":"r-look","host":"ficu95.example","prefix":"/look/","kind":"safe","timeoutMs":1000,"targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":2,"public":false}],
 "services":[{"name":"model","healthPath":"/health","maxConns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":431646,"kvTokenBytes":163840,"linkMbps":260000.0,"moves":%t,"backups":false,"stride":6,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m"}]}},
 {"name":"app","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":250000},
