--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -351,8 +351,8 @@
 	}
 }
 
-// ResidentMb returns the resident memory of the process in MiB, 0 if it has ended.
-func (r *Router) ResidentMb() float64 {
+// PeakMb returns the largest resident memory that the process has had, in MiB, 0 if it has ended.
+func (r *Router) PeakMb() float64 {
 	r.mu.Lock()
 	pid := r.cmd.Process.Pid
 	r.mu.Unlock()
@@ -361,7 +361,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
 			kb, _ := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 64)
 			return kb / 1024
 		}
