dispatch: keep all routers together within what a cold upstream tolerates

ruled out: counts in reports (0.03 to 0.5 s late, in which 85 routers each send once); one router that grants all (it has to be reached for each request); the rate spread of limit.go as it is: nine senders with a part of 1.09 a second each may put 18 requests into one second and more with delayed connects, so no room is left for moves and for views that differ.

conclusion: senders are the first registered routers in an order that begins in the upstream's failure domain, each sends once in an interval longer than a second and a connect's delay. The mean backlog, the partition and refusals count a cold upstream as what it takes.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/coldstart"
+)
 
 // delistedRetention is how long the advice of an instance is kept after its entry is
 // gone from the list. Entries expire while the store is unavailable, and instances that
@@ -43,6 +47,9 @@
 	if !e.LimitUnknown {
 		s.setLimit(now, u, e.Limit, now)
 	}
+	if e.Cold > 0 {
+		s.setCold(now, u, coldstart.Seen, now.Add(e.Cold))
+	}
 }
 
 // setLeaving marks an upstream that has stated that it is leaving. Other routers are to
@@ -98,7 +105,7 @@
 		if u.replaced || u.leaving {
 			continue
 		}
-		if back := laterOf(now, u.unavailableUntil); !ok || back.Before(at) {
+		if back := laterOf(s.nextColdSend(now, u), u.unavailableUntil); !ok || back.Before(at) {
 			at, ok = back, true
 		}
 	}
--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -84,20 +84,30 @@
 }
 
 // countUsable counts the upstreams that can get work.
-func (s *State) countUsable(now time.Time, list []*upstream) (n int) {
+// A cold one counts as the part of its time that it can be busy.
+func (s *State) countUsable(now time.Time, list []*upstream) int {
+	n := 0.0
 	for _, u := range list {
 		if u.acceptsWork(now) && s.health.Available(u.ID, now) {
-			n++
+			n += s.warmth(now, u)
 		}
 	}
-	return n
+	return int(n)
 }
 
-// assignClasses assigns the first size usable upstreams to classDecode.
+// assignClasses assigns the first size usable upstreams to classDecode. Cold ones are left
+// to the other class while there are others: what they take is bounded in requests, and
+// long prompts make more of each.
 func (s *State) assignClasses(now time.Time, list []*upstream, size int) {
 	for _, u := range list {
 		u.class = classPrefill
-		if size > 0 && u.acceptsWork(now) && s.health.Available(u.ID, now) {
+		if size > 0 && !s.isCold(now, u) && u.acceptsWork(now) && s.health.Available(u.ID, now) {
+			u.class = classDecode
+			size--
+		}
+	}
+	for _, u := range list {
+		if size > 0 && u.class == classPrefill && u.acceptsWork(now) && s.health.Available(u.ID, now) {
 			u.class = classDecode
 			size--
 		}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -75,6 +75,7 @@
 		s.poison.Crashed(now, runID(e.Upstream))
 		if u := s.upstreams[e.Upstream.ID]; u != nil && SameStart(u.Instance, e.Upstream) {
 			u.unavailableUntil = laterOf(u.unavailableUntil, now.Add(unreachableHold))
+			s.noteUnreachable(now, u)
 		}
 	case e.Connected:
 		s.poison.Survived(runID(e.Upstream))
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -64,6 +64,13 @@
 	// Started is the start time of the instance in Unix milliseconds, 0 if not
 	// known. It distinguishes restarts under the same id.
 	Started int64
+	// Cold is how long the instance stays cold, as its entry said when it was written.
+	// ColdStated means that the entry says so, and ColdUnknown that what it says could not
+	// be read.
+	Cold                    time.Duration
+	ColdStated, ColdUnknown bool
+	// ColdUntil is the end of Cold, counted from when this router read the entry.
+	ColdUntil time.Time
 }
 
 // Event is an input of State.Step.
@@ -123,6 +130,8 @@
 		// together, 0 if it names no limit. LimitUnknown means that it could not be read.
 		Limit        float64
 		LimitUnknown bool
+		// Cold is how long the instance stays cold, 0 if it does not say.
+		Cold time.Duration
 	}
 	// Probed reports the result of a Probe.
 	Probed struct {
@@ -174,6 +183,8 @@
 		// included, the same at each router.
 		Self       string
 		Registered []string
+		// Domains has the failure domains of the registered routers, by name.
+		Domains map[string]string
 	}
 	// PeerLost reports that a router no longer sends reports.
 	PeerLost struct{ Peer string }
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -58,7 +58,7 @@
 func (s *State) moveTarget(now time.Time, r *request) (best *upstream) {
 	e := s.engine(r.Service)
 	for _, u := range s.services[r.Service] {
-		if u.class != classDecode || u == r.upstream || !u.acceptsWork(now) || u.limit.perSecond > 0 || u.incomingMoves >= maxMovesPerTarget ||
+		if u.class != classDecode || u == r.upstream || !u.acceptsWork(now) || u.limit.perSecond > 0 || s.isCold(now, u) || u.incomingMoves >= maxMovesPerTarget ||
 			slices.Contains(r.failedUpstreams, u.ID) || !s.health.Available(u.ID, now) {
 			continue
 		}
@@ -149,6 +149,7 @@
 	}
 	target.local.add(r.load)
 	target.limit.take(now)
+	target.cold.Take(now)
 	s.emit(Send{
 		ID: r.ID, Attempt: r.attempt, Upstream: target.Instance, ResumeAfter: r.lastEventID, ExpiresAt: r.expiresAt,
 		ContinueFrom: r.move.source.Addr + "/" + r.move.handle, Waited: now.Sub(r.arrivedAt),
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -21,6 +21,10 @@
 	// its budget, and RetryBurst the number that the whole fleet may accumulate.
 	RetryRatio float64
 	RetryBurst float64
+	// ColdOverage and ColdSlack bound the requests in any second to a cold upstream:
+	// ColdOverage times what it tolerates, and ColdSlack more. An overage below 1 counts
+	// as 1.
+	ColdOverage, ColdSlack float64
 	// IgnorePeers makes the router ignore the reports of peers. It is the baseline
 	// against which sharing the load reports is measured.
 	IgnorePeers bool
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -29,6 +29,9 @@
 	Contended []uint32
 	// Limits holds the limits that upstreams name, and those that ended lately.
 	Limits map[uint32]Limit
+	// Cold holds the upstreams that the router itself has seen to be cold, with the time
+	// left.
+	Cold map[uint32]time.Duration
 	// Leaving lists the runs of upstreams, by runKey, that have stated in an answer that
 	// they are leaving. An answer that is passed on by one router may come from another
 	// one's upstream, so that a router alone would not know.
@@ -93,6 +96,7 @@
 	}
 	r.Placements = append(r.Placements, s.unreportedPlacements...)
 	s.unreportedPlacements = s.unreportedPlacements[:0]
+	r.Cold = s.reportCold(now)
 	r.Crashes, s.newsCounted = s.poison.News(now), false
 	return r
 }
@@ -111,6 +115,7 @@
 			s.setLimit(now, u, l.PerSecond, now.Add(-l.Age))
 		}
 	}
+	s.learnCold(now, r.Cold)
 	s.learnLeaving(now, r.Leaving)
 	for _, p := range r.Placements {
 		if u := s.byKey[p.Upstream]; u != nil {
@@ -187,6 +192,7 @@
 			r.Leaving = append(r.Leaving, run)
 		}
 	}
+	r.addCold(o)
 	for key, l := range o.Limits {
 		if known, ok := r.Limits[key]; !ok || l.Age < known.Age {
 			r.Limits[key] = l
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -175,6 +175,8 @@
 	}
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
+	choice.upstream.cold.Take(now)
+	s.recordPrompt(choice.prefillTokens)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
 	s.queueFor(r).drainRate.add(now, float64(s.prefillTime(r.Prompt.Tokens)))
@@ -311,6 +313,7 @@
 		u.replaced = true
 	case e.Unreachable:
 		u.unavailableUntil = laterOf(u.unavailableUntil, now.Add(unreachableHold))
+		s.noteUnreachable(now, u)
 	}
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/health"
 	"github.com/jujubeford/jujubeford/internal/poison"
@@ -37,6 +38,12 @@
 	// self is the name of this router and routers those of all that are registered.
 	self    string
 	routers []string
+	// fleet orders the registered routers as senders to cold upstreams. listed means that
+	// the first list of upstreams has been applied.
+	fleet  coldstart.Fleet
+	listed bool
+	// meanPrompt is the moving average of the prompt tokens that engines read per request.
+	meanPrompt float64
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
@@ -164,6 +171,7 @@
 	case FleetChanged:
 		s.setRetryBudget(e.Routers)
 		s.setRouters(now, e.Self, e.Registered)
+		s.fleet.Set(now, e.Self, e.Registered, e.Domains)
 		s.aggregatedByDomain = e.AggregatedByDomain
 		s.poison.SetSettleTime(crashReportTime(e.AggregatedByDomain))
 	case PeerLost:
@@ -238,7 +246,8 @@
 	for _, in := range list {
 		seen[in.ID] = true
 		u := s.upstreams[in.ID]
-		if u == nil || !SameStart(u.Instance, in) {
+		isNew := u == nil || !SameStart(u.Instance, in)
+		if isNew {
 			s.forgetUpstream(now, in.ID)
 			u = &upstream{key: Key(in.ID)}
 			s.restoreAdvice(u, in)
@@ -246,6 +255,7 @@
 			s.byKey[u.key] = u
 		}
 		u.Instance = in
+		s.applyColdEntry(now, u, isNew)
 		if in.Draining || u.leaving {
 			u.markLeft(now)
 		} else {
@@ -258,6 +268,7 @@
 			s.forgetUpstream(now, id)
 		}
 	}
+	s.listed = s.listed || len(list) > 0
 	s.expireDelisted(now)
 	s.rebuildServices()
 	for _, r := range s.peers {
@@ -330,6 +341,7 @@
 		}
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
+		s.endCold(now)
 	}
 	if now.Sub(s.partitionedAt) >= partitionInterval {
 		s.partitionedAt = now
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 )
 
 // Load is what one router, or all of them, have in flight at an upstream.
@@ -65,6 +67,10 @@
 	unavailableUntil time.Time
 	// limit bounds the requests that the upstream gets.
 	limit rateLimit
+	// cold is the upstream's temperature. countedCold means that ColdChanged has told that
+	// it is cold.
+	cold        coldstart.Upstream
+	countedCold bool
 }
 
 // acceptsWork reports whether the upstream may get work at all.
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -57,7 +57,7 @@
 }
 
 // encodedReport has the sections of an encoded report: sequences of varints.
-type encodedReport struct{ loads, usage, placements, contended, crashes, limits, leaving []byte }
+type encodedReport struct{ loads, usage, placements, contended, crashes, limits, leaving, cold []byte }
 
 // The field numbers of a datagram. Numbers 7 to 10 and 12 had other encodings.
 const (
@@ -181,7 +181,7 @@
 	for _, run := range r.Leaving {
 		section = binary.LittleEndian.AppendUint64(section, run)
 	}
-	return appendSection(b, fieldRunsLeaving, section)
+	return appendCold(appendSection(b, fieldRunsLeaving, section), r.Cold)
 }
 
 func appendSection(b []byte, field protowire.Number, section []byte) []byte {
@@ -296,6 +296,8 @@
 		d.encoded.limits = b
 	case fieldRunsLeaving:
 		d.encoded.leaving = b
+	case fieldCold:
+		d.encoded.cold = b
 	}
 }
 
@@ -365,7 +367,8 @@
 	for in.more() {
 		r.Leaving = append(r.Leaving, in.id())
 	}
-	if failed || in.failed {
+	var ok bool
+	if r.Cold, ok = decodeCold(e.cold); failed || in.failed || !ok {
 		return dispatch.Report{}, errDatagram
 	}
 	return r, nil
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -173,7 +173,7 @@
 // header: that it is leaving, wants no requests for some time, or only so many a second.
 func (g *Gateway) reportAdvice(c *call, e dispatch.Send, info AnswerInfo) {
 	avoid := info.Leaving || info.HoldOff > 0
-	if info.Replaced || !avoid && info.Limit == 0 && !info.LimitUnknown && !e.Limited {
+	if info.Replaced || !avoid && info.Limit == 0 && !info.LimitUnknown && !e.Limited && info.Cold == 0 && !info.ColdUnknown {
 		return
 	}
 	upstream := e.Upstream
@@ -184,8 +184,12 @@
 	if info.LimitUnknown {
 		logs.Info("limit-unreadable", "Gateway: upstream's limit is not a number, the one before holds.", "id", c.caller.ID, "upstream", upstream.ID)
 	}
+	if info.ColdUnknown {
+		g.metrics.recordUnreadable(unreadableAnswer)
+		logs.Info("cold-unreadable", "Gateway: upstream's temperature is not a time, ignored.", "id", c.caller.ID, "upstream", upstream.ID)
+	}
 	g.step(dispatch.InstanceReported{
-		Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff, Limit: info.Limit, LimitUnknown: info.LimitUnknown,
+		Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff, Limit: info.Limit, LimitUnknown: info.LimitUnknown, Cold: info.Cold,
 	})
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -200,7 +200,7 @@
 	g.peers.setRegistered(g.mirror.Entries(routerPrefix))
 	g.step(dispatch.FleetChanged{
 		Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays(),
-		Self: g.options.PeerListen, Registered: g.peers.registered(),
+		Self: g.options.PeerListen, Registered: g.peers.registered(), Domains: g.peers.registeredDomains(),
 	})
 	g.peers.wakeSender()
 	if g.mirror.Position().Revision > 0 && !g.listed.Swap(true) {
@@ -235,6 +235,9 @@
 				// The restored store has an older entry, until the upstream writes it again.
 				in.Draining = true
 			}
+			if err == nil {
+				g.readTemperature(&in, before, at)
+			}
 			d = decodedInstance{at: at, instance: in, valid: err == nil}
 			if known && in.Draining && !before.Draining {
 				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "position", at)
@@ -272,6 +275,7 @@
 		logs.Info("config-kept", "Config: the version in force is kept, the store has an older one.", "version", old.Version, "stored", t.Version, "position", at)
 		return
 	}
+	g.logUnreadableBounds(t)
 	g.inForce = tableEntry{value, at}
 	g.table.Store(t)
 	g.step(dispatch.TableChanged{Table: t})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -247,6 +247,9 @@
 			logs.Info("block", "Gateway: refusal of requests that crash upstreams changed.", "blocked", e.Blocked,
 				"kind", e.Trait.Kind, "trait", e.Trait.ID, "crashes", e.Crashes, "reported", e.Reported)
 			continue
+		case dispatch.ColdChanged:
+			logCold(e)
+			continue
 		case dispatch.LimitChanged:
 			logs.Info("limit", "Gateway: limit of an upstream changed.", "upstream", e.Upstream.ID, "perSecond", e.PerSecond,
 				"before", e.Before, "part", e.Part, "age", e.Age, "routers", e.Routers)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,8 +42,8 @@
 type metrics struct {
 	registry *prometheus.Registry
 
-	requests, placements, storeCalls, offloads            metric.Int64Counter
-	waitTime, firstByteTime, maxGap, duration, retryAfter metric.Float64Histogram
+	requests, placements, storeCalls, offloads, unreadable metric.Int64Counter
+	waitTime, firstByteTime, maxGap, duration, retryAfter  metric.Float64Histogram
 
 	// storeAnsweredAt is when the store last answered, in Unix nanoseconds; 0 if never.
 	storeAnsweredAt atomic.Int64
@@ -73,6 +73,7 @@
 		{&m.requests, "requests", "Ended requests by kind, outcome and reason."},
 		{&m.placements, "placements", "Attempts by kind and by what decided where they went."},
 		{&m.storeCalls, "store", "Calls on the store by call and result."},
+		{&m.unreadable, "unreadable", "Values of entries, answers and the configuration that could not be read, by where."},
 		{&m.offloads, "offloads", "Connections offloaded to other routers, by outcome."},
 	} {
 		if *c.target, err = meter.Int64Counter(metricPrefix+c.name, metric.WithDescription(c.description)); err != nil {
@@ -119,6 +120,7 @@
 		{"config", "", "Version of the configuration in force.", func() float64 { return float64(g.configVersion()) }},
 		{"revision", "", "Revision of the last change of the store that is known.", func() float64 { return float64(g.lastChange().Revision) }},
 		{"limited", "", "Upstreams that get no more requests than the limit that they name.", locked(g.dispatcher.LimitedUpstreams)},
+		{"cold", "", "Upstreams that are cold, so that they get no more requests than they tolerate.", locked(func() int { return g.dispatcher.ColdUpstreams(time.Now()) })},
 		{"blocked", "", "Traits of requests that are refused because such requests crash upstreams.", locked(func() int { return g.dispatcher.BlockedTraits(time.Now()) })},
 		{"connections", "", "Open connections of callers.", func() float64 { return float64(g.conns.count()) }},
 		{"spare", "", "Processor time that this router can spend on connections of others, in cores.", g.spareCores},
@@ -226,3 +228,15 @@
 	mux.Handle("GET "+MetricsPath, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
 	return mux
 }
+
+// The values of the label "where" for values that could not be read.
+const (
+	unreadableEntry  = "entry"
+	unreadableAnswer = "answer"
+	unreadableConfig = "config"
+)
+
+// recordUnreadable counts a value that could not be read.
+func (m *metrics) recordUnreadable(where string) {
+	m.unreadable.Add(context.Background(), 1, metric.WithAttributes(attribute.String("where", where)))
+}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -52,6 +52,10 @@
 	// together, 0 if it names no limit. LimitUnknown means that it could not be read.
 	Limit        float64
 	LimitUnknown bool
+	// Cold is how long the upstream stays cold, 0 if it does not say. ColdUnknown means
+	// that it could not be read.
+	Cold        time.Duration
+	ColdUnknown bool
 }
 
 // Protocol translates between the platform's headers and the gateway. It is safe for
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -128,6 +130,18 @@
 	MaxConns int
 	// Engine is nil if the upstreams are not model engines.
 	Engine *Engine
+	// Cold is what an upstream tolerates after its start, nil if that is not bounded.
+	// ColdUnknown means that the configuration has a value that could not be read.
+	Cold        *ColdStart
+	ColdUnknown bool
+}
+
+// ColdStart bounds the requests to an upstream that has just started.
+type ColdStart struct {
+	// Duration is how long an upstream is cold after its start.
+	Duration time.Duration
+	// PerSecond is the number of requests a second that it tolerates while it is cold.
+	PerSecond float64
 }
 
 // Organisation is a customer that shares the capacity.
@@ -202,6 +216,9 @@
 // Service returns the service with a name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Services returns the names of all services, in order.
+func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 // Organisation returns the name of the organisation that owns an API key.
 func (t *Table) Organisation(key string) (name string, ok bool) {
 	name, ok = t.keys[key]
