pace: find what an upstream takes that has just started or recovered

cause: an upstream that starts, comes back or flaps got as much as one that has been up for hours, or nothing for the 1 to 30 s of an ejection at each router; attempts that were aborted as silent were no evidence at all, so a dark upstream went on getting its share of the load.

ruled out: a window from the load in reports (0.03 to 0.5 s late: 85 routers fill it 85 times); a rate that rises by time alone (a sick upstream gets the same); one router that grants (it has to be reached for each request).

Also MayReach: a request that was placed before its upstream became cold, or whose connection took over 250 ms, is sent only if it is due.

conclusion: evidence (failures, ages of the last bad and good answer) goes into section 28 of the reports; each router derives the same window from it and the first routers in the order of senders fill it.

--- a/internal/coldstart/bound.go
+++ b/internal/coldstart/bound.go
@@ -8,10 +8,10 @@
 const (
 	// second is the span in which the operators count the requests at a cold upstream.
 	second = time.Second
-	// maxDelay is how much later than another request one may arrive that was sent at the
+	// MaxDelay is how much later than another request one may arrive that was sent at the
 	// same time: connecting to a busy upstream takes this long. The bound holds for
 	// requests that are delayed by less.
-	maxDelay = 250 * time.Millisecond
+	MaxDelay = 250 * time.Millisecond
 	// reserve is the fraction of the bound that is left for requests that have to go to a
 	// cold upstream without being due, and for routers whose views of the fleet differ.
 	reserve = 0.25
@@ -34,7 +34,7 @@
 }
 
 // Divide divides the bound between a number of routers. In any second, with delays of up
-// to maxDelay, no more than Most requests arrive even if all senders send at once, and no
+// to MaxDelay, no more than Most requests arrive even if all senders send at once, and no
 // more than PerSecond in the long run.
 func (b Bound) Divide(routers int) Division {
 	most := math.Floor(b.Most * (1 - reserve))
@@ -44,7 +44,7 @@
 	if most < 1 || b.PerSecond <= 0 {
 		return Division{}
 	}
-	span := (second + maxDelay).Seconds()
+	span := (second + MaxDelay).Seconds()
 	senders := min(max(1, routers), max(1, int(b.PerSecond*span)), int(most))
 	// Each sender's requests in a second: one more than intervals fit into the span.
 	each := math.Floor(most / float64(senders))
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -54,7 +54,7 @@
 			r.u.SetCold(now, Stated, start.Add(lasts))
 			if !r.u.NextSend(&r.fleet, b, "u", "d1").After(now) {
 				r.u.Take(now)
-				arrivals = append(arrivals, now.Add(time.Duration(random.Int64N(int64(maxDelay)))))
+				arrivals = append(arrivals, now.Add(time.Duration(random.Int64N(int64(MaxDelay)))))
 			}
 		}
 	}
--- a/internal/coldstart/fleet.go
+++ b/internal/coldstart/fleet.go
@@ -51,13 +51,16 @@
 	f.version++
 }
 
-// size returns the number of routers, at least 1.
-func (f *Fleet) size() int { return max(1, len(f.routers)) }
+// Version changes with each change of the view.
+func (f *Fleet) Version() int { return f.version }
 
-// rank returns the place of this router in the order of senders to an upstream. Those in the
+// Size returns the number of routers, at least 1.
+func (f *Fleet) Size() int { return max(1, len(f.routers)) }
+
+// Rank returns the place of this router in the order of senders to an upstream. Those in the
 // upstream's own failure domain come first: they place most of their requests there. Within
 // a domain the order differs from upstream to upstream.
-func (f *Fleet) rank(upstream, domain string) int {
+func (f *Fleet) Rank(upstream, domain string) int {
 	rank, own := 0, f.position(f.self, upstream, domain)
 	for name := range f.routers {
 		if name != f.self && f.position(name, upstream, domain).before(own) {
--- a/internal/coldstart/upstream.go
+++ b/internal/coldstart/upstream.go
@@ -12,11 +12,14 @@
 	Seen
 	// Told is what other routers saw.
 	Told
+	// Assumed is what follows from an absence: the upstream did not answer for a while and
+	// may have started anew.
+	Assumed
 	sources
 )
 
 // String returns the source's name in logs.
-func (s Source) String() string { return [sources]string{"entry", "seen", "peers"}[s] }
+func (s Source) String() string { return [sources]string{"entry", "seen", "peers", "assumed"}[s] }
 
 // Upstream is what a router knows of an upstream's temperature, and its part in what the
 // upstream takes while it is cold.
@@ -83,7 +86,7 @@
 
 func (u *Upstream) updatePart(f *Fleet, b Bound, id, domain string) {
 	if u.part.bound != b || u.part.version != f.version {
-		u.part = part{bound: b, version: f.version, Division: b.Divide(f.size()), rank: f.rank(id, domain)}
+		u.part = part{bound: b, version: f.version, Division: b.Divide(f.Size()), rank: f.Rank(id, domain)}
 	}
 }
 
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -86,9 +86,13 @@
 // is new in the list and does not say has just started; listed is false for the first list.
 func (s *State) applyColdEntry(now time.Time, u *upstream, isNew bool) {
 	s.setCold(now, u, coldstart.Stated, u.ColdUntil)
-	if isNew && s.listed && !u.ColdStated {
+	if !isNew || !s.listed {
+		return
+	}
+	if !u.ColdStated {
 		s.assumeCold(now, u, now)
 	}
+	s.startPace(now, u)
 }
 
 // nextColdSend returns when this router may send the next request to an upstream: now if
@@ -105,9 +109,28 @@
 }
 
 // paceAllows reports whether this router may send a request to an upstream now, as far as
-// its temperature goes.
+// its temperature and its pace go.
 func (s *State) paceAllows(now time.Time, u *upstream) bool {
-	return !s.nextColdSend(now, u).After(now)
+	if s.nextColdSend(now, u).After(now) || !s.windowAllows(now, u) {
+		s.held++
+		return false
+	}
+	return true
+}
+
+// MayReach reports whether the temperature of an attempt's upstream allows it to be sent now.
+// Connecting takes time, in which the upstream may have become cold, and in which others
+// may have become due.
+func (s *State) MayReach(now time.Time, id string, attempt int) bool {
+	r := s.activeRequest(id, attempt)
+	if r == nil || !s.isCold(now, r.upstream) || r.sentCold && now.Sub(r.sentAt) <= coldstart.MaxDelay {
+		return true
+	}
+	if s.nextColdSend(now, r.upstream).After(now) {
+		return false
+	}
+	r.upstream.cold.Take(now)
+	return true
 }
 
 // warmth returns what an upstream counts as, from 0 to 1: a cold one as the part of its
@@ -152,6 +175,7 @@
 // once it is back.
 func (s *State) noteUnreachable(now time.Time, u *upstream) {
 	s.assumeCold(now, u, laterOf(now, u.unavailableUntil))
+	s.recordEnd(now, u)
 }
 
 // endCold emits the ends of cold times.
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/routing"
 )
@@ -250,3 +251,28 @@
 	f.g.Expect(s.countUsable(f.now, s.services[model])).To(Equal(3))
 	f.g.Expect(s.warmth(f.now, u)).To(BeNumerically("~", 9.8/20, 0.01))
 }
+
+// A request that was placed before its upstream became cold, or whose connection took too
+// long, is sent only if it is due.
+func TestBoundRequestsWaitForTheirTurn(t *testing.T) {
+	f := newColdFleet(t, 1, 1)
+	s := f.routers[0]
+	send := func(id string) bool {
+		f.step(0, Arrive{&Request{ID: id, Organisation: "org", Route: chat, Service: model, Deadline: f.now.Add(12 * time.Second), Prompt: Prompt{Tokens: 200, MaxOutput: 200}}})
+		r := s.requests[id]
+		return r != nil && r.upstream != nil
+	}
+	f.g.Expect(send("a")).To(BeTrue())
+	f.change(0, func(in *Instance) { in.ColdUntil = f.now.Add(3 * time.Second) })
+	f.g.Expect(s.MayReach(f.now, "a", 1)).To(BeFalse())
+	f.step(0, Failed{ID: "a", Attempt: 1, Kind: core.FailDial, Withheld: true})
+	f.g.Expect(s.requests["a"].waiting).To(BeTrue())
+	f.now = f.now.Add(110 * time.Millisecond)
+	f.step(0, Tick{})
+	f.g.Expect(s.requests["a"].attempt).To(Equal(2), "it has become due")
+	f.g.Expect(s.MayReach(f.now, "a", 2)).To(BeTrue())
+	f.now = f.now.Add(50 * time.Millisecond)
+	f.g.Expect(s.MayReach(f.now, "a", 2)).To(BeTrue())
+	f.g.Expect(s.MayReach(f.now.Add(coldstart.MaxDelay), "a", 2)).To(BeTrue(), "another is due by then")
+	f.g.Expect(s.MayReach(f.now.Add(coldstart.MaxDelay), "a", 2)).To(BeFalse())
+}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -109,6 +109,8 @@
 		// Local means that this router lacked file descriptors or memory for the
 		// attempt.
 		Local bool
+		// Withheld means that the request was not sent because MayReach did not allow it.
+		Withheld bool
 		// MayHaveRun means that the upstream may have run the request.
 		MayHaveRun bool
 		// ResponseStarted means that part of the answer has been delivered to the caller.
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -58,7 +58,7 @@
 func (s *State) moveTarget(now time.Time, r *request) (best *upstream) {
 	e := s.engine(r.Service)
 	for _, u := range s.services[r.Service] {
-		if u.class != classDecode || u == r.upstream || !u.acceptsWork(now) || u.limit.perSecond > 0 || s.isCold(now, u) || u.incomingMoves >= maxMovesPerTarget ||
+		if u.class != classDecode || u == r.upstream || !u.acceptsWork(now) || u.limit.perSecond > 0 || s.isCold(now, u) || u.pace.Paced() || u.incomingMoves >= maxMovesPerTarget ||
 			slices.Contains(r.failedUpstreams, u.ID) || !s.health.Available(u.ID, now) {
 			continue
 		}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -25,6 +25,9 @@
 	// ColdOverage times what it tolerates, and ColdSlack more. An overage below 1 counts
 	// as 1.
 	ColdOverage, ColdSlack float64
+	// Pace makes the router find how much an upstream gets that has just started or
+	// recovered from how it answers.
+	Pace bool
 	// IgnorePeers makes the router ignore the reports of peers. It is the baseline
 	// against which sharing the load reports is measured.
 	IgnorePeers bool
@@ -43,6 +46,7 @@
 		// Half of the ratio that the users allow, since the reports of peers lag.
 		RetryRatio: 0.1,
 		RetryBurst: 40,
+		Pace:       true,
 	}
 }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
 )
 
@@ -32,6 +33,8 @@
 	// Cold holds the upstreams that the router itself has seen to be cold, with the time
 	// left.
 	Cold map[uint32]time.Duration
+	// Pace holds what the router itself saw of upstreams that have started or failed.
+	Pace map[uint32]pace.Report
 	// Leaving lists the runs of upstreams, by runKey, that have stated in an answer that
 	// they are leaving. An answer that is passed on by one router may come from another
 	// one's upstream, so that a router alone would not know.
@@ -96,7 +99,7 @@
 	}
 	r.Placements = append(r.Placements, s.unreportedPlacements...)
 	s.unreportedPlacements = s.unreportedPlacements[:0]
-	r.Cold = s.reportCold(now)
+	r.Cold, r.Pace = s.reportCold(now), s.reportPace(now)
 	r.Crashes, s.newsCounted = s.poison.News(now), false
 	return r
 }
@@ -116,6 +119,7 @@
 		}
 	}
 	s.learnCold(now, r.Cold)
+	s.learnPace(now, peer, r.Pace)
 	s.learnLeaving(now, r.Leaving)
 	for _, p := range r.Placements {
 		if u := s.byKey[p.Upstream]; u != nil {
@@ -167,6 +171,7 @@
 	s.replaceLoads(s.peers[peer], Report{})
 	delete(s.peers, peer)
 	s.shares.setPeer(peer, nil)
+	s.learnPace(now, peer, nil)
 	s.drainAllQueues(now)
 }
 
@@ -193,6 +198,7 @@
 		}
 	}
 	r.addCold(o)
+	r.addPace(o)
 	for key, l := range o.Limits {
 		if known, ok := r.Limits[key]; !ok || l.Age < known.Age {
 			r.Limits[key] = l
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -175,7 +175,9 @@
 	}
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
+	r.sentCold = s.isCold(now, choice.upstream)
 	choice.upstream.cold.Take(now)
+	r.beginUnanswered(choice.firstByte)
 	s.recordPrompt(choice.prefillTokens)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
@@ -198,6 +200,8 @@
 	if r == nil || r.firstByteReceived {
 		return
 	}
+	s.recordAnswer(now, r)
+	r.endUnanswered()
 	r.firstByteReceived, r.firstByteAt = true, now
 	r.upstream.local.Prefill -= r.load.Prefill
 	s.unreportedTokens += r.load.Prefill
@@ -224,6 +228,7 @@
 		return
 	}
 	s.cancelMove(r)
+	r.endUnanswered()
 	r.upstream.local.sub(r.load)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	if !r.firstByteReceived {
@@ -281,11 +286,12 @@
 	if s.returnToSource(now, r, e) {
 		return
 	}
-	if !e.Local {
+	if !e.Local && !e.Withheld {
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, e.Kind)
 		r.failedUpstreams = append(r.failedUpstreams, r.upstream.ID)
 		s.markUnavailable(now, r.upstream, e)
 	}
+	s.recordBadAnswer(now, r, e)
 	s.recordBreak(now, r, e)
 	if !e.MayHaveRun {
 		s.shares.recordStart(now, r.Organisation, -s.shareCost(r))
@@ -399,6 +405,7 @@
 // fail ends a request that may have run.
 func (s *State) fail(now time.Time, r *request, e Fail) {
 	if r.upstream != nil && !r.firstByteReceived {
+		s.recordSilence(now, r.upstream)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 	s.releaseAttempt(r)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -8,6 +8,7 @@
 	"github.com/jujubeford/jujubeford/internal/coldstart"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/health"
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
 )
@@ -42,6 +43,13 @@
 	// the first list of upstreams has been applied.
 	fleet  coldstart.Fleet
 	listed bool
+	// answers knows how the upstreams of each service answer, and paceTold what each peer
+	// tells of upstreams that have started or failed. held counts the upstreams passed over.
+	answers  map[string]*pace.Peers
+	paceTold map[string]map[uint32]pace.Evidence
+	held     int
+	// unpaced has the services whose upstreams have no pace while they are up.
+	unpaced map[string]bool
 	// meanPrompt is the moving average of the prompt tokens that engines read per request.
 	meanPrompt float64
 	// aggregatedByDomain means that the loads of other failure domains arrive
@@ -81,6 +89,12 @@
 	attempt  int
 	upstream *upstream
 	sentAt   time.Time
+	// unanswered means that the attempt is counted as one without an answer, which was
+	// predicted to begin after a time, 0 if not known.
+	unanswered bool
+	predicted  time.Duration
+	// sentCold means that the attempt was counted as one to a cold upstream.
+	sentCold bool
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -128,6 +142,9 @@
 		peers:      make(map[string]Report),
 		shares:     newShareTracker(o.ShareWindow),
 		health:     health.New(),
+		answers:    make(map[string]*pace.Peers),
+		unpaced:    make(map[string]bool),
+		paceTold:   make(map[string]map[uint32]pace.Evidence),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -274,6 +291,7 @@
 	for _, r := range s.peers {
 		s.replaceLoads(Report{}, r)
 	}
+	s.findPeerless()
 	s.partitionUpstreams(now)
 	s.drainAllQueues(now)
 }
@@ -341,6 +359,7 @@
 		}
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
+		s.updatePaces(now)
 		s.endCold(now)
 	}
 	if now.Sub(s.partitionedAt) >= partitionInterval {
@@ -379,6 +398,7 @@
 		s.emit(Abort{ID: r.ID, Attempt: r.attempt})
 	case !r.silenceCounted && silent > nonRetryableSilence:
 		r.silenceCounted = true
+		s.recordSilence(now, r.upstream)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -71,6 +71,7 @@
 	// it is cold.
 	cold        coldstart.Upstream
 	countedCold bool
+	pace        upstreamPace
 }
 
 // acceptsWork reports whether the upstream may get work at all.
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -55,3 +55,14 @@
 	}
 	return domains
 }
+
+// mayReach reports whether the temperature of an attempt's upstream allows it to be sent
+// now. A stream that continues from moved memory can go nowhere else.
+func (g *Gateway) mayReach(c *call, e dispatch.Send) bool {
+	if e.ContinueFrom != "" {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.MayReach(time.Now(), c.key, e.Attempt)
+}
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -181,7 +181,7 @@
 	for _, run := range r.Leaving {
 		section = binary.LittleEndian.AppendUint64(section, run)
 	}
-	return appendCold(appendSection(b, fieldRunsLeaving, section), r.Cold)
+	return appendCold(appendSection(b, fieldRunsLeaving, section), r)
 }
 
 func appendSection(b []byte, field protowire.Number, section []byte) []byte {
@@ -367,8 +367,7 @@
 	for in.more() {
 		r.Leaving = append(r.Leaving, in.id())
 	}
-	var ok bool
-	if r.Cold, ok = decodeCold(e.cold); failed || in.failed || !ok {
+	if !decodeCold(e.cold, &r) || failed || in.failed {
 		return dispatch.Report{}, errDatagram
 	}
 	return r, nil
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -96,6 +96,7 @@
 		"waited", e.Waited, "predicted", e.Predicted, "backlog", e.Backlog, "cached", e.Cached, "size", e.Size, "share", e.Share, "fetchFrom", e.FetchFrom,
 		"resumeAfter", e.ResumeAfter, "continue", e.ContinueFrom, "left", remaining, "config", g.configVersion())
 	g.metrics.recordAttempt(c.request.Route.Kind.String(), e)
+	withheld := false
 	x := g.client.Begin(&exchange.Request{
 		Addr: e.Upstream.Addr, Method: c.method, Target: c.target, Host: c.host, Body: c.body,
 		Header: g.options.Protocol.Forward(c.header, Forwarding{
@@ -103,7 +104,10 @@
 			FetchFrom: e.FetchFrom, ResumeAfter: e.ResumeAfter, ContinueFrom: e.ContinueFrom,
 		}),
 		Repeatable: c.request.Route.Kind.Repeatable(),
-		MaySend:    func() bool { return g.maySend(e.Upstream) },
+		MaySend: func() bool {
+			withheld = !g.mayReach(c, e)
+			return !withheld && g.maySend(e.Upstream)
+		},
 		OwnsResponse: func(status int, h http.Header) exchange.Ownership {
 			return g.options.Protocol.Ownership(status, h, c.caller.ID)
 		},
@@ -136,7 +140,7 @@
 		"err", failure.Err)
 	g.step(dispatch.Failed{
 		ID: c.key, Attempt: e.Attempt, Kind: failure.Kind, MayHaveRun: failure.Sent,
-		Replaced: failure.Replaced, Unreachable: failure.Unreachable(), Local: failure.OutOfResources(),
+		Replaced: failure.Replaced, Unreachable: failure.Unreachable(), Local: failure.OutOfResources(), Withheld: withheld,
 		ResponseStarted: c.wroteHeader, LastEventID: c.lastEventID,
 	})
 	return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -247,6 +247,9 @@
 			logs.Info("block", "Gateway: refusal of requests that crash upstreams changed.", "blocked", e.Blocked,
 				"kind", e.Trait.Kind, "trait", e.Trait.ID, "crashes", e.Crashes, "reported", e.Reported)
 			continue
+		case dispatch.PaceChanged:
+			logs.Info("pace", "Gateway: pace of an upstream changed.", "upstream", e.Upstream.ID, "phase", e.Phase, "before", e.Before, "window", e.Window)
+			continue
 		case dispatch.ColdChanged:
 			logCold(e)
 			continue
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -121,6 +121,8 @@
 		{"revision", "", "Revision of the last change of the store that is known.", func() float64 { return float64(g.lastChange().Revision) }},
 		{"limited", "", "Upstreams that get no more requests than the limit that they name.", locked(g.dispatcher.LimitedUpstreams)},
 		{"cold", "", "Upstreams that are cold, so that they get no more requests than they tolerate.", locked(func() int { return g.dispatcher.ColdUpstreams(time.Now()) })},
+		{"paced", "", "Upstreams that get less than they could because they have just started, recovered or failed.", locked(g.dispatcher.PacedUpstreams)},
+		{"held", "", "Times that an upstream was passed over for a request since it was cold or had a pace.", locked(g.dispatcher.Held)},
 		{"blocked", "", "Traits of requests that are refused because such requests crash upstreams.", locked(func() int { return g.dispatcher.BlockedTraits(time.Now()) })},
 		{"connections", "", "Open connections of callers.", func() float64 { return float64(g.conns.count()) }},
 		{"spare", "", "Processor time that this router can spend on connections of others, in cores.", g.spareCores},
--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,141 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Unix(1000, 0)
+
+const slots = 24
+
+// at returns the time some milliseconds after the start.
+func ms(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+
+// An upstream that has started gets a window that doubles with each step of good answers and
+// ends when it is as large as the upstream.
+func TestWindowRisesWithGoodAnswers(t *testing.T) {
+	g := NewWithT(t)
+	var u Upstream
+	u.Start(start)
+	var windows []int
+	for now := 0; now <= 2100; now += 50 {
+		u.Update(ms(now), Evidence{GoodAt: ms(now - 20)}, slots)
+		if n := len(windows); n == 0 || windows[n-1] != u.Window() {
+			windows = append(windows, u.Window())
+		}
+	}
+	g.Expect(windows).To(Equal([]int{2, 4, 8, 16, 0}))
+	g.Expect(u.Paced()).To(BeFalse())
+}
+
+// Without answers to go by, the window rises half as fast.
+func TestWindowRisesWithoutLoad(t *testing.T) {
+	g := NewWithT(t)
+	var u Upstream
+	u.Start(start)
+	u.Update(ms(999), Evidence{}, slots)
+	g.Expect(u.Window()).To(Equal(startWindow))
+	for now := 1000; now <= 4000; now += 500 {
+		u.Update(ms(now), Evidence{}, slots)
+	}
+	g.Expect(u.Paced()).To(BeFalse())
+}
+
+// A bad answer halves the window, and an upstream whose answers stay bad keeps a small one.
+func TestWindowFallsWithBadAnswers(t *testing.T) {
+	g := NewWithT(t)
+	var u Upstream
+	u.Start(start)
+	for now := 0; now <= 1600; now += 100 {
+		u.Update(ms(now), Evidence{GoodAt: ms(now)}, slots)
+	}
+	before := u.Window()
+	u.Update(ms(1700), Evidence{GoodAt: ms(1650), BadAt: ms(1690)}, slots)
+	g.Expect(u.Window()).To(Equal(before / 2))
+	g.Expect(u.Untroubled()).To(BeFalse())
+	for now := 1800; now <= 9000; now += 100 {
+		u.Update(ms(now), Evidence{GoodAt: ms(now - 50), BadAt: ms(now - 10)}, slots)
+	}
+	g.Expect(u.Window()).To(Equal(1))
+}
+
+// An upstream that does not answer is tried with one request at a time, until it answers; one
+// that goes down again and again rises more slowly.
+func TestUpstreamThatGoesDownAndUp(t *testing.T) {
+	g := NewWithT(t)
+	var u Upstream
+	rise := func(from int) (took int) {
+		for now := from; ; now += 50 {
+			u.Update(ms(now), Evidence{GoodAt: ms(now)}, slots)
+			if !u.Paced() {
+				return now - from
+			}
+		}
+	}
+	var took []int
+	for fall := range 3 {
+		from := fall * 8000
+		u.Update(ms(from), Evidence{Failures: downAfter - 1, BadAt: ms(from)}, slots)
+		g.Expect(u.Paced()).To(BeFalse())
+		u.Update(ms(from+1), Evidence{Failures: downAfter, BadAt: ms(from + 1)}, slots)
+		g.Expect(u.Down()).To(BeTrue())
+		g.Expect(u.Window()).To(Equal(1))
+		g.Expect(u.Update(ms(from+500), Evidence{Failures: downAfter + 1, BadAt: ms(from + 400)}, slots)).To(BeFalse())
+		g.Expect(u.Update(ms(from+900), Evidence{GoodAt: ms(from + 850), BadAt: ms(from + 400)}, slots)).To(BeTrue())
+		took = append(took, rise(from+900))
+	}
+	g.Expect(took[1]).To(BeNumerically(">", took[0]))
+	g.Expect(took[2]).To(BeNumerically(">", took[1]))
+}
+
+// The parts of the routers add up to the window, for any number of them.
+func TestPartsAddUp(t *testing.T) {
+	g := NewWithT(t)
+	for _, window := range []int{1, 2, 16} {
+		for _, routers := range []int{1, 3, 85} {
+			u, sum := Upstream{phase: rising, window: window}, 0
+			for rank := range routers {
+				sum += u.Part(rank, routers)
+			}
+			g.Expect(sum).To(Equal(window))
+		}
+	}
+}
+
+// Failures of several routers count together, until any of them gets a good answer.
+func TestEvidenceOfSeveralRouters(t *testing.T) {
+	g := NewWithT(t)
+	a, b := Evidence{}, Evidence{}
+	a.Failed(ms(100))
+	b.Failed(ms(200))
+	b.Failed(ms(300))
+	g.Expect(a.Merge(b).Failures).To(Equal(3))
+	c := Evidence{}
+	c.Good(ms(250))
+	g.Expect(Sum(a, b, c).Failures).To(Equal(2))
+	sum := a.Report(ms(400)).Add(b.Report(ms(400))).Add(c.Report(ms(400)))
+	g.Expect(sum).To(Equal(Report{Failures: 3, BadAge: 100 * time.Millisecond, GoodAge: 150 * time.Millisecond}))
+	g.Expect(sum.Evidence(ms(500)).BadAt).To(Equal(ms(400)))
+	g.Expect(Evidence{}.Report(start)).To(Equal(Report{BadAge: Never, GoodAge: Never}))
+	g.Expect(a.Report(ms(100).Add(2 * Memory)).Failures).To(BeZero())
+}
+
+// An answer is late if it takes many times as long as those of the peers did, for what was
+// expected.
+func TestAnswersAreComparedWithPeers(t *testing.T) {
+	g := NewWithT(t)
+	var p Peers
+	g.Expect(p.Compare(time.Minute, 0)).To(Equal(Good))
+	for range 20 {
+		p.Record(150*time.Millisecond, 100*time.Millisecond)
+	}
+	for took, want := range map[time.Duration]Verdict{
+		200 * time.Millisecond: Good, 400 * time.Millisecond: Good, 700 * time.Millisecond: Neither, 1200 * time.Millisecond: Late,
+	} {
+		g.Expect(p.Compare(took, 100*time.Millisecond)).To(Equal(want), took.String())
+	}
+	g.Expect(p.Compare(2*time.Second, time.Second)).To(Equal(Good))
+}
