gateway: a stream that was stopped for a move is complete only if its source says so

Cause: attempt took the end of a connection for the end of the stream, also while the router itself had asked the source to stop the stream (kv-move with last). Where the answer has neither a length nor chunks, or a source ends its chunks all the same, the caller got the first events as a complete stream, and the copy was dropped.

Ruled out: telling by the framing. A length or a chunk that is cut off is noticed already, a plain close is not, and a last chunk may come from a source whose handler has returned.

Conclusion: an end that arrives during a handover waits for the answer of the source. Only 'not running' (404) confirms it; without an answer the stream counts as truncated. A copy that is not continued from is freed.

--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -119,13 +119,20 @@
 	if failure == nil {
 		failure = g.forwardAnswer(w, c, e, a, sentAt)
 	}
-	if failure == nil {
-		c.abandonHandover()
+	moved := handoverResult{notStopped: true}
+	if failure != nil || c.request.Route.Kind.Streaming() {
+		moved = c.awaitHandover()
+	}
+	if failure == nil && moved.notStopped {
 		g.step(dispatch.Done{ID: c.key, Attempt: e.Attempt})
 		g.logEnd(c, "complete", "", a.Status)
 		return true
 	}
-	if moved := c.awaitHandover(); moved.handle != "" {
+	if failure == nil {
+		// Its upstream may have closed the stream since this router stopped it.
+		failure = &exchange.Failure{Kind: core.FailTruncated, Sent: true, Err: errStopped}
+	}
+	if moved.handle != "" {
 		g.step(dispatch.Moved{
 			ID: c.key, Attempt: e.Attempt, Handle: moved.handle, AtSource: !moved.copied, LastEventID: c.lastEventID,
 		})
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/logs"
 )
@@ -21,17 +23,21 @@
 
 // handover is the last phase of a move, in which the stream is stopped.
 type handover struct {
-	done      chan struct{}
-	abandoned bool
-	result    handoverResult
+	done   chan struct{}
+	result handoverResult
 }
 
 // handoverResult names the memory to continue from; handle is empty if there is none.
 type handoverResult struct {
 	handle string
 	copied bool
+	// notStopped means that no stream was stopped: none had to be, or the source did not run
+	// the request any more.
+	notStopped bool
 }
 
+var errStopped = errors.New("the stream was stopped for a move before its end")
+
 // move copies a stream's memory while the stream runs, stops it, and lets the call's
 // goroutine continue from the copy.
 func (g *Gateway) move(c *call, e dispatch.Move) {
@@ -70,7 +76,8 @@
 	finalHandle, copied, err := g.copyMemory(c, e, finalCopyTimeout, true)
 	logs.Info("moved", "Gateway: stream stopped for a move.", "id", c.caller.ID, "from", e.From.ID, "to", e.To.ID,
 		"copied", copied, "copying", copiedAt.Sub(started), "stopping", time.Since(copiedAt), "err", err)
-	if c.endHandover(h, handoverResult{finalHandle, copied}) {
+	unwanted := c.endHandover(h, handoverResult{finalHandle, copied, errors.Is(err, ErrNotRunning)})
+	if unwanted || finalHandle == "" {
 		g.freeCopy(e.From.Addr, handle)
 	}
 }
@@ -128,13 +135,13 @@
 }
 
 // endHandover passes the result to the call's goroutine. It reports whether the result
-// is unwanted because the call has ended or abandoned the move.
+// is unwanted because the call has ended.
 func (c *call) endHandover(h *handover, result handoverResult) (unwanted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.result = result
 	close(h.done)
-	return h.abandoned || c.ended
+	return c.ended
 }
 
 // awaitHandover waits for the end of a handover in progress and returns its result; the
@@ -145,19 +152,8 @@
 	c.handover = nil
 	c.mu.Unlock()
 	if h == nil || ended {
-		return handoverResult{}
+		return handoverResult{notStopped: true}
 	}
 	<-h.done
 	return h.result
 }
-
-// abandonHandover abandons a handover in progress, since the stream has ended by
-// itself.
-func (c *call) abandonHandover() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.handover != nil {
-		c.handover.abandoned = true
-		c.handover = nil
-	}
-}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/exchange"
 	"github.com/jujubeford/jujubeford/internal/routing"
@@ -69,12 +71,16 @@
 	Answer(status int, h http.Header, instance string) AnswerInfo
 }
 
+// ErrNotRunning means that an upstream does not run the request that it was asked to move.
+var ErrNotRunning = errors.New("the upstream does not run the request")
+
 // Mover moves running streams between upstreams. It is safe for concurrent use.
 type Mover interface {
 	// Copy copies the memory of a running request to another upstream. If last is set,
 	// the request is stopped first. The copy has to be continued from, or freed by its
 	// handle. If last is set, a handle may be returned although the copy failed: the
-	// memory is then still at the source.
+	// memory is then still at the source. The error is ErrNotRunning if the source does not
+	// run the request (any more).
 	Copy(ctx context.Context, source, requestID, target string, last bool) (handle string, copied bool, err error)
 	// Free releases a copy.
 	Free(ctx context.Context, source, handle string) error
