platform/crowd: clients that keep to no limit, against a router process

Cause: no test plays clients that keep to no limit.

Ruled out: an effect of other load; each crowd was played by itself.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export GOFLAGS := -buildvcs=false
 BIN := bin
 
-.PHONY: build test demo measure faults soak two-builds capacity generate clean
+.PHONY: build test demo measure faults soak crowd two-builds capacity generate clean
 
 build: ## build the three programs into bin/
 	go build -o $(BIN)/ ./cmd/...
@@ -25,6 +25,9 @@
 	go test -count=1 -timeout 60m -parallel 4 -run "TestSoak$$" ./platform/soak -seeds $(SEEDS)
 	go test -count=1 -timeout 20m -run "TestMutations$$" ./platform/soak -mutations
 
+crowd: ## clients that keep to no limit against a router process, one crowd at a time
+	go test -count=1 -v -p 1 -parallel 1 -timeout 30m ./platform/crowd -whole
+
 two-builds: build ## a fleet rolled between this build and another one: OTHER=folder with its jujubeford
 	bash scripts/two-builds.sh $(OTHER)
 	go test -count=1 -timeout 60m -parallel 4 -run "TestSoak$$|TestExplain" ./platform/soak -seeds $(SEEDS) -other $(abspath $(OTHER))
