evacuation: nothing new is sent to the upstreams of a domain that is being evacuated

Ruled out: passing evacuations in reports of their own. The key travels with all others, by watch, list and the copies between routers, so that those which the store turns away have it.

Before and after: internal/evacuation keeps the requests in force, across a store that is restored from a copy without them (for evacuationMs, until the operator has written them again). The dispatcher takes the upstreams of such domains out of all lists at once; what is bound to them may be sent for 2 s more, and streams are neither moved into nor out of them. The capacity is that of the domains that are left; requests that find all their domains evacuated are refused at once.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -15,7 +15,7 @@
 	s.Step(start, TableChanged{routing.NewTable(1, routing.Limits{}, nil, []routing.Service{
 		{Name: model, Engine: &routing.Engine{Slots: 16, CacheTokens: 400_000, EventTokens: 8, Moves: true}},
 	}, nil)})
-	s.Step(start, InstancesChanged{instances(90)})
+	s.Step(start, InstancesChanged{Instances: instances(90)})
 	loads := map[uint32]Load{}
 	for id := range s.upstreams {
 		loads[Key(id)] = Load{Running: 16, Prefill: 30_000}
@@ -52,7 +52,7 @@
 			}
 			s.options.Domain = "a"
 			s.Step(start, FleetChanged{Routers: 60, AggregatedByDomain: true})
-			s.Step(start, InstancesChanged{list})
+			s.Step(start, InstancesChanged{Instances: list})
 			now := start
 			for i := range b.N {
 				now = now.Add(2 * time.Millisecond)
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -27,12 +27,13 @@
 }
 
 // scaledThroughput returns the started rate of all routers multiplied by a factor, but
-// at least minCapacityFraction of the configured throughput; 0 if none is configured.
+// at least minCapacityFraction of the configured throughput of the domains that are not
+// evacuated; 0 if none is configured.
 func (s *State) scaledThroughput(now time.Time, factor float64) float64 {
 	if s.table == nil || s.table.Limits.TokenRate <= 0 {
 		return 0
 	}
-	return max(minCapacityFraction*s.table.Limits.TokenRate, factor*s.shares.totalStartedRate(now))
+	return max(minCapacityFraction*s.evacuated.openFraction*s.table.Limits.TokenRate, factor*s.shares.totalStartedRate(now))
 }
 
 // shareOf returns the share of an organisation for requests of a service and class. It
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -157,8 +157,13 @@
 	Tick struct{}
 	// TableChanged replaces the routing table.
 	TableChanged struct{ Table *routing.Table }
-	// InstancesChanged replaces the list of upstreams.
-	InstancesChanged struct{ Instances []Instance }
+	// InstancesChanged replaces the list of upstreams and that of evacuated domains.
+	InstancesChanged struct {
+		Instances []Instance
+		// Evacuated holds the evacuated failure domains, with the time at which this router
+		// learnt of each. Their upstreams get no new work.
+		Evacuated map[string]time.Time
+	}
 	// PeerReported delivers the report of another router.
 	PeerReported struct {
 		Peer   string
@@ -204,6 +209,8 @@
 const (
 	// ReasonNoUpstream: no upstream takes work before the request's queue deadline.
 	ReasonNoUpstream Reason = "no-upstream"
+	// ReasonEvacuated: the upstreams that would take the request are in evacuated domains.
+	ReasonEvacuated Reason = "domains-evacuated"
 	// ReasonOverloaded: the queue is too long for the request to be served in time.
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonOverShare: the organisation is over its share.
@@ -296,6 +303,12 @@
 		Age                     time.Duration
 		Routers                 int
 	}
+	// DomainEmptied tells that nothing runs in an evacuated failure domain any more. After is
+	// the time since this router learnt of the evacuation.
+	DomainEmptied struct {
+		Domain string
+		After  time.Duration
+	}
 	// Probe connects to an upstream whose connections broke, to tell a crash from the
 	// loss of connections. It is followed by Probed. ID is the first request that broke.
 	Probe struct {
@@ -328,6 +341,9 @@
 // RequestID implements Effect. The effect concerns no single request.
 func (e LimitChanged) RequestID() string { return "" }
 
+// RequestID implements Effect. The effect concerns no single request.
+func (e DomainEmptied) RequestID() string { return "" }
+
 // RequestID implements Effect.
 func (e Probe) RequestID() string { return e.ID }
 
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -38,7 +38,9 @@
 	if e == nil || !e.Moves || r.move.target != nil || r.move.handle != "" || r.upstream.class == classDecode {
 		return
 	}
-	if r.Prompt.ExpectedOutput() < minMoveTokens {
+	if r.upstream.isEvacuated() || r.Prompt.ExpectedOutput() < minMoveTokens {
+		// A stream that cannot be moved after all goes back, which an evacuated upstream does
+		// not allow.
 		return
 	}
 	target := s.moveTarget(now, r)
@@ -102,7 +104,7 @@
 // target of its move.
 func (s *State) MayHandOver(id string, attempt int) bool {
 	r := s.activeRequest(id, attempt)
-	return r != nil && r.move.target != nil && r.move.target.leftAt.IsZero()
+	return r != nil && r.move.target != nil && r.move.target.leftAt.IsZero() && !r.move.target.isEvacuated() && !r.upstream.isEvacuated()
 }
 
 // handleMoved continues a stopped stream at the upstream that has its memory: the target, or
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -71,7 +71,12 @@
 
 // admit sends a request, queues it, or refuses it if waiting cannot help.
 func (s *State) admit(now time.Time, r *request) {
-	if readyAt, ok := s.availableAt(now, r.Service); !ok || readyAt.After(now) && readyAt.After(r.queueDeadline) {
+	readyAt, ok := s.availableAt(now, r.Service)
+	if !ok {
+		s.refuseOrFail(now, r, s.unavailableReason(r.Service))
+		return
+	}
+	if readyAt.After(now) && readyAt.After(r.queueDeadline) {
 		s.refuseOrFail(now, r, ReasonNoUpstream)
 		return
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -33,6 +33,7 @@
 	// queueOrder holds the keys of queues, in the order in which they are drained.
 	queueOrder []queueKey
 	partitions map[string]*partition
+	evacuated  evacuations
 	peers      map[string]Report
 	// self is the name of this router and routers those of all that are registered.
 	self    string
@@ -119,6 +120,7 @@
 		queues:     make(map[queueKey]*queue),
 		partitions: make(map[string]*partition),
 		peers:      make(map[string]Report),
+		evacuated:  evacuations{emptied: make(map[string]bool), openFraction: 1},
 		shares:     newShareTracker(o.ShareWindow),
 		health:     health.New(),
 	}
@@ -158,6 +160,7 @@
 	case TableChanged:
 		s.table = e.Table
 	case InstancesChanged:
+		s.setEvacuations(e.Evacuated)
 		s.setInstances(now, e.Instances)
 	case PeerReported:
 		s.setPeer(now, e.Peer, e.Report)
@@ -246,6 +249,7 @@
 			s.byKey[u.key] = u
 		}
 		u.Instance = in
+		u.evacuatedAt = s.evacuated.since[in.Domain]
 		if in.Draining || u.leaving {
 			u.markLeft(now)
 		} else {
@@ -265,6 +269,7 @@
 	}
 	s.partitionUpstreams(now)
 	s.drainAllQueues(now)
+	s.refuseEvacuated(now)
 }
 
 // forgetUpstream removes an upstream. Requests that run there keep their pointer to
@@ -300,13 +305,14 @@
 	for _, u := range s.upstreams {
 		// The caller adds the loads reported by peers again, for all upstreams.
 		u.remote = Load{}
-		if !u.Draining {
+		if !u.Draining && !u.isEvacuated() {
 			s.services[u.Service] = append(s.services[u.Service], u)
 		}
 	}
 	for _, list := range s.services {
 		sortUpstreams(list)
 	}
+	s.countEvacuated()
 }
 
 // engine returns the engine of a service, or nil if the service has none.
@@ -334,6 +340,7 @@
 	if now.Sub(s.partitionedAt) >= partitionInterval {
 		s.partitionedAt = now
 		s.partitionUpstreams(now)
+		s.reportEmptied(now)
 	}
 	for _, r := range s.overdueAttempts(now) {
 		s.checkAttempt(now, r)
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -60,6 +60,9 @@
 	// leftAt is when this router learnt that the instance is leaving or gone, zero if it
 	// is neither.
 	leftAt time.Time
+	// evacuatedAt is when this router learnt that the upstream's domain is evacuated, zero if
+	// it is not.
+	evacuatedAt time.Time
 	// unavailableUntil is until when the upstream gets no work, because it refused a
 	// connection or asked for a hold-off.
 	unavailableUntil time.Time
@@ -81,7 +84,7 @@
 
 // mayContinue reports whether requests that are bound to the upstream may still be sent.
 func (u *upstream) mayContinue(now time.Time) bool {
-	return u.leftAt.IsZero() || now.Sub(u.leftAt) < maxSendAfterLeaving
+	return (u.leftAt.IsZero() || now.Sub(u.leftAt) < maxSendAfterLeaving) && u.maySendEvacuated(now)
 }
 
 // Key returns the short identifier of an instance, an organisation or a service in
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -174,10 +174,11 @@
 	g.mirrorMu.Lock()
 	expired := g.mirror.RemoveExpired(now)
 	g.mirrorMu.Unlock()
+	evacuationsEnded := g.expireEvacuations(now)
 	for _, r := range expired {
 		logs.Info("entry-deleted", "Directory: removed entry deleted.", "key", r.Key, "revision", r.Revision, "retained", now.Sub(r.At), "inOutage", r.InOutage)
 	}
-	if len(expired) > 0 {
+	if len(expired) > 0 || evacuationsEnded {
 		g.applyMirror()
 	}
 }
@@ -196,7 +197,7 @@
 		}
 	}
 	list := g.decodeInstances(g.mirror.Entries(directory.InstancePrefix()))
-	g.step(dispatch.InstancesChanged{Instances: list})
+	g.step(dispatch.InstancesChanged{Instances: list, Evacuated: g.updateEvacuations(time.Now(), list)})
 	g.peers.setRegistered(g.mirror.Entries(routerPrefix))
 	g.step(dispatch.FleetChanged{
 		Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays(),
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -145,6 +145,8 @@
 func (fakeDirectory) ConfigKey() string      { return "config" }
 func (fakeDirectory) InstancePrefix() string { return "instances/" }
 
+func (fakeDirectory) EvacuationPrefix() string { return "evacuations/" }
+
 // Table takes the first word of a value for the version.
 func (fakeDirectory) Table(value []byte) (*routing.Table, error) {
 	var version uint64
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/evacuation"
 	"github.com/jujubeford/jujubeford/internal/exchange"
 	"github.com/jujubeford/jujubeford/internal/logs"
 	"github.com/jujubeford/jujubeford/internal/mirror"
@@ -31,9 +32,10 @@
 	dispatcher *dispatch.State
 	calls      map[string]*call
 
-	// mirrorMu guards mirror, decoded, tableDecoded and inForce.
-	mirrorMu sync.Mutex
-	mirror   *mirror.Mirror
+	// mirrorMu guards mirror, evacuations, decoded, tableDecoded and inForce.
+	mirrorMu    sync.Mutex
+	mirror      *mirror.Mirror
+	evacuations *evacuation.State
 	// decoded holds the decoded entries of upstreams by key, and tableDecoded is the
 	// position of the configuration's entry that was decoded last.
 	decoded      map[string]decodedInstance
@@ -69,14 +71,15 @@
 		return nil, err
 	}
 	g := &Gateway{
-		options:    o,
-		client:     exchange.New(int64(bodyShare * float64(o.Memory))),
-		conns:      newConns(maxConns(o.Descriptors, o.Memory)),
-		pressure:   pressure{cores: o.Cores, admission: newAdmission(o.Cores)},
-		dispatcher: dispatch.New(o.Dispatch),
-		calls:      make(map[string]*call),
-		mirror:     mirror.New(o.Directory.InstancePrefix()),
-		stop:       make(chan struct{}),
+		options:     o,
+		client:      exchange.New(int64(bodyShare * float64(o.Memory))),
+		conns:       newConns(maxConns(o.Descriptors, o.Memory)),
+		pressure:    pressure{cores: o.Cores, admission: newAdmission(o.Cores)},
+		dispatcher:  dispatch.New(o.Dispatch),
+		calls:       make(map[string]*call),
+		mirror:      mirror.New(o.Directory.InstancePrefix()),
+		evacuations: evacuation.New(),
+		stop:        make(chan struct{}),
 	}
 	var err error
 	if g.metrics, err = newMetrics(g); err != nil {
@@ -251,6 +254,9 @@
 			logs.Info("limit", "Gateway: limit of an upstream changed.", "upstream", e.Upstream.ID, "perSecond", e.PerSecond,
 				"before", e.Before, "part", e.Part, "age", e.Age, "routers", e.Routers)
 			continue
+		case dispatch.DomainEmptied:
+			klog.InfoS("Evacuation: nothing runs in the domain any more.", "domain", e.Domain, "after", e.After)
+			continue
 		}
 		if c := g.calls[effect.RequestID()]; c != nil {
 			c.deliver(effect)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,8 +42,8 @@
 type metrics struct {
 	registry *prometheus.Registry
 
-	requests, placements, storeCalls, offloads            metric.Int64Counter
-	waitTime, firstByteTime, maxGap, duration, retryAfter metric.Float64Histogram
+	requests, placements, storeCalls, offloads, evacuations metric.Int64Counter
+	waitTime, firstByteTime, maxGap, duration, retryAfter   metric.Float64Histogram
 
 	// storeAnsweredAt is when the store last answered, in Unix nanoseconds; 0 if never.
 	storeAnsweredAt atomic.Int64
@@ -61,6 +61,9 @@
 	if err := m.createInstruments(meter); err != nil {
 		return nil, err
 	}
+	if err := registerEvacuationGauge(meter, g); err != nil {
+		return nil, err
+	}
 	return m, m.registerGauges(meter, g)
 }
 
@@ -74,6 +77,7 @@
 		{&m.placements, "placements", "Attempts by kind and by what decided where they went."},
 		{&m.storeCalls, "store", "Calls on the store by call and result."},
 		{&m.offloads, "offloads", "Connections offloaded to other routers, by outcome."},
+		{&m.evacuations, "evacuations", "Evacuations of failure domains, by what became of them."},
 	} {
 		if *c.target, err = meter.Int64Counter(metricPrefix+c.name, metric.WithDescription(c.description)); err != nil {
 			return errors.Wrap(err, c.name)
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -32,6 +32,8 @@
 	m.recordRetryAfter("overloaded", time.Second)
 	m.recordOffload(string(offloadAnswered))
 	m.recordStoreCall(callList, nil)
+	m.recordEvacuation("began")
+	gw.dispatcher.Step(time.Now(), dispatch.InstancesChanged{Evacuated: map[string]time.Time{"a": time.Now()}})
 	m.recordStoreCall(callWatch, errors.New("reset"))
 
 	families, err := m.registry.Gather()
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -86,6 +86,9 @@
 	// keys of upstreams.
 	ConfigKey() string
 	InstancePrefix() string
+	// EvacuationPrefix is the prefix of the keys that request the evacuation of a failure
+	// domain; the rest of a key is the domain's name.
+	EvacuationPrefix() string
 	// Table decodes the configuration.
 	Table(value []byte) (*routing.Table, error)
 	// Instance decodes an upstream's entry. The error says why the entry is invalid.
