--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -19,8 +19,6 @@
 	// outage, or many together. An instance that has left serves for two seconds, part of
 	// which passes before routers learn of its removal.
 	massRemovalGrace = 1600 * time.Millisecond
-	// maxLogEntries bounds the change log.
-	maxLogEntries = 512
 	// removalGrace is how long a removed entry is retained otherwise, so that the
 	// first entry of a mass removal is not deleted before the other removals arrive.
 	removalGrace = 800 * time.Millisecond
@@ -41,10 +39,8 @@
 	at store.Position
 	// lastChange is the revision of the last change.
 	lastChange uint64
-	// changeLog contains the latest changes of the era, for other copies that follow this
-	// mirror. It contains all changes after the revision changeLogStart.
-	changeLog        []store.Change
-	changeLogStart   uint64
+	// removed contains the latest removals, for other copies that follow this mirror.
+	removed          removalLog
 	storeUnavailable bool
 	// graceUntil is the end of the grace period after the last outage.
 	graceUntil time.Time
@@ -71,6 +67,7 @@
 	return &Mirror{
 		ephemeralPrefix: ephemeralPrefix,
 		entries:         make(map[string]store.Entry), removals: make(map[string]Removal),
+		removed: newRemovalLog(0),
 	}
 }
 
@@ -119,8 +116,7 @@
 		m.outageEnded = false
 		return false
 	}
-	isFirst := m.at == store.Position{}
-	isNewEra := !isFirst && at.Era != m.at.Era
+	isNewEra := m.at != store.Position{} && at.Era != m.at.Era
 	if isNewEra {
 		m.beginEra(now)
 	}
@@ -134,10 +130,10 @@
 			changed = m.removeEntry(now, key, at.Revision, true) || changed
 		}
 	}
+	// The list doesn't tell of keys that were written and removed since the last position, which
+	// copies may have.
+	m.removed = newRemovalLog(at.Revision)
 	m.at, m.outageEnded = at, false
-	if isFirst || isNewEra {
-		m.changeLog, m.changeLogStart = nil, at.Revision
-	}
 	if isNewEra {
 		m.lastChange = at.Revision
 	}
@@ -188,56 +184,55 @@
 		return false
 	}
 	delete(m.removals, e.Key)
+	m.removed.delete(e.Key)
 	m.entries[e.Key] = e
 	if known && e.Index == old.Index {
 		return false
 	}
-	m.logChange(store.Change{Entry: e})
+	m.lastChange = max(m.lastChange, e.Index)
 	return true
 }
 
 // removeEntry removes an entry and reports whether it did. An ephemeral entry is only
 // marked as removed; RemoveExpired deletes it after its grace period.
 func (m *Mirror) removeEntry(now time.Time, key string, revision uint64, listed bool) bool {
-	if e, known := m.entries[key]; !known || e.Index > revision {
+	e, known := m.entries[key]
+	_, removed := m.removals[key]
+	if known && e.Index > revision || listed && removed {
+		return false
+	}
+	// Copies may have a key that was written and removed while this mirror was behind.
+	m.logRemoval(key, revision)
+	if !known || removed {
 		return false
 	}
-	removal := store.Change{Entry: store.Entry{Key: key, Index: revision}, Deleted: true}
 	if !strings.HasPrefix(key, m.ephemeralPrefix) {
 		delete(m.entries, key)
-		m.logChange(removal)
 		return true
 	}
-	if _, removed := m.removals[key]; !removed {
-		m.removals[key] = Removal{Key: key, Revision: revision, At: now, InOutage: m.outageEnded, Listed: listed}
-		m.logChange(removal)
-	}
+	m.removals[key] = Removal{Key: key, Revision: revision, At: now, InOutage: m.outageEnded, Listed: listed}
 	return false
 }
 
-// logChange appends a change to the change log and drops the oldest one if the log is
-// full.
-func (m *Mirror) logChange(c store.Change) {
-	m.lastChange = max(m.lastChange, c.Index)
-	if len(m.changeLog) == maxLogEntries {
-		m.changeLogStart = max(m.changeLogStart, m.changeLog[0].Index)
-		m.changeLog = append(m.changeLog[:0], m.changeLog[1:]...)
-	}
-	m.changeLog = append(m.changeLog, c)
+func (m *Mirror) logRemoval(key string, revision uint64) {
+	m.lastChange = max(m.lastChange, revision)
+	m.removed.add(key, revision)
 }
 
-// ChangesSince returns the changes after a position. It returns false if the change
-// log does not reach back that far, as in another era, or if after is zero; the caller then
-// needs a complete list (EntriesInStore).
+// ChangesSince returns the changes after a position, of each key the last one. It returns
+// false if the removals since then are not known, as in another era, or if after is zero; the
+// caller then needs a complete list (EntriesInStore).
 func (m *Mirror) ChangesSince(after store.Position) (changes []store.Change, ok bool) {
-	if after.Era != m.at.Era || after.Revision < m.changeLogStart || after.Revision == 0 {
+	if after.Era != m.at.Era || after.Revision == 0 || after.Revision < m.removed.start {
 		return nil, false
 	}
-	for _, c := range m.changeLog {
-		if c.Index > after.Revision {
-			changes = append(changes, c)
+	for key, e := range m.entries {
+		if _, removed := m.removals[key]; !removed && e.Index > after.Revision {
+			changes = append(changes, store.Change{Entry: e})
 		}
 	}
+	changes = append(changes, m.removed.after(after.Revision)...)
+	sortChanges(changes)
 	return changes, true
 }
 
