regions: requests stay in the regions that their route and organisation allow

Cause: allowedRegions of routes and organisations in the configuration were never read, and the settings' region and zones neither.

Ruled out: dropping a configuration that names an unknown region (the older one would stay in force); queues of their own for restricted requests (docs/design/regions.md).

Before and after: before, any upstream might get any request. Now each place that picks an upstream asks mayReach: first sends, repeats, targets of moves and sources of cached parts. Where none is left the request is refused at once with no-allowed-region. Restricted requests that find no room do not hold up others. Regions that no domain has are logged and counted.

--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -67,25 +67,20 @@
 	}
 }
 
-// unavailableReason returns why no upstream of a service takes work.
-func (s *State) unavailableReason(service string) Reason {
-	if s.evacuated.upstreams[service] > 0 {
-		return ReasonEvacuated
-	}
-	return ReasonNoUpstream
-}
-
 // refuseEvacuated refuses the waiting requests whose upstreams are all evacuated.
 func (s *State) refuseEvacuated(now time.Time) {
 	for _, key := range s.queueOrder {
 		q := s.queues[key]
-		if _, ok := s.availableAt(now, key.service); ok || q.size == 0 || s.evacuated.upstreams[key.service] == 0 {
+		if q.size == 0 || s.evacuated.upstreams[key.service] == 0 {
 			continue
 		}
 		for _, org := range s.orgsByCharge(now, q) {
 			for _, r := range slices.Clone(q.byOrg[org]) {
+				if _, ok := s.availableTo(now, r); ok {
+					continue
+				}
 				s.dequeue(r)
-				s.refuseOrFail(now, r, ReasonEvacuated)
+				s.refuseOrFail(now, r, s.unavailableReason(r))
 			}
 		}
 	}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -211,6 +211,8 @@
 	ReasonNoUpstream Reason = "no-upstream"
 	// ReasonEvacuated: the upstreams that would take the request are in evacuated domains.
 	ReasonEvacuated Reason = "domains-evacuated"
+	// ReasonRegion: no upstream is in a region that the route and the organisation allow.
+	ReasonRegion Reason = "no-allowed-region"
 	// ReasonOverloaded: the queue is too long for the request to be served in time.
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonOverShare: the organisation is over its share.
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -60,7 +60,7 @@
 func (s *State) moveTarget(now time.Time, r *request) (best *upstream) {
 	e := s.engine(r.Service)
 	for _, u := range s.services[r.Service] {
-		if u.class != classDecode || u == r.upstream || !u.acceptsWork(now) || u.limit.perSecond > 0 || u.incomingMoves >= maxMovesPerTarget ||
+		if u.class != classDecode || u == r.upstream || !s.mayReach(r, u) || !u.acceptsWork(now) || u.limit.perSecond > 0 || u.incomingMoves >= maxMovesPerTarget ||
 			slices.Contains(r.failedUpstreams, u.ID) || !s.health.Available(u.ID, now) {
 			continue
 		}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -6,6 +6,9 @@
 type Options struct {
 	// Domain is the failure domain of this router.
 	Domain string
+	// Region is the region of this router, and Regions that of each failure domain.
+	Region  string
+	Regions map[string]string
 	// PrefillRate is the number of prompt tokens that an engine reads per second
 	// while it also runs the decode steps of its streams.
 	PrefillRate float64
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -68,7 +68,7 @@
 // bestUpstream returns the candidate with the lowest score among the eligible upstreams.
 func (s *State) bestUpstream(now time.Time, r *request, list []*upstream, source prefixSource, eligible func(*upstream) bool) (best candidate, ok bool) {
 	for _, u := range list {
-		if !eligible(u) || slices.Contains(r.failedUpstreams, u.ID) || !u.acceptsWork(now) || !s.health.Available(u.ID, now) || !s.hasRoom(now, r, u) {
+		if !eligible(u) || !s.mayReach(r, u) || slices.Contains(r.failedUpstreams, u.ID) || !u.acceptsWork(now) || !s.health.Available(u.ID, now) || !s.hasRoom(now, r, u) {
 			continue
 		}
 		c := s.evaluate(now, r, u, source)
@@ -179,6 +179,9 @@
 		return best
 	}
 	for _, u := range s.services[r.Service] {
+		if !s.mayReach(r, u) {
+			continue
+		}
 		n, used := u.cache.prefixTokens(parts, true, best.usedSince)
 		if n > best.tokens || n > 0 && n == best.tokens && used.After(best.lastUsed) {
 			best.upstream, best.tokens, best.lastUsed = u, n, used
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -156,7 +156,8 @@
 			case full && len(r.failedUpstreams) == 0:
 				// An earlier request found no room, and this one has the same choice.
 			case !s.trySend(now, r):
-				full = true
+				// Others may have upstreams in more regions.
+				full = full || !r.regions.Restricted
 			}
 		}
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -16,6 +16,9 @@
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
 	}
+	if s.table != nil {
+		r.regions = s.table.AllowedRegions(r.Route, r.Organisation)
+	}
 	if s.refuseIfBlocked(now, r) {
 		return
 	}
@@ -71,9 +74,9 @@
 
 // admit sends a request, queues it, or refuses it if waiting cannot help.
 func (s *State) admit(now time.Time, r *request) {
-	readyAt, ok := s.availableAt(now, r.Service)
+	readyAt, ok := s.availableTo(now, r)
 	if !ok {
-		s.refuseOrFail(now, r, s.unavailableReason(r.Service))
+		s.refuseOrFail(now, r, s.unavailableReason(r))
 		return
 	}
 	if readyAt.After(now) && readyAt.After(r.queueDeadline) {
@@ -415,7 +418,7 @@
 	s.refusals++
 	spread := time.Duration(s.refusals%8) * (retryAfterMax - retryAfterMin) / 8
 	after := retryAfterMin + spread
-	if readyAt, ok := s.availableAt(now, r.Service); ok {
+	if readyAt, ok := s.availableTo(now, r); ok {
 		after = max(after, readyAt.Sub(now)+spread/4)
 	}
 	return min(after, time.Duration(retryAfterFraction*float64(r.Deadline.Sub(now))))
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -62,6 +62,7 @@
 type request struct {
 	*Request
 	class     workloadClass
+	regions   routing.Regions
 	traits    poison.Request
 	arrivedAt time.Time
 	// expiresAt is when the request has to end.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -273,6 +273,7 @@
 		logs.Info("config-kept", "Config: the version in force is kept, the store has an older one.", "version", old.Version, "stored", t.Version, "position", at)
 		return
 	}
+	g.noteUnknownRegions(t)
 	g.inForce = tableEntry{value, at}
 	g.table.Store(t)
 	g.step(dispatch.TableChanged{Table: t})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,8 +42,8 @@
 type metrics struct {
 	registry *prometheus.Registry
 
-	requests, placements, storeCalls, offloads, evacuations metric.Int64Counter
-	waitTime, firstByteTime, maxGap, duration, retryAfter   metric.Float64Histogram
+	requests, placements, storeCalls, offloads, evacuations, unknownRegions metric.Int64Counter
+	waitTime, firstByteTime, maxGap, duration, retryAfter                   metric.Float64Histogram
 
 	// storeAnsweredAt is when the store last answered, in Unix nanoseconds; 0 if never.
 	storeAnsweredAt atomic.Int64
@@ -78,6 +78,7 @@
 		{&m.storeCalls, "store", "Calls on the store by call and result."},
 		{&m.offloads, "offloads", "Connections offloaded to other routers, by outcome."},
 		{&m.evacuations, "evacuations", "Evacuations of failure domains, by what became of them."},
+		{&m.unknownRegions, "regions.unknown", "Regions that configurations allow and no failure domain has."},
 	} {
 		if *c.target, err = meter.Int64Counter(metricPrefix+c.name, metric.WithDescription(c.description)); err != nil {
 			return errors.Wrap(err, c.name)
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/mirror"
+	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
 // metricRow is a row of the gateway's table in docs/METRICS.md.
@@ -33,6 +34,8 @@
 	m.recordOffload(string(offloadAnswered))
 	m.recordStoreCall(callList, nil)
 	m.recordEvacuation("began")
+	gw.metrics = m
+	gw.noteUnknownRegions(routing.NewTable(1, routing.Limits{}, []routing.Route{{Regions: []string{"nowhere"}}}, nil, nil))
 	gw.dispatcher.Step(time.Now(), dispatch.InstancesChanged{Evacuated: map[string]time.Time{"a": time.Now()}})
 	m.recordStoreCall(callWatch, errors.New("reset"))
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -77,6 +77,8 @@
 	MaxAttempts int
 	// Public means that requests need no API key.
 	Public bool
+	// Regions are the regions in which requests may be handled; empty for all.
+	Regions []string
 }
 
 // SelectService selects the service for a request in proportion to the weights of
@@ -135,6 +137,8 @@
 	Name string
 	// Keys are the organisation's API keys.
 	Keys []string
+	// Regions are the regions in which requests may be handled; empty for all.
+	Regions []string
 }
 
 // Limits are the bounds for what callers send, and the expected throughput of the
@@ -157,6 +161,8 @@
 	hosts        map[string][]*Route
 	keys         map[string]string
 	requiresKeys bool
+	// orgRegions holds the regions of the organisations that name any.
+	orgRegions map[string][]string
 }
 
 // NewTable returns a Table. It keeps references to routes and services, which must
@@ -168,6 +174,7 @@
 		hosts:        make(map[string][]*Route),
 		keys:         make(map[string]string),
 		requiresKeys: len(orgs) > 0,
+		orgRegions:   make(map[string][]string),
 	}
 	for i := range services {
 		t.services[services[i].Name] = &services[i]
@@ -184,6 +191,9 @@
 		for _, key := range org.Keys {
 			t.keys[key] = org.Name
 		}
+		if len(org.Regions) > 0 {
+			t.orgRegions[org.Name] = org.Regions
+		}
 	}
 	return t
 }
