--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -201,7 +201,7 @@
 	g.peers.setRegistered(g.mirror.Entries(routerPrefix))
 	g.step(dispatch.FleetChanged{
 		Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays(),
-		Self: g.options.PeerListen, Registered: g.peers.registered(),
+		Self: g.options.PeerListen, Registered: g.peers.registered(), Domains: g.peers.registeredDomains(),
 	})
 	g.peers.wakeSender()
 	if g.mirror.Position().Revision > 0 && !g.listed.Swap(true) {
@@ -236,6 +236,9 @@
 				// The restored store has an older entry, until the upstream writes it again.
 				in.Draining = true
 			}
+			if err == nil {
+				g.readTemperature(&in, before, at)
+			}
 			d = decodedInstance{at: at, instance: in, valid: err == nil}
 			if known && in.Draining && !before.Draining {
 				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "position", at)
@@ -274,6 +277,7 @@
 		return
 	}
 	g.noteUnknownRegions(t)
+	g.logUnreadableBounds(t)
 	g.inForce = tableEntry{value, at}
 	g.table.Store(t)
 	g.step(dispatch.TableChanged{Table: t})
