--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -263,3 +263,9 @@
 // Held returns how many times an upstream was passed over for a request because it was cold
 // or had a pace.
 func (s *State) Held() int { return s.held }
+
+// takesNoMoves reports whether no stream is moved to an upstream because it is cold or has a
+// pace.
+func (s *State) takesNoMoves(now time.Time, u *upstream) bool {
+	return s.isCold(now, u) || u.pace.Paced()
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,8 +42,9 @@
 type metrics struct {
 	registry *prometheus.Registry
 
-	requests, placements, storeCalls, offloads, unreadable metric.Int64Counter
-	waitTime, firstByteTime, maxGap, duration, retryAfter  metric.Float64Histogram
+	requests, placements, storeCalls, offloads            metric.Int64Counter
+	evacuations, unknownRegions, unreadable               metric.Int64Counter
+	waitTime, firstByteTime, maxGap, duration, retryAfter metric.Float64Histogram
 
 	// storeAnsweredAt is when the store last answered, in Unix nanoseconds; 0 if never.
 	storeAnsweredAt atomic.Int64
@@ -61,6 +62,9 @@
 	if err := m.createInstruments(meter); err != nil {
 		return nil, err
 	}
+	if err := registerEvacuationGauge(meter, g); err != nil {
+		return nil, err
+	}
 	return m, m.registerGauges(meter, g)
 }
 
@@ -75,6 +79,8 @@
 		{&m.storeCalls, "store", "Calls on the store by call and result."},
 		{&m.unreadable, "unreadable", "Values of entries, answers and the configuration that could not be read, by where."},
 		{&m.offloads, "offloads", "Connections offloaded to other routers, by outcome."},
+		{&m.evacuations, "evacuations", "Evacuations of failure domains, by what became of them."},
+		{&m.unknownRegions, "regions.unknown", "Regions that configurations allow and no failure domain has."},
 	} {
 		if *c.target, err = meter.Int64Counter(metricPrefix+c.name, metric.WithDescription(c.description)); err != nil {
 			return errors.Wrap(err, c.name)
