pace: bad answers count against an upstream only where its peers do better

ruled out: a rate of bad answers per upstream and router: with 85 routers and 90 upstreams each has less than one answer a second.

conclusion: a router drops its failures once it hears of a later good answer, sums leave out those that a good answer followed, and a service of which over a tenth of the answers are bad holds single ones against nobody.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -40,7 +40,7 @@
 	s.tellPace(u, before)
 }
 
-// endedAt records that nothing listens at an upstream's address.
+// recordEnd records that nothing listens at an upstream's address.
 func (s *State) recordEnd(now time.Time, u *upstream) {
 	if !s.options.Pace {
 		return
@@ -53,7 +53,7 @@
 
 // endedFailures is the number of failed attempts that a refused connection counts as: it
 // leaves no doubt.
-const endedFailures = 3
+const endedFailures = 6
 
 // updatePace brings an upstream's pace up to date.
 func (s *State) updatePace(now time.Time, u *upstream) {
@@ -61,7 +61,8 @@
 		return
 	}
 	before, slots := u.pace.Phase(), max(1, u.Slots)
-	if u.pace.Update(now, u.pace.own.Merge(u.pace.told), slots) {
+	u.pace.own.Refute(u.pace.told)
+	if u.pace.Update(now, u.pace.own.Merge(u.pace.told), slots, s.peersOf(u.Service).Troubled()) {
 		// It may have ended and started in between.
 		if bound, ok := s.coldBound(u.Service); ok {
 			s.setCold(now, u, coldstart.Assumed, now.Add(bound.Duration))
@@ -132,19 +133,26 @@
 	}
 }
 
+// peersOf returns what is known of how the steady upstreams of a service answer.
+func (s *State) peersOf(service string) *pace.Peers {
+	peers := s.answers[service]
+	if peers == nil {
+		peers = &pace.Peers{}
+		s.answers[service] = peers
+	}
+	return peers
+}
+
 // recordAnswer compares the first byte of an answer with those of other upstreams.
 func (s *State) recordAnswer(now time.Time, r *request) {
 	if !s.options.Pace || !r.unanswered {
 		return
 	}
 	u, took := r.upstream, now.Sub(r.sentAt)
-	peers := s.answers[r.Service]
-	if peers == nil {
-		peers = &pace.Peers{}
-		s.answers[r.Service] = peers
-	}
+	peers := s.peersOf(r.Service)
 	if !u.pace.Paced() {
 		peers.Record(took, r.predicted)
+		peers.RecordOutcome(false)
 		u.pace.own.Good(now)
 		return
 	}
@@ -163,6 +171,9 @@
 	if !s.options.Pace || e.Local || e.Withheld || e.Replaced {
 		return
 	}
+	if !u.pace.Paced() {
+		s.peersOf(r.Service).RecordOutcome(true)
+	}
 	switch {
 	case e.Unreachable:
 		s.recordEnd(now, u)
--- a/internal/pace/compare.go
+++ b/internal/pace/compare.go
@@ -14,8 +14,11 @@
 	goodFactor = 3.0
 	// minLate is the least delay beyond the usual time that counts.
 	minLate = 100 * time.Millisecond
-	// usualWeight is the weight of an answer in the usual time.
+	// usualWeight is the weight of an answer in the usual time and in the ratio of bad ones.
 	usualWeight = 0.05
+	// maxBadRatio is the ratio of bad answers from which a service is in trouble as a whole:
+	// one upstream in ten that fails is found out one by one.
+	maxBadRatio = 0.1
 )
 
 // Verdict is the comparison of an answer with those of other upstreams.
@@ -33,8 +36,22 @@
 type Peers struct {
 	mean  float64
 	known bool
+	// badRatio is the moving average of the ratio of bad answers.
+	badRatio float64
 }
 
+// RecordOutcome counts the end of a steady upstream's attempt.
+func (p *Peers) RecordOutcome(bad bool) {
+	v := 0.0
+	if bad {
+		v = 1
+	}
+	p.badRatio += usualWeight * (v - p.badRatio)
+}
+
+// Troubled reports whether many answers of steady upstreams are bad.
+func (p *Peers) Troubled() bool { return p.badRatio > maxBadRatio }
+
 // Record counts the answer of a steady upstream. Expected is 0 if the time does not depend
 // on the request.
 func (p *Peers) Record(took, expected time.Duration) {
--- a/internal/pace/evidence.go
+++ b/internal/pace/evidence.go
@@ -57,7 +57,13 @@
 
 // Add adds another router's report to a sum.
 func (r Report) Add(o Report) Report {
-	return Report{Failures: r.Failures + o.Failures, BadAge: youngest(r.BadAge, o.BadAge), GoodAge: youngest(r.GoodAge, o.GoodAge)}
+	sum := Report{BadAge: youngest(r.BadAge, o.BadAge), GoodAge: youngest(r.GoodAge, o.GoodAge)}
+	for _, part := range []Report{r, o} {
+		if part.BadAge >= 0 && (sum.GoodAge < 0 || part.BadAge < sum.GoodAge) {
+			sum.Failures += part.Failures
+		}
+	}
+	return sum
 }
 
 func youngest(a, b time.Duration) time.Duration {
@@ -97,6 +103,13 @@
 	return b
 }
 
+// Refute drops the failures that were followed by a good answer that others saw.
+func (e *Evidence) Refute(others Evidence) {
+	if others.GoodAt.After(e.BadAt) {
+		e.Failures = 0
+	}
+}
+
 // Good records an answer that is like those of the upstream's peers.
 func (e *Evidence) Good(now time.Time) { e.GoodAt, e.Failures = now, 0 }
 
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -22,7 +22,7 @@
 	u.Start(start)
 	var windows []int
 	for now := 0; now <= 2100; now += 50 {
-		u.Update(ms(now), Evidence{GoodAt: ms(now - 20)}, slots)
+		u.Update(ms(now), Evidence{GoodAt: ms(now - 20)}, slots, false)
 		if n := len(windows); n == 0 || windows[n-1] != u.Window() {
 			windows = append(windows, u.Window())
 		}
@@ -36,10 +36,10 @@
 	g := NewWithT(t)
 	var u Upstream
 	u.Start(start)
-	u.Update(ms(999), Evidence{}, slots)
+	u.Update(ms(999), Evidence{}, slots, false)
 	g.Expect(u.Window()).To(Equal(startWindow))
 	for now := 1000; now <= 4000; now += 500 {
-		u.Update(ms(now), Evidence{}, slots)
+		u.Update(ms(now), Evidence{}, slots, false)
 	}
 	g.Expect(u.Paced()).To(BeFalse())
 }
@@ -50,14 +50,14 @@
 	var u Upstream
 	u.Start(start)
 	for now := 0; now <= 1600; now += 100 {
-		u.Update(ms(now), Evidence{GoodAt: ms(now)}, slots)
+		u.Update(ms(now), Evidence{GoodAt: ms(now)}, slots, false)
 	}
 	before := u.Window()
-	u.Update(ms(1700), Evidence{GoodAt: ms(1650), BadAt: ms(1690)}, slots)
+	u.Update(ms(1700), Evidence{GoodAt: ms(1650), BadAt: ms(1690)}, slots, false)
 	g.Expect(u.Window()).To(Equal(before / 2))
 	g.Expect(u.Untroubled()).To(BeFalse())
 	for now := 1800; now <= 9000; now += 100 {
-		u.Update(ms(now), Evidence{GoodAt: ms(now - 50), BadAt: ms(now - 10)}, slots)
+		u.Update(ms(now), Evidence{GoodAt: ms(now - 50), BadAt: ms(now - 10)}, slots, false)
 	}
 	g.Expect(u.Window()).To(Equal(1))
 }
@@ -69,7 +69,7 @@
 	var u Upstream
 	rise := func(from int) (took int) {
 		for now := from; ; now += 50 {
-			u.Update(ms(now), Evidence{GoodAt: ms(now)}, slots)
+			u.Update(ms(now), Evidence{GoodAt: ms(now)}, slots, false)
 			if !u.Paced() {
 				return now - from
 			}
@@ -78,19 +78,44 @@
 	var took []int
 	for fall := range 3 {
 		from := fall * 8000
-		u.Update(ms(from), Evidence{Failures: downAfter - 1, BadAt: ms(from)}, slots)
+		u.Update(ms(from), Evidence{Failures: downAfter - 1, BadAt: ms(from)}, slots, false)
 		g.Expect(u.Paced()).To(BeFalse())
-		u.Update(ms(from+1), Evidence{Failures: downAfter, BadAt: ms(from + 1)}, slots)
+		u.Update(ms(from+1), Evidence{Failures: downAfter, BadAt: ms(from + 1)}, slots, false)
 		g.Expect(u.Down()).To(BeTrue())
 		g.Expect(u.Window()).To(Equal(1))
-		g.Expect(u.Update(ms(from+500), Evidence{Failures: downAfter + 1, BadAt: ms(from + 400)}, slots)).To(BeFalse())
-		g.Expect(u.Update(ms(from+900), Evidence{GoodAt: ms(from + 850), BadAt: ms(from + 400)}, slots)).To(BeTrue())
+		g.Expect(u.Update(ms(from+500), Evidence{Failures: downAfter + 1, BadAt: ms(from + 400)}, slots, false)).To(BeFalse())
+		g.Expect(u.Update(ms(from+900), Evidence{GoodAt: ms(from + 850), BadAt: ms(from + 400)}, slots, false)).To(BeTrue())
 		took = append(took, rise(from+900))
 	}
 	g.Expect(took[1]).To(BeNumerically(">", took[0]))
 	g.Expect(took[2]).To(BeNumerically(">", took[1]))
 }
 
+// While its peers are in trouble, single bad answers do not speak against an upstream, and
+// more failures in a row are needed.
+func TestTroubleOfAllPeersIsNotHeldAgainstOne(t *testing.T) {
+	g := NewWithT(t)
+	var u Upstream
+	u.Start(start)
+	for now := 0; now <= 2100; now += 50 {
+		u.Update(ms(now), Evidence{GoodAt: ms(now - 20), BadAt: ms(now - 10)}, slots, true)
+	}
+	g.Expect(u.Paced()).To(BeFalse())
+	u.Update(ms(3000), Evidence{Failures: downAfterTroubled - 1, BadAt: ms(3000)}, slots, true)
+	g.Expect(u.Down()).To(BeFalse())
+	u.Update(ms(3001), Evidence{Failures: downAfterTroubled, BadAt: ms(3001)}, slots, true)
+	g.Expect(u.Down()).To(BeTrue())
+	var p Peers
+	for i := range 100 {
+		p.RecordOutcome(i%20 == 0)
+	}
+	g.Expect(p.Troubled()).To(BeFalse())
+	for i := range 100 {
+		p.RecordOutcome(i%3 == 0)
+	}
+	g.Expect(p.Troubled()).To(BeTrue())
+}
+
 // The parts of the routers add up to the window, for any number of them.
 func TestPartsAddUp(t *testing.T) {
 	g := NewWithT(t)
@@ -116,8 +141,12 @@
 	c := Evidence{}
 	c.Good(ms(250))
 	g.Expect(Sum(a, b, c).Failures).To(Equal(2))
-	sum := a.Report(ms(400)).Add(b.Report(ms(400))).Add(c.Report(ms(400)))
-	g.Expect(sum).To(Equal(Report{Failures: 3, BadAge: 100 * time.Millisecond, GoodAge: 150 * time.Millisecond}))
+	sum := c.Report(ms(400)).Add(a.Report(ms(400))).Add(b.Report(ms(400)))
+	g.Expect(sum).To(Equal(Report{Failures: 2, BadAge: 100 * time.Millisecond, GoodAge: 150 * time.Millisecond}))
+	a.Refute(c)
+	b.Refute(c)
+	g.Expect([]int{a.Failures, b.Failures}).To(Equal([]int{0, 2}))
+	a.Failed(ms(100))
 	g.Expect(sum.Evidence(ms(500)).BadAt).To(Equal(ms(400)))
 	g.Expect(Evidence{}.Report(start)).To(Equal(Report{BadAge: Never, GoodAge: Never}))
 	g.Expect(a.Report(ms(100).Add(2 * Memory)).Failures).To(BeZero())
--- a/internal/pace/upstream.go
+++ b/internal/pace/upstream.go
@@ -13,6 +13,8 @@
 	// downAfter is the number of attempts without an answer, at all routers and with no good
 	// answer in between, after which an upstream counts as down.
 	downAfter = 3
+	// downAfterTroubled is the same while the upstream's peers fail as well.
+	downAfterTroubled = 6
 	// silentSteps is the number of steps after which a window is doubled without answers to
 	// go by: there is no load, or those who saw answers are cut off.
 	silentSteps = 2
@@ -67,10 +69,15 @@
 }
 
 // Update brings the pace up to date with the evidence of all routers. Slots is the number of
-// requests that the upstream runs at once: a window of that size is none. It reports whether
-// the upstream has recovered by that.
-func (u *Upstream) Update(now time.Time, e Evidence, slots int) (recovered bool) {
-	if u.phase != down && e.Failures >= downAfter && e.BadAt.After(e.GoodAt) && now.Sub(e.BadAt) < Memory {
+// requests that the upstream runs at once: a window of that size is none. While the upstream's
+// peers are in trouble, single bad answers do not speak against it. It reports whether the
+// upstream has recovered by that.
+func (u *Upstream) Update(now time.Time, e Evidence, slots int, troubled bool) (recovered bool) {
+	failures := downAfter
+	if troubled {
+		failures = downAfterTroubled
+	}
+	if u.phase != down && e.Failures >= failures && e.BadAt.After(e.GoodAt) && now.Sub(e.BadAt) < Memory {
 		u.Fall(now)
 		return false
 	}
@@ -85,17 +92,17 @@
 			u.Start(now)
 		}
 	case rising:
-		u.rise(now, e, slots)
+		u.rise(now, e, slots, troubled)
 	}
 	return false
 }
 
 // rise doubles the window after a step with good answers, halves it after a bad one, and
 // ends the pace once the window is as large as the upstream.
-func (u *Upstream) rise(now time.Time, e Evidence, slots int) {
+func (u *Upstream) rise(now time.Time, e Evidence, slots int, troubled bool) {
 	length := step << min(max(0, u.falls-1), maxFalls)
 	switch {
-	case e.BadAt.After(u.stepAt):
+	case e.BadAt.After(u.stepAt) && !troubled:
 		u.window = max(1, u.window/2)
 		u.stepAt = later(e.BadAt, u.stepAt)
 		u.cut = true
