dispatch: test the bound with late and restarted routers

cause: the tests of the bound had all routers learn of a cold upstream at once.

ruled out: no fault was looked for or found; the bound is reserved for a quarter.

conclusion: the reserve covers late and restarted routers at the usual load.

--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -185,6 +185,35 @@
 	}
 }
 
+// Half of the routers read a copy of the entry that is behind, and some start anew while the
+// upstream is cold: the bound holds under the usual load.
+func TestBoundHoldsWithLateAndRestartedRouters(t *testing.T) {
+	const late, usualLoad = 300 * time.Millisecond, 4 * 15
+	for _, reports := range []bool{true, false} {
+		t.Run(fmt.Sprint("reports ", reports), func(t *testing.T) {
+			f := newColdFleet(t, 40, 4)
+			f.play(time.Second, usualLoad, reports, f.all()...)
+			f.arrivals = nil
+			cold := func(in *Instance) { in.Started, in.ColdUntil = 2, f.now.Add(3*time.Second) }
+			for i := range 20 {
+				f.change(i, cold)
+			}
+			f.play(late, usualLoad, reports, f.all()...)
+			for i := range 20 {
+				f.change(20+i, cold)
+			}
+			f.play(500*time.Millisecond, usualLoad, reports, f.all()...)
+			for i := range 4 {
+				fresh := newColdFleet(t, 40, 4)
+				f.routers[i] = fresh.routers[i]
+				f.change(i, cold)
+			}
+			f.play(2*time.Second, usualLoad, reports, f.all()...)
+			f.g.Expect(float64(f.mostInSecond())).To(BeNumerically("<=", mostCold))
+		})
+	}
+}
+
 // A whole failure domain that comes back cold keeps within its bounds, and requests that no
 // upstream can take in time are refused.
 func TestColdDomainKeepsWithinItsBounds(t *testing.T) {
