speed: routers learn together how fast upstreams are, and place by it

Cause: placing, backlog, room and the partition into workload classes took every engine for equally fast; a router sees about one answer a second of each, too few to tell.

What: each router compares the time to first bytes with the reading that preceded them, and pauses with those usual beside as much other work, and tells the others the sums once a second (section 30, relays add them up). A speed is a multiple of the mean of its service, and 1 until the difference is certain. An upstream whose health limit is lowered teaches nothing: that is trouble, not nature. Slow upstreams take streams first.

Ruled out: times against all work that was queued (what others report is read by the time it is heard: equal engines were taken for 2.5 times as fast at a crest); the constant setup time of the options (60 ms on some engines); a threshold without a least amount of work.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -56,15 +56,16 @@
 // If there are none, the backlog counts as endless.
 func (s *State) meanBacklog(now time.Time, service string, class workloadClass) time.Duration {
 	const endless = time.Hour
-	n, tokens := 0, 0
+	n, tokens, speeds := 0, 0, 0.0
 	for _, u := range s.services[service] {
 		if u.class == class && u.acceptsWork(now) && s.health.Available(u.ID, now) {
 			n++
 			tokens += max(0, u.prefill())
+			speeds += u.speed
 		}
 	}
 	if n == 0 {
 		return endless
 	}
-	return s.prefillTime(tokens) / time.Duration(n)
+	return time.Duration(float64(s.prefillTime(tokens)) / speeds)
 }
--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -68,6 +68,7 @@
 // agree on it.
 func (s *State) partitionUpstreams(now time.Time) {
 	for service, list := range s.services {
+		s.updateSpeeds(now, service, list)
 		engine := s.engine(service)
 		if engine == nil {
 			continue
@@ -93,9 +94,9 @@
 	return n
 }
 
-// assignClasses assigns the first size usable upstreams to classDecode.
+// assignClasses assigns the first size usable upstreams to classDecode, the slow ones first.
 func (s *State) assignClasses(now time.Time, list []*upstream, size int) {
-	for _, u := range list {
+	for _, u := range slowFirst(list) {
 		u.class = classPrefill
 		if size > 0 && u.acceptsWork(now) && s.health.Available(u.ID, now) {
 			u.class = classDecode
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -79,6 +79,19 @@
 		ID      string
 		Attempt int
 	}
+	// ErrorReceived is FirstByteReceived for an answer that is an error: its time does not
+	// tell how long the work takes.
+	ErrorReceived struct {
+		ID      string
+		Attempt int
+	}
+	// Paced reports the mean pause between the events of an attempt's stream. It comes
+	// before Done.
+	Paced struct {
+		ID      string
+		Attempt int
+		Pause   time.Duration
+	}
 	// AbortDeclined reports that an attempt was not aborted as silent, because part of
 	// its answer is waiting to be read.
 	AbortDeclined struct {
@@ -181,6 +194,8 @@
 
 func (Arrive) isEvent()            {}
 func (FirstByteReceived) isEvent() {}
+func (ErrorReceived) isEvent()     {}
+func (Paced) isEvent()             {}
 func (AbortDeclined) isEvent()     {}
 func (Done) isEvent()              {}
 func (Failed) isEvent()            {}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -23,11 +23,18 @@
 	// readRate is the number of prompt tokens that an engine reads a second beside its
 	// decode steps.
 	readRate float64
-	routers  []*State
-	freeAt   map[string]time.Time
-	events   simEvents
-	requests map[string]*simRequest
-	created  int
+	// speeds holds the speeds of engines that differ from readRate. disturbed makes each
+	// engine slower by 2.5 for a sixth of the time, 600 ms at once.
+	speeds    map[string]float64
+	disturbed bool
+	// inTime and late count requests by when their answers began, refused those that
+	// nobody served.
+	inTime, late, refused int
+	routers               []*State
+	freeAt                map[string]time.Time
+	events                simEvents
+	requests              map[string]*simRequest
+	created               int
 	// asked and got are the tokens that organisations asked for and that engines began to
 	// generate, and unserved tells whether a request was refused or began late, by
 	// organisation and second.
@@ -162,7 +169,9 @@
 		case Refuse:
 			sim.markUnserved(r.org)
 			delete(sim.requests, id)
-			if !r.again {
+			if r.again {
+				sim.refused++
+			} else {
 				retry := *r
 				retry.again, retry.router = true, sim.random.IntN(len(sim.routers))
 				sim.after(effect.RetryAfter, func() { sim.arrive(&retry) })
@@ -182,7 +191,7 @@
 	if free := sim.freeAt[send.Upstream.ID]; free.After(begin) {
 		begin = free
 	}
-	read := begin.Add(time.Duration(float64(r.prompt.Tokens-send.Cached) / sim.readRate * float64(time.Second)))
+	read := begin.Add(time.Duration(float64(r.prompt.Tokens-send.Cached) / (sim.readRate * sim.speed(send.Upstream.ID, begin)) * float64(time.Second)))
 	sim.freeAt[send.Upstream.ID] = read
 	first := read.Add(DefaultOptions().FirstToken)
 	ifRunning := func(do func()) func() {
@@ -196,12 +205,17 @@
 		addAt(sim, sim.got, r.org, func(v *float64) { *v += r.cost() })
 		if sim.now.Sub(r.arrivedAt) > r.kind.route.LatencyTarget {
 			sim.markUnserved(r.org)
+			sim.late++
+		} else {
+			sim.inTime++
 		}
 		sim.step(router, FirstByteReceived{ID: send.ID, Attempt: send.Attempt})
 	}))
-	end := first.Add(time.Duration(r.prompt.MaxOutput) * r.kind.token)
+	token := time.Duration(float64(r.kind.token) / sim.speed(send.Upstream.ID, first))
+	end := first.Add(time.Duration(r.prompt.MaxOutput) * token)
 	sim.after(end.Sub(sim.now), ifRunning(func() {
 		delete(sim.requests, send.ID)
+		sim.step(router, Paced{ID: send.ID, Attempt: send.Attempt, Pause: 5 * token})
 		sim.step(router, Done{ID: send.ID, Attempt: send.Attempt})
 	}))
 }
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -78,7 +78,7 @@
 	if (a.Domain == from.Domain) != (b.Domain == from.Domain) {
 		return a.Domain == from.Domain
 	}
-	return a.running() < b.running()
+	return float64(a.running())*b.speed < float64(b.running())*a.speed
 }
 
 // cancelMove releases the load reserved for a move.
@@ -143,6 +143,7 @@
 func (s *State) continueMoved(now time.Time, r *request, target *upstream) {
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = target, now, now, false, false
+	r.expectedWork = 0
 	r.load = Load{Running: 1, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
 	if target.class == classDecode {
 		r.load.DecodeAttempts = 1
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -24,6 +24,9 @@
 	// IgnorePeers makes the router ignore the reports of peers. It is the baseline
 	// against which sharing the load reports is measured.
 	IgnorePeers bool
+	// IgnoreSpeeds makes the router take all upstreams for equally fast. It is the
+	// baseline against which learning their speeds is measured.
+	IgnoreSpeeds bool
 }
 
 // DefaultOptions returns the options for the engines described by the users.
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/poison"
+	"github.com/jujubeford/jujubeford/internal/speed"
 )
 
 // Placement states that an upstream has cached a prompt part, or will cache it.
@@ -33,6 +34,9 @@
 	// they are leaving. An answer that is passed on by one router may come from another
 	// one's upstream, so that a router alone would not know.
 	Leaving []uint64
+	// Speeds is what was measured of the upstreams' speeds, by run; nil if the report does not
+	// say.
+	Speeds map[uint32]speed.Sum
 	// Crashes is what the router has seen of requests that crash upstreams since the
 	// previous report.
 	Crashes []poison.Fact
@@ -94,6 +98,7 @@
 	r.Placements = append(r.Placements, s.unreportedPlacements...)
 	s.unreportedPlacements = s.unreportedPlacements[:0]
 	r.Crashes, s.newsCounted = s.poison.News(now), false
+	r.Speeds = s.speeds.Report(now)
 	return r
 }
 
@@ -106,6 +111,7 @@
 	s.peers[peer] = Report{Loads: r.Loads, Contended: r.Contended}
 	s.shares.setPeer(peer, r.Usage)
 	s.poison.Learn(now, r.Crashes)
+	s.speeds.SetPeer(peer, r.Speeds)
 	for key, l := range r.Limits {
 		if u := s.byKey[key]; u != nil {
 			s.setLimit(now, u, l.PerSecond, now.Add(-l.Age))
@@ -162,10 +168,11 @@
 	s.replaceLoads(s.peers[peer], Report{})
 	delete(s.peers, peer)
 	s.shares.setPeer(peer, nil)
+	s.speeds.DropPeer(peer)
 	s.drainAllQueues(now)
 }
 
-// Add adds another router's report, except for its placements and crashes.
+// Add adds another router's report, except for its placements, crashes and speeds.
 func (r *Report) Add(o Report) {
 	for key, l := range o.Loads {
 		sum := r.Loads[key]
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -113,7 +113,7 @@
 	if r.overShare {
 		limit = idleBacklog
 	}
-	return u.prefill() == 0 || s.prefillTime(u.prefill()) < limit
+	return u.prefill() == 0 || s.prefillTimeAt(u, u.prefill()) < limit
 }
 
 // evaluate predicts the effects of sending a request to an upstream, and scores them.
@@ -122,7 +122,7 @@
 	if s.engine(r.Service) != nil {
 		s.evaluateEngine(r, &c, source)
 	} else {
-		c.score = 50 * float64(u.running()) / float64(max(1, u.Slots))
+		c.score = 50 * plainLoad(u)
 	}
 	switch {
 	case u.Domain == s.options.Domain:
@@ -148,8 +148,8 @@
 		c.fetchFrom, cached = source.upstream, source.tokens
 	}
 	c.cachedTokens, c.prefillTokens = cached, max(0, r.Prompt.Tokens-cached)
-	c.backlog = s.prefillTime(u.prefill())
-	prefill := s.prefillTime(c.prefillTokens)
+	c.backlog = s.prefillTimeAt(u, u.prefill())
+	prefill := s.prefillTimeAt(u, c.prefillTokens)
 	c.firstByte = s.options.FirstToken + c.backlog + prefill + copyTime
 	otherStreams := max(0, u.running())
 	expectedEvents := float64(r.Prompt.ExpectedOutput()) / float64(max(1, s.engine(r.Service).EventTokens))
@@ -187,7 +187,7 @@
 	return best
 }
 
-// prefillTime returns how long an engine takes to read a number of prompt tokens.
+// prefillTime returns how long an engine of mean speed takes to read a number of prompt tokens.
 func (s *State) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / s.options.PrefillRate * float64(time.Second))
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -173,6 +173,7 @@
 	if r.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
+	r.expectedWork = s.expectedWork(r, choice)
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
@@ -197,6 +198,7 @@
 		return
 	}
 	r.firstByteReceived, r.firstByteAt = true, now
+	s.recordSpeed(now, r)
 	r.upstream.local.Prefill -= r.load.Prefill
 	s.unreportedTokens += r.load.Prefill
 	r.load.Prefill = 0
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -9,6 +9,7 @@
 	"github.com/jujubeford/jujubeford/internal/health"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
+	"github.com/jujubeford/jujubeford/internal/speed"
 )
 
 // State is the reducer of dispatch events. It is not safe for concurrent use.
@@ -42,6 +43,9 @@
 	aggregatedByDomain bool
 	shares             shareTracker
 	health             *health.State
+	speeds             *speed.State
+	// speedsUpdatedAt is when the speeds of a service's upstreams were last computed.
+	speedsUpdatedAt map[string]time.Time
 	// unreportedTokens is the change of this router's load since the last Report,
 	// in prompt tokens.
 	unreportedTokens int
@@ -74,6 +78,9 @@
 	attempt  int
 	upstream *upstream
 	sentAt   time.Time
+	// expectedWork is the time that the attempt takes to its first byte at the speed 1,
+	// apart from its setup; 0 if it does not tell of the upstream's speed.
+	expectedWork time.Duration
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -121,6 +128,9 @@
 		peers:      make(map[string]Report),
 		shares:     newShareTracker(o.ShareWindow),
 		health:     health.New(),
+		speeds:     speed.New(),
+
+		speedsUpdatedAt: make(map[string]time.Time),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -135,6 +145,10 @@
 		s.handleArrival(now, e.Request)
 	case FirstByteReceived:
 		s.handleFirstByte(now, e)
+	case ErrorReceived:
+		s.handleError(now, e)
+	case Paced:
+		s.handlePace(now, e)
 	case AbortDeclined:
 		s.handleAbortDeclined(now, e)
 	case Done:
@@ -240,7 +254,7 @@
 		u := s.upstreams[in.ID]
 		if u == nil || !SameStart(u.Instance, in) {
 			s.forgetUpstream(now, in.ID)
-			u = &upstream{key: Key(in.ID)}
+			u = newUpstream(in)
 			s.restoreAdvice(u, in)
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
@@ -280,6 +294,7 @@
 	delete(s.upstreams, id)
 	delete(s.byKey, u.key)
 	s.health.Remove(id)
+	s.speeds.Forget(u.run)
 }
 
 // cacheLimit returns the number of tokens of shared parts that an engine of a service
@@ -326,7 +341,7 @@
 	if now.Sub(s.sampledAt) >= tickIdle {
 		s.sampledAt = now
 		for _, u := range s.upstreams {
-			u.samplePrefill(now, s.options.PrefillRate)
+			u.samplePrefill(now, s.options.PrefillRate*u.speed)
 		}
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
@@ -380,5 +395,9 @@
 
 // silenceTimeout returns how long a retryable attempt may take to its first byte.
 func (s *State) silenceTimeout(r *request) time.Duration {
-	return max(minSilence, time.Duration(silenceFactor*float64(r.Route.LatencyTarget)))
+	timeout := silenceFactor * float64(r.Route.LatencyTarget)
+	if r.upstream != nil {
+		timeout /= min(1, r.upstream.speed)
+	}
+	return max(minSilence, time.Duration(timeout))
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -63,6 +63,12 @@
 	// unavailableUntil is until when the upstream gets no work, because it refused a
 	// connection or asked for a hold-off.
 	unavailableUntil time.Time
+	// run identifies this run of the instance among what is learnt of speeds, and speed is
+	// its speed as a multiple of the mean of its service.
+	run   uint32
+	speed float64
+	// slow and fast say that its speed is below or above the others'; see updateSpeeds.
+	slow, fast bool
 	// limit bounds the requests that the upstream gets.
 	limit rateLimit
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,6 +53,8 @@
 	// forwarded; maxGap is the longest pause between two chunks.
 	firstAt, lastAt time.Time
 	maxGap          time.Duration
+	// pace measures the events of the latest attempt.
+	pace pace
 	// upstream is the id of the upstream of the latest attempt.
 	upstream string
 	// lastFailure is the latest error answer of an upstream. It is forwarded if no
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -57,7 +57,7 @@
 }
 
 // encodedReport has the sections of an encoded report: sequences of varints.
-type encodedReport struct{ loads, usage, placements, contended, crashes, limits, leaving []byte }
+type encodedReport struct{ loads, usage, placements, contended, crashes, limits, leaving, speeds []byte }
 
 // The field numbers of a datagram. Numbers 7 to 10 and 12 had other encodings.
 const (
@@ -181,7 +181,8 @@
 	for _, run := range r.Leaving {
 		section = binary.LittleEndian.AppendUint64(section, run)
 	}
-	return appendSection(b, fieldRunsLeaving, section)
+	b = appendSection(b, fieldRunsLeaving, section)
+	return appendSpeeds(b, r.Speeds)
 }
 
 func appendSection(b []byte, field protowire.Number, section []byte) []byte {
@@ -296,6 +297,8 @@
 		d.encoded.limits = b
 	case fieldRunsLeaving:
 		d.encoded.leaving = b
+	case fieldSpeeds:
+		d.encoded.speeds = b
 	}
 }
 
@@ -365,9 +368,11 @@
 	for in.more() {
 		r.Leaving = append(r.Leaving, in.id())
 	}
-	if failed || in.failed {
+	speeds, err := decodeSpeeds(e.speeds)
+	if failed || in.failed || err != nil {
 		return dispatch.Report{}, errDatagram
 	}
+	r.Speeds = speeds
 	return r, nil
 }
 
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -121,6 +121,9 @@
 	}
 	if failure == nil {
 		c.abandonHandover()
+		if pause := c.pace.meanPause(); pause > 0 {
+			g.step(dispatch.Paced{ID: c.key, Attempt: e.Attempt, Pause: pause})
+		}
 		g.step(dispatch.Done{ID: c.key, Attempt: e.Attempt})
 		g.logEnd(c, "complete", "", a.Status)
 		return true
@@ -204,7 +207,7 @@
 	if failure != nil {
 		return failure
 	}
-	g.step(dispatch.FirstByteReceived{ID: c.key, Attempt: e.Attempt})
+	g.step(dispatch.ErrorReceived{ID: c.key, Attempt: e.Attempt})
 	if a.Status >= http.StatusMultipleChoices {
 		c.lastFailure = &upstreamFailure{status: a.Status, header: a.Header, body: body}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,6 +41,7 @@
 	var pending []byte
 	buf := make([]byte, streamBuffer)
 	first := true
+	c.pace = pace{}
 	// unnumbered is the number of bytes of events since the last id.
 	unnumbered := 0
 	for {
@@ -48,6 +49,7 @@
 		pending = append(pending, buf[:n]...)
 		complete := completeEventsLen(pending)
 		if complete > 0 {
+			c.pace.add(time.Now(), pending[:complete])
 			numbered, invalid := c.checkEventOrder(pending[:complete])
 			if unnumbered += complete; numbered {
 				unnumbered = 0
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -9,7 +9,12 @@
 // HandleReport records another router's own report, which asks this router for sums.
 func (s *State) HandleReport(now time.Time, from string, serial uint64, status Status, r dispatch.Report) {
 	s.linkTo(from).leaving = status.Leaving
-	s.members[from] = &member{at: now, serial: serial, status: status, report: r}
+	m := &member{at: now, serial: serial, status: status, report: r}
+	if known := s.members[from]; known != nil {
+		m.speeds = known.speeds
+	}
+	m.speeds.takeFrom(&m.report)
+	s.members[from] = m
 	s.changed = true
 	s.toMembers.add(r)
 	s.toDomains.add(r)
@@ -67,6 +72,7 @@
 	s.fromElsewhere.add(r)
 	r.Placements, r.Crashes = nil, nil
 	d.report = r
+	d.speeds.takeFrom(&d.report)
 }
 
 // accept reports whether a sum comes from the preferred relay, and if so makes it the
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -87,6 +87,10 @@
 	sent []sentReport
 
 	reportedAt, summedAt, domainSentAt, elsewhereSentAt time.Time
+	// ownSpeeds is what this router has measured of upstreams, and the times are when each
+	// kind of sum last said what was measured.
+	ownSpeeds                                         speeds
+	memberSpeedsAt, domainSpeedsAt, elsewhereSpeedsAt time.Time
 	// changed means that a report has arrived since the last sum.
 	changed bool
 
@@ -117,12 +121,14 @@
 	serial uint64
 	status Status
 	report dispatch.Report
+	speeds speeds
 }
 
 // domainSum is the sum of another failure domain.
 type domainSum struct {
 	source source
 	report dispatch.Report
+	speeds speeds
 }
 
 // source is the relay whose sums are in use.
--- a/internal/relay/tick.go
+++ b/internal/relay/tick.go
@@ -91,6 +91,7 @@
 		s.toDomains.add(report)
 		s.toMembers.add(report)
 		effects = append(effects, SendReport{To: s.reportTargets(now), Report: report})
+		s.ownSpeeds.takeFrom(&report)
 		if sumDue {
 			effects = append(effects, s.domainSums(now, isFirst, report)...)
 		}
@@ -211,6 +212,10 @@
 		sum = s.domainSum(own)
 		s.toMembers.moveTo(&sum)
 	}
+	speedsDue := !s.direct && due(now, &s.memberSpeedsAt)
+	if speedsDue {
+		sum.Speeds = s.domainSpeeds()
+	}
 	watchers := s.watchers()
 	var to []Receiver
 	for addr, m := range s.members {
@@ -224,6 +229,9 @@
 		// This relay uses its own sum, without its own part.
 		others := s.memberSum()
 		others.Placements, others.Crashes = sum.Placements, sum.Crashes
+		if speedsDue {
+			others.Speeds = s.memberSpeeds()
+		}
 		effects = append(effects, Apply{Name: DomainView, Report: others})
 	}
 	return effects
@@ -238,6 +246,9 @@
 	}
 	sum := s.domainSum(own)
 	s.toDomains.moveTo(&sum)
+	if due(now, &s.domainSpeedsAt) {
+		sum.Speeds = s.domainSpeeds()
+	}
 	return []Effect{SendDomain{To: to, Members: len(s.members) + 1, Report: sum}}
 }
 
@@ -249,6 +260,9 @@
 	}
 	s.elsewhereSentAt = now
 	sum := s.elsewhereSum()
+	if due(now, &s.elsewhereSpeedsAt) {
+		sum.Speeds = s.elsewhereSpeeds()
+	}
 	var to []Receiver
 	for addr := range s.members {
 		to = append(to, Receiver{Addr: addr})
