--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -60,7 +60,7 @@
 	n, tokens := 0.0, 0
 	for _, u := range s.services[service] {
 		if u.class == class && u.acceptsWork(now) && s.health.Available(u.ID, now) {
-			n += s.warmth(now, u)
+			n += s.warmth(now, u) * u.speed
 			tokens += max(0, u.prefill())
 		}
 	}
--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -68,6 +68,7 @@
 // agree on it.
 func (s *State) partitionUpstreams(now time.Time) {
 	for service, list := range s.services {
+		s.updateSpeeds(now, service, list)
 		engine := s.engine(service)
 		if engine == nil {
 			continue
@@ -95,10 +96,11 @@
 	return int(n)
 }
 
-// assignClasses assigns the first size usable upstreams to classDecode. Cold ones are left
-// to the other class while there are others: what they take is bounded in requests, and
-// long prompts make more of each.
+// assignClasses assigns the first size usable upstreams to classDecode, the slow ones first.
+// Cold ones are left to the other class while there are others: what they take is bounded in
+// requests, and long prompts make more of each.
 func (s *State) assignClasses(now time.Time, list []*upstream, size int) {
+	list = slowFirst(list)
 	for _, u := range list {
 		u.class = classPrefill
 		if size > 0 && !s.isCold(now, u) && u.acceptsWork(now) && s.health.Available(u.ID, now) {
