gateway: copies between routers are taken in pieces

The configuration in force was sent beside the entry that holds it, and any number of answers were in memory together.

Ruled out: a larger bound. It is memory at both ends, and the state of a large fleet has none.

Before and after: a peer asks for pieces of at most one largest value (1 MiB) and continues after the last key; changes are applied piece by piece, a list when it is whole.

Conclusion: a copy makes progress whatever its size, and its memory at either end is that of a piece.

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -1,29 +1,15 @@
 package gateway
 
 import (
-	"encoding/json"
-	"fmt"
-	"math"
-	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/jujubeford/jujubeford/internal/logs"
 	"github.com/jujubeford/jujubeford/store"
 )
 
 const (
-	// minCopyInterval is the minimum time between two copies of a peer's keys, and
-	// copyTimeout bounds one copy.
+	// minCopyInterval is the minimum time between two copies of a peer's keys.
 	minCopyInterval = 50 * time.Millisecond
-	copyTimeout     = time.Second
-	// copyBytes bounds the size of a copy, in bytes.
-	copyBytes = 16 << 20
-	// copyPath is the path at which a router serves its copy of the store's keys.
-	copyPath = "/v1/keys"
 	// copyDelayRemote is how long a peer of another failure domain must have had newer
 	// keys before they are copied from it: a peer of the own domain is nearer.
 	copyDelayRemote = 300 * time.Millisecond
@@ -50,22 +36,6 @@
 	running     bool
 }
 
-// keyUpdate carries a router's copy of the store's keys to another router: the changes
-// since a position, or all entries. The field names are part of its JSON encoding.
-type keyUpdate struct {
-	// Era and Revision are the position of the copy. Earlier builds name no era.
-	Era      uint64 `json:",omitempty"`
-	Revision uint64
-	// LastChange is the revision of the last change in the copy.
-	LastChange uint64         `json:",omitempty"`
-	Changes    []store.Change `json:",omitempty"`
-	Whole      bool           `json:",omitempty"`
-	Entries    []store.Entry  `json:",omitempty"`
-	// Config is the configuration in force, if it is newer than the receiver's: the store
-	// may have lost it.
-	Config []byte `json:",omitempty"`
-}
-
 // copySituation is what decides, at this router, when the keys of a peer are copied.
 type copySituation struct {
 	domain string
@@ -151,105 +121,8 @@
 	}
 }
 
-func (p *peers) copyKeys(addr string) error {
-	after := p.g.position()
-	resp, err := p.client.Get(fmt.Sprintf("http://%s%s?after=%d&era=%d&config=%d", addr, copyPath, after.Revision, after.Era, p.g.configVersion()))
-	if err != nil {
-		return errors.Wrap(err, "get keys from peer")
-	}
-	defer resp.Body.Close()
-	var k keyUpdate
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, copyBytes)).Decode(&k); err != nil {
-		return errors.Wrap(err, "decode")
-	}
-	p.g.applyPeerKeys(addr, k)
-	return nil
-}
-
-// applyPeerKeys applies what is newer in a peer's copy.
-func (g *Gateway) applyPeerKeys(from string, k keyUpdate) {
-	now := time.Now()
-	g.mirrorMu.Lock()
-	before := g.mirror.LastChange()
-	at := store.Position{Era: k.Era, Revision: k.Revision}
-	if k.Era == 0 {
-		at.Era = before.Era
-	}
-	var changed bool
-	if k.Whole {
-		changed = g.replaceMirror(now, k.Entries, at)
-	} else {
-		changed = g.mirror.Apply(now, k.Changes, at)
-	}
-	g.mirror.AdoptLastChange(store.Position{Era: at.Era, Revision: k.LastChange})
-	if len(k.Config) > 0 {
-		g.applyTable(k.Config, store.Position{Era: at.Era})
-	}
-	after := g.mirror.LastChange()
-	g.mirrorMu.Unlock()
-	logs.Info("peer-copied", "Peers: store's keys copied from a peer.", "from", from, "before", before, "after", after,
-		"whole", k.Whole, "changes", len(k.Changes), "config", len(k.Config) > 0)
-	if changed || k.Whole {
-		g.applyMirror()
-	}
-}
-
 func (g *Gateway) isStoreLost() bool {
 	g.mirrorMu.Lock()
 	defer g.mirrorMu.Unlock()
 	return g.mirror.IsStoreUnavailable()
 }
-
-// mux serves this router's copy of the store's keys to its peers.
-func (p *peers) mux() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+copyPath, func(w http.ResponseWriter, r *http.Request) {
-		after, config, err := p.parseCopyQuery(r.URL.Query())
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(p.g.keysSince(after, config)); err != nil {
-			logs.Info("peer-serve", "Peers: sending the store's keys to a peer failed.", "err", err)
-		}
-	})
-	return mux
-}
-
-// parseCopyQuery parses the position of a peer's copy and the version of its configuration.
-// Earlier builds name neither the era, which is taken for the own one, nor the version.
-func (p *peers) parseCopyQuery(q url.Values) (after store.Position, config uint64, err error) {
-	after.Era, config = p.g.position().Era, math.MaxUint64
-	for _, f := range []struct {
-		name     string
-		value    *uint64
-		optional bool
-	}{{"after", &after.Revision, false}, {"era", &after.Era, true}, {"config", &config, true}} {
-		text := q.Get(f.name)
-		if text == "" && f.optional {
-			continue
-		}
-		if *f.value, err = strconv.ParseUint(text, 10, 64); err != nil {
-			return after, config, errors.Errorf("%s: %q is not a number", f.name, text)
-		}
-	}
-	return after, config, nil
-}
-
-// keysSince returns the changes after a position, or all entries if the changes are not
-// kept, and the configuration in force if its version is above the given one.
-func (g *Gateway) keysSince(after store.Position, config uint64) keyUpdate {
-	g.mirrorMu.Lock()
-	defer g.mirrorMu.Unlock()
-	at := g.mirror.Position()
-	k := keyUpdate{Era: at.Era, Revision: at.Revision, LastChange: g.mirror.LastChange().Revision}
-	var ok bool
-	if k.Changes, ok = g.mirror.ChangesSince(after); !ok {
-		k.Whole, k.Entries = true, g.mirror.EntriesInStore()
-	}
-	if g.configVersion() > config {
-		k.Config = g.inForce.value
-	}
-	return k
-}
--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -1,7 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,3 +61,79 @@
 	g.Expect(due).To(BeTrue())
 	g.Expect(from).To(Equal("ahead"))
 }
+
+// sizes is an http.RoundTripper that records the sizes of responses.
+type sizes struct {
+	mu      sync.Mutex
+	largest int
+	calls   int
+}
+
+func (s *sizes) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.largest, s.calls = max(s.largest, len(body)), s.calls+1
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return resp, err
+}
+
+// Copies for a router that has no keys, or has been away, are taken in pieces that fit the
+// bound of one answer, also where the whole is larger than that.
+func TestCopiesAreTakenInPieces(t *testing.T) {
+	value := func(i int) []byte { return bytes.Repeat([]byte{byte(i)}, store.MaxValue) }
+	const keys = 14
+	for _, away := range []bool{false, true} {
+		t.Run(fmt.Sprint("away ", away), func(t *testing.T) {
+			g, now := NewWithT(t), time.Now()
+			peer, gw := newFollower(t, newFakeFeed()), newFollower(t, newFakeFeed())
+			first := []store.Entry{{Key: "config", Value: []byte("1"), Index: 1}}
+			peer.replaceMirror(now, first, store.Position{Era: 1, Revision: 1})
+			if away {
+				gw.replaceMirror(now, first, store.Position{Era: 1, Revision: 1})
+			}
+			revision := uint64(1)
+			for version := 2; version < 30; version++ {
+				for i := range keys {
+					revision++
+					peer.mirror.Apply(now, []store.Change{{Entry: store.Entry{Key: fmt.Sprint("instances/", i), Value: value(version + i), Index: revision}}},
+						store.Position{Era: 1, Revision: revision})
+				}
+			}
+			server := httptest.NewServer(peer.peers.mux())
+			defer server.Close()
+			got := &sizes{}
+			gw.peers.client.Transport = got
+			g.Expect(gw.peers.copyKeys(strings.TrimPrefix(server.URL, "http://"))).To(Succeed())
+			g.Expect(gw.position()).To(Equal(peer.position()))
+			g.Expect(gw.mirror.EntriesInStore()).To(Equal(peer.mirror.EntriesInStore()))
+			g.Expect(got.calls).To(BeNumerically("<=", keys+2))
+			g.Expect(got.largest).To(BeNumerically("<", 3*store.MaxValue))
+		})
+	}
+}
+
+// A configuration is sent once, not beside the entry that holds it.
+func TestConfigurationIsSentOnce(t *testing.T) {
+	g, now := NewWithT(t), time.Now()
+	peer, gw := newFollower(t, newFakeFeed()), newFollower(t, newFakeFeed())
+	at := func(revision uint64) store.Position { return store.Position{Era: 1, Revision: revision} }
+	peer.replaceMirror(now, []store.Entry{{Key: "config", Value: []byte("7"), Index: 2}}, at(2))
+	peer.applyMirror()
+	g.Expect(peer.configVersion()).To(BeEquivalentTo(7))
+	for _, after := range []store.Position{{}, at(1)} {
+		g.Expect(peer.keysSince(after, 0).Config).To(BeEmpty())
+	}
+	g.Expect(peer.keysSince(at(2), 0).Config).NotTo(BeEmpty(), "the entry is not part of the copy")
+	gw.applyPeerKeys("peer", peer.keysSince(gw.position(), 0))
+	g.Expect(gw.configVersion()).To(BeEquivalentTo(7))
+	// The store loses the configuration in force.
+	peer.replaceMirror(now, []store.Entry{{Key: "config", Value: []byte("3"), Index: 2}}, store.Position{Era: 2, Revision: 2})
+	peer.applyMirror()
+	g.Expect(peer.keysSince(store.Position{}, 3).Config).NotTo(BeEmpty())
+}
