--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -64,7 +64,7 @@
 			listed, backoff = true, storeBackoff
 			continue
 		case errors.Is(err, store.ErrCompacted):
-			logs.Info("compacted", "Store: changes are not available, listing all keys again.", "after", g.position())
+			logs.Info("compacted", "Store: changes are not available, listing all keys again.", "after", g.position(), "err", err)
 			listed = false
 			sleep(ctx, relistPause)
 			continue
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 package mirror
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -232,7 +233,7 @@
 		}
 	}
 	changes = append(changes, m.removed.after(after.Revision)...)
-	sortChanges(changes)
+	slices.SortFunc(changes, store.CompareChanges)
 	return changes, true
 }
 
--- a/internal/mirror/removals.go
+++ b/internal/mirror/removals.go
@@ -1,7 +1,6 @@
 package mirror
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/jujubeford/jujubeford/store"
@@ -66,13 +65,6 @@
 			removals = append(removals, store.Change{Entry: store.Entry{Key: key, Index: r}, Deleted: true})
 		}
 	}
-	sortChanges(removals)
+	slices.SortFunc(removals, store.CompareChanges)
 	return removals
 }
-
-// sortChanges sorts changes by revision, and those of one revision by key.
-func sortChanges(changes []store.Change) {
-	slices.SortFunc(changes, func(a, b store.Change) int {
-		return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Key, b.Key))
-	})
-}
--- a/store/feed.go
+++ b/store/feed.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -35,15 +36,20 @@
 	Deleted bool
 }
 
+// CompareChanges orders changes by revision, and those of one revision by key.
+func CompareChanges(a, b Change) int {
+	return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Key, b.Key))
+}
+
 // Feed reads a store that numbers the writes to all keys by a single revision.
 type Feed interface {
 	// Range lists all keys under a prefix. It also returns a position; the list
 	// contains every change up to it, and possibly later ones of the same era.
 	Range(ctx context.Context, prefix string) (entries []Entry, at Position, err error)
-	// Changes waits for changes under a prefix after a position and returns them
-	// with the position to continue from, which is of the same era. It returns no changes
-	// if there are none within wait, and ErrCompacted if the store does not have the
-	// changes after the given position.
+	// Changes waits for changes under a prefix after a position and returns them, at least
+	// the last one of each key, with the position to continue from, which is of the same era.
+	// It returns no changes if there are none within wait, and ErrCompacted if the store does
+	// not have the changes after the given position, or too many to be returned.
 	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) (changes []Change, at Position, err error)
 }
 
