mirror: a removal outlives a store that comes back from an older copy

Ruled out: comparing revisions alone, which are given out again; keeping the entry out of the mirror, whose copies would then lack what the store has.

Before and after: without the memory the new property test of mirrors and the test of routers fail.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -95,7 +95,7 @@
 // leaving or replaced, or there are none.
 func (s *State) availableAt(now time.Time, service string) (at time.Time, ok bool) {
 	for _, u := range s.services[service] {
-		if u.replaced || u.leaving {
+		if u.replaced || u.isLeaving(now) {
 			continue
 		}
 		if back := laterOf(now, u.unavailableUntil); !ok || back.Before(at) {
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -137,3 +137,45 @@
 	f.step(InstancesChanged{Instances: list})
 	f.g.Expect(f.upstreams[list[0].ID].acceptsWork(f.now)).To(BeTrue())
 }
+
+// An upstream that left before the store was restored gets nothing, also from a router that
+// hears of it from a peer, until its entry is written anew.
+func TestDepartedUpstreamGetsNothingUntilItsEntryIsWrittenAnew(t *testing.T) {
+	here, there := newFixture(t, 2), newFixture(t, 2)
+	list := instances(2)
+	for i := range list {
+		list[i].Entry = 1
+	}
+	departed := append([]Instance(nil), list...)
+	departed[1].Departed = true
+	before := here.UnreportedTokens()
+	here.step(InstancesChanged{Instances: departed})
+	here.g.Expect(here.UnreportedTokens() - before).To(Equal(leavingTokens))
+	there.step(InstancesChanged{Instances: list})
+	sum := NewReport()
+	sum.Add(here.Report(here.now))
+	there.step(PeerReported{Peer: "here", Report: sum})
+	sends := func(f *fixture) map[string]int {
+		to := make(map[string]int)
+		for range 10 {
+			send := f.lastSend(f.arrive(lookup, plain, 0))
+			to[send.Upstream.ID]++
+			f.step(Done{ID: send.ID, Attempt: send.Attempt})
+		}
+		return to
+	}
+	for _, f := range []*fixture{here, there} {
+		f.g.Expect(sends(f)).NotTo(HaveKey("p00"))
+	}
+	there.now = there.now.Add(departedHold)
+	there.g.Expect(sends(there)).To(HaveKey("p00"), "the peer does not repeat it")
+	there.step(PeerReported{Peer: "here", Report: sum})
+	list[1].Entry = 2
+	for _, f := range []*fixture{here, there} {
+		f.step(InstancesChanged{Instances: list})
+		f.g.Expect(sends(f)).To(HaveKey("p00"), "the entry was written anew")
+		f.g.Expect(f.MaySend(f.now, list[1])).To(BeTrue())
+	}
+	there.step(PeerReported{Peer: "here", Report: sum})
+	there.g.Expect(sends(there)).To(HaveKey("p00"), "the report is about the entry before")
+}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -64,6 +64,11 @@
 	// Started is the start time of the instance in Unix milliseconds, 0 if not
 	// known. It distinguishes restarts under the same id.
 	Started int64
+	// Entry identifies the version of the directory's entry among all of the instance; 0 if
+	// not known. Departed means that the instance had left before, and that the directory has
+	// this entry again only since it was restored from an older copy.
+	Entry    uint64
+	Departed bool
 }
 
 // Event is an input of State.Step.
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -31,7 +31,8 @@
 	Limits map[uint32]Limit
 	// Leaving lists the runs of upstreams, by runKey, that have stated in an answer that
 	// they are leaving. An answer that is passed on by one router may come from another
-	// one's upstream, so that a router alone would not know.
+	// one's upstream, so that a router alone would not know. It also lists the entries, by
+	// entryKey, of those that left before the directory was restored.
 	Leaving []uint64
 	// Crashes is what the router has seen of requests that crash upstreams since the
 	// previous report.
@@ -77,7 +78,10 @@
 			r.Limits[u.key] = l
 		}
 		if u.leaving {
-			r.Leaving = append(r.Leaving, runKey(u.Instance))
+			r.Leaving = append(r.Leaving, u.runKey)
+		}
+		if u.Departed {
+			r.Leaving = append(r.Leaving, u.entryKey())
 		}
 	}
 	for org, m := range s.shares.local {
@@ -127,9 +131,12 @@
 		return
 	}
 	for _, u := range s.upstreams {
-		if !u.leaving && slices.Contains(runs, runKey(u.Instance)) {
+		if !u.leaving && slices.Contains(runs, u.runKey) {
 			s.setLeaving(now, u)
 		}
+		if u.Entry != 0 && slices.Contains(runs, u.entryKey()) {
+			u.departedUntil = now.Add(departedHold)
+		}
 	}
 }
 
--- a/internal/dispatch/region.go
+++ b/internal/dispatch/region.go
@@ -16,7 +16,7 @@
 		return s.availableAt(now, r.Service)
 	}
 	for _, u := range s.services[r.Service] {
-		if !s.mayReach(r, u) || u.replaced || u.leaving {
+		if !s.mayReach(r, u) || u.replaced || u.isLeaving(now) {
 			continue
 		}
 		if back := laterOf(now, u.unavailableUntil); !ok || back.Before(at) {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -249,9 +249,10 @@
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
 		}
+		s.setDeparted(u, in)
 		u.Instance = in
 		u.evacuatedAt = s.evacuated.since[in.Domain]
-		if in.Draining || u.leaving {
+		if in.Draining || in.Departed || u.leaving {
 			u.markLeft(now)
 		} else {
 			u.leftAt = time.Time{}
@@ -306,7 +307,7 @@
 	for _, u := range s.upstreams {
 		// The caller adds the loads reported by peers again, for all upstreams.
 		u.remote = Load{}
-		if !u.Draining && !u.isEvacuated() {
+		if !u.Draining && !u.Departed && !u.isEvacuated() {
 			s.services[u.Service] = append(s.services[u.Service], u)
 		}
 	}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -43,6 +43,7 @@
 type upstream struct {
 	Instance
 	key    uint32
+	runKey uint64
 	local  Load
 	remote Load
 	cache  prefixCache
@@ -57,6 +58,9 @@
 	replaced bool
 	// leaving means that the instance announced that it is about to stop.
 	leaving bool
+	// departedUntil is until when the entry counts as that of an instance that has left,
+	// because a peer knows it to come from an older copy of the directory.
+	departedUntil time.Time
 	// leftAt is when this router learnt that the instance is leaving or gone, zero if it
 	// is neither.
 	leftAt time.Time
@@ -72,7 +76,7 @@
 
 // acceptsWork reports whether the upstream may get work at all.
 func (u *upstream) acceptsWork(now time.Time) bool {
-	return !u.replaced && !u.leaving && !now.Before(u.unavailableUntil)
+	return !u.replaced && !u.isLeaving(now) && !now.Before(u.unavailableUntil)
 }
 
 // markLeft records that the instance is leaving or gone.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -173,12 +173,13 @@
 func (g *Gateway) expire(now time.Time) {
 	g.mirrorMu.Lock()
 	expired := g.mirror.RemoveExpired(now)
+	departuresEnded := g.mirror.ExpireDepartures(now)
 	g.mirrorMu.Unlock()
 	evacuationsEnded := g.expireEvacuations(now)
 	for _, r := range expired {
 		logs.Info("entry-deleted", "Directory: removed entry deleted.", "key", r.Key, "revision", r.Revision, "retained", now.Sub(r.At), "inOutage", r.InOutage)
 	}
-	if len(expired) > 0 || evacuationsEnded {
+	if len(expired) > 0 || departuresEnded || evacuationsEnded {
 		g.applyMirror()
 	}
 }
@@ -215,6 +216,8 @@
 	at       store.Position
 	instance dispatch.Instance
 	valid    bool
+	// departed means that the entry comes from an older copy and its instance has left.
+	departed bool
 }
 
 // decodeInstances decodes the entries of upstreams; those that have not changed since the
@@ -234,22 +237,32 @@
 			before := d.instance
 			if known && d.at.Era != era && before.Draining && dispatch.SameStart(before, in) {
 				// The restored store has an older entry, until the upstream writes it again.
-				in.Draining = true
+				in.Draining, in.Departed = true, true
 			}
+			in.Entry = entryNumber(at)
 			d = decodedInstance{at: at, instance: in, valid: err == nil}
 			if known && in.Draining && !before.Draining {
 				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "position", at)
 			}
 		}
+		if departed := g.mirror.Departed(e.Key); departed != d.departed {
+			d.departed = departed
+			logs.Info("entry-departed", "Directory: whether an upstream that the restored store has again has left.", "upstream", d.instance.ID, "addr", d.instance.Addr, "left", departed, "position", at)
+		}
 		decoded[e.Key] = d
 		if d.valid {
-			list = append(list, d.instance)
+			in := d.instance
+			in.Departed = in.Departed || d.departed
+			list = append(list, in)
 		}
 	}
 	g.decoded = decoded
 	return list
 }
 
+// entryNumber returns the number by which routers name an entry to each other.
+func entryNumber(at store.Position) uint64 { return at.Era<<48 ^ at.Revision }
+
 // tableEntry is the entry of a configuration.
 type tableEntry struct {
 	value []byte
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -35,7 +35,8 @@
 	entries map[string]store.Entry
 	// removals contains the removals of the retained entries: those removed from the
 	// store but not yet from the mirror.
-	removals map[string]Removal
+	removals   map[string]Removal
+	departures departures
 	// at is the position of the store that the mirror has reached. The indexes of entries
 	// are revisions of its era, 0 for entries that only an earlier era had.
 	at store.Position
@@ -71,6 +72,7 @@
 	return &Mirror{
 		ephemeralPrefix: ephemeralPrefix,
 		entries:         make(map[string]store.Entry), removals: make(map[string]Removal),
+		departures: newDepartures(),
 	}
 }
 
@@ -127,6 +129,9 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
+		if m.isEphemeral(e.Key) {
+			m.departures.recordListed(now, e, isNewEra)
+		}
 		changed = m.putEntry(e) || changed
 	}
 	for key := range m.entries {
@@ -148,6 +153,7 @@
 // whatever the list has is newer than the entries of the mirror. Those that it lacks may be
 // written again, as after an outage.
 func (m *Mirror) beginEra(now time.Time) {
+	m.rememberRemovals(now)
 	for key, e := range m.entries {
 		e.Index = 0
 		m.entries[key] = e
@@ -174,6 +180,9 @@
 			changed = m.removeEntry(now, c.Key, c.Index, false) || changed
 			continue
 		}
+		if m.isEphemeral(c.Key) {
+			m.departures.recordWritten(c.Entry)
+		}
 		changed = m.putEntry(c.Entry) || changed
 	}
 	m.at.Revision = max(m.at.Revision, at.Revision)
@@ -261,6 +270,7 @@
 		if !now.Before(until) {
 			delete(m.removals, key)
 			delete(m.entries, key)
+			m.departures.recordRemoved(now, key)
 			expired = append(expired, r)
 		}
 	}
