--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -71,6 +71,11 @@
 	ColdStated, ColdUnknown bool
 	// ColdUntil is the end of Cold, counted from when this router read the entry.
 	ColdUntil time.Time
+	// Entry identifies the version of the directory's entry among all of the instance; 0 if
+	// not known. Departed means that the instance had left before, and that the directory has
+	// this entry again only since it was restored from an older copy.
+	Entry    uint64
+	Departed bool
 }
 
 // Event is an input of State.Step.
