--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -97,9 +97,9 @@
 		ID      string
 		Attempt int
 	}
-	// Paced reports the mean pause between the events of an attempt's stream. It comes
+	// PauseMeasured reports the mean pause between the events of an attempt's stream. It comes
 	// before Done.
-	Paced struct {
+	PauseMeasured struct {
 		ID      string
 		Attempt int
 		Pause   time.Duration
@@ -127,6 +127,8 @@
 		// Local means that this router lacked file descriptors or memory for the
 		// attempt.
 		Local bool
+		// Withheld means that the request was not sent because MayReach did not allow it.
+		Withheld bool
 		// MayHaveRun means that the upstream may have run the request.
 		MayHaveRun bool
 		// ResponseStarted means that part of the answer has been delivered to the caller.
@@ -216,7 +218,7 @@
 func (Arrive) isEvent()            {}
 func (FirstByteReceived) isEvent() {}
 func (ErrorReceived) isEvent()     {}
-func (Paced) isEvent()             {}
+func (PauseMeasured) isEvent()     {}
 func (AbortDeclined) isEvent()     {}
 func (Done) isEvent()              {}
 func (Failed) isEvent()            {}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -215,7 +215,7 @@
 	end := first.Add(time.Duration(r.prompt.MaxOutput) * token)
 	sim.after(end.Sub(sim.now), ifRunning(func() {
 		delete(sim.requests, send.ID)
-		sim.step(router, Paced{ID: send.ID, Attempt: send.Attempt, Pause: 5 * token})
+		sim.step(router, PauseMeasured{ID: send.ID, Attempt: send.Attempt, Pause: 5 * token})
 		sim.step(router, Done{ID: send.ID, Attempt: send.Attempt})
 	}))
 }
