--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -23,6 +23,9 @@
 	// readRate is the number of prompt tokens that an engine reads a second beside its
 	// decode steps.
 	readRate float64
+	// setup is the time from the reading of a prompt to the first byte, in which the engine
+	// reads others.
+	setup time.Duration
 	// speeds holds the speeds of engines that differ from readRate. disturbed makes each
 	// engine slower by 2.5 for a sixth of the time, 600 ms at once.
 	speeds    map[string]float64
@@ -105,7 +108,7 @@
 // newFleetSim returns six routers in four failure domains before a number of engines.
 func newFleetSim(seed uint64, engines int, tokenRate float64) *fleetSim {
 	sim := &fleetSim{
-		now: start, random: rand.New(rand.NewPCG(seed, 1)), readRate: simReadRate, freeAt: make(map[string]time.Time), requests: make(map[string]*simRequest),
+		now: start, random: rand.New(rand.NewPCG(seed, 1)), readRate: simReadRate, setup: DefaultOptions().FirstToken, freeAt: make(map[string]time.Time), requests: make(map[string]*simRequest),
 		asked: make(map[string][]float64), got: make(map[string][]float64), unserved: make(map[string][]bool),
 	}
 	domains := []string{"a", "a", "b", "b", "c", "d"}
@@ -193,7 +196,7 @@
 	}
 	read := begin.Add(time.Duration(float64(r.prompt.Tokens-send.Cached) / (sim.readRate * sim.speed(send.Upstream.ID, begin)) * float64(time.Second)))
 	sim.freeAt[send.Upstream.ID] = read
-	first := read.Add(DefaultOptions().FirstToken)
+	first := read.Add(sim.setup)
 	ifRunning := func(do func()) func() {
 		return func() {
 			if sim.requests[send.ID] == r {
