dispatch: requests are placed by the memory that they need at an engine

Cause: room was slots and backlog. Prompts of 69,000 tokens went to engines whose 433,000 were taken; such an engine preempts its newest request, or crashes where it must hold more than it has.

What: an engine takes a request if what all routers have there, by expected size and then by what may have been generated, leaves room for it. A large one that finds none has memory reserved at one engine, told in the load, so that small ones don't take what becomes free; small ones pass large ones that wait. Larger than any engine: refused at once, as before.

--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -46,7 +46,7 @@
 		return
 	}
 	r.move.target = target
-	r.move.reservedLoad = Load{Running: 1, DecodeAttempts: 1, Memory: r.load.Memory}
+	r.move.reservedLoad = Load{Running: 1, DecodeAttempts: 1, Memory: memoryNeed(r, 0)}
 	target.local.add(r.move.reservedLoad)
 	target.incomingMoves++
 	s.emit(Move{ID: r.ID, Attempt: r.attempt, From: r.upstream.Instance, To: target.Instance})
@@ -62,7 +62,7 @@
 			slices.Contains(r.failedUpstreams, u.ID) || !s.health.Available(u.ID, now) {
 			continue
 		}
-		memory := u.local.Memory + u.remote.Memory + r.load.Memory
+		memory := u.memory() + memoryNeed(r, 0)
 		if float64(memory) > maxTargetMemory*float64(e.CacheTokens) || float64(u.running()) >= maxTargetSlots*float64(e.Slots) {
 			continue
 		}
@@ -144,7 +144,7 @@
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = target, now, now, false, false
 	r.expectedWork = 0
-	r.load = Load{Running: 1, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
+	r.load = Load{Running: 1, Memory: memoryNeed(r, 0) + r.beyondExpected}
 	if target.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -113,7 +113,7 @@
 	if r.overShare {
 		limit = idleBacklog
 	}
-	return u.prefill() == 0 || s.prefillTimeAt(u, u.prefill()) < limit
+	return (u.prefill() == 0 || s.prefillTimeAt(u, u.prefill()) < limit) && s.memoryAllows(r, u)
 }
 
 // evaluate predicts the effects of sending a request to an upstream, and scores them.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -120,6 +121,7 @@
 	q.size--
 	q.prefillWork -= s.prefillTime(r.Prompt.Tokens)
 	r.waiting = false
+	s.releaseReservation(r)
 }
 
 // drainAllQueues sends waiting requests of all queues, as far as there is room.
@@ -141,12 +143,13 @@
 // drainQueue sends waiting requests of a queue, as far as there is room: those of the
 // organisation with the least charge first, and oldest first within an organisation.
 // Once a request finds no room, the rest are not tried, except those that failed on
-// an upstream: they may also use the upstreams of the other workload class.
+// an upstream: they may also use the upstreams of the other workload class. One that finds
+// no memory holds up those that need as much, and not the smaller ones.
 func (s *State) drainQueue(now time.Time, q *queue) {
 	if q.size == 0 {
 		return
 	}
-	full := false
+	full, tooLarge := false, math.MaxInt
 	for _, org := range s.orgsByCharge(now, q) {
 		for _, r := range append([]*request(nil), q.byOrg[org]...) {
 			switch {
@@ -155,7 +158,14 @@
 				s.refuse(now, r, ReasonWaited)
 			case full && len(r.failedUpstreams) == 0:
 				// An earlier request found no room, and this one has the same choice.
-			case !s.trySend(now, r):
+			case memoryNeed(r, 0) >= tooLarge:
+				// An earlier one that needs no more found no memory.
+				s.reserveMemory(now, r)
+			case s.trySend(now, r):
+			case s.shortOfMemory:
+				tooLarge = memoryNeed(r, 0)
+				s.reserveMemory(now, r)
+			default:
 				full = true
 			}
 		}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -150,6 +150,7 @@
 
 // trySend sends a request if an upstream has room for it.
 func (s *State) trySend(now time.Time, r *request) bool {
+	s.shortOfMemory = false
 	choice, ok := s.place(now, r)
 	if !ok || !s.health.Admit(choice.upstream.ID, now) {
 		return false
@@ -170,11 +171,12 @@
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = choice.upstream, now, now, false, false
 	r.survived = false
-	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
+	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: memoryNeed(r, choice.cachedTokens)}
 	if r.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
 	r.expectedWork = s.expectedWork(r, choice)
+	r.beyondExpected = 0
 	r.readBy, r.assumedRead = now.Add(choice.firstByte-s.firstToken(r.Service)), 0
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -41,9 +41,13 @@
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
-	shares             shareTracker
-	health             *health.State
-	speeds             *speed.State
+	// shortOfMemory is set when an upstream lacks memory for a request that it otherwise has
+	// room for, and reservations counts the requests that memory is reserved for, by service.
+	shortOfMemory bool
+	reservations  map[string]int
+	shares        shareTracker
+	health        *health.State
+	speeds        *speed.State
 	// speedsUpdatedAt is when the speeds of a service's upstreams were last computed.
 	speedsUpdatedAt map[string]time.Time
 	// unreportedTokens is the change of this router's load since the last Report,
@@ -85,6 +89,10 @@
 	// that count as read although no first byte has arrived.
 	readBy      time.Time
 	assumedRead int
+	// reserved is where reservedMemory is kept for the request while it waits, and
+	// beyondExpected what it may have generated beyond the expectation.
+	reserved                       *upstream
+	reservedMemory, beyondExpected int
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -135,6 +143,7 @@
 		speeds:     speed.New(),
 
 		speedsUpdatedAt: make(map[string]time.Time),
+		reservations:    make(map[string]int),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -348,6 +357,7 @@
 		for _, u := range s.upstreams {
 			u.samplePrefill(now, s.options.PrefillRate*u.speed)
 		}
+		s.countGenerated(now)
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
 	}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -69,6 +69,8 @@
 	speed float64
 	// slow and fast say that its speed is below or above the others'; see updateSpeeds.
 	slow, fast bool
+	// reservedFor is the waiting request that this router reserves memory for, nil for none.
+	reservedFor *request
 	// limit bounds the requests that the upstream gets.
 	limit rateLimit
 }
