--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,6 +12,7 @@
 
 // handleArrival admits a new request: it is sent, waits, or is refused immediately.
 func (s *State) handleArrival(now time.Time, req *Request) {
+	s.assumeRead(now)
 	r := &request{Request: req, class: classify(req.Prompt), traits: traitsOf(req), arrivedAt: now, expiresAt: req.Deadline, lastEventID: req.ResumeAfter}
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
@@ -157,6 +158,7 @@
 
 // trySend sends a request if an upstream has room for it.
 func (s *State) trySend(now time.Time, r *request) bool {
+	s.shortOfMemory = false
 	choice, ok := s.place(now, r)
 	if !ok || !s.health.Admit(choice.upstream.ID, now) {
 		return false
@@ -177,11 +179,13 @@
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = choice.upstream, now, now, false, false
 	r.survived = false
-	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
+	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: memoryNeed(r, choice.cachedTokens)}
 	if r.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
 	r.expectedWork = s.expectedWork(r, choice)
+	r.beyondExpected = 0
+	r.readBy, r.assumedRead = now.Add(choice.firstByte-s.firstToken(r.Service)), 0
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
 	r.sentCold = s.isCold(now, choice.upstream)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -57,9 +57,13 @@
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
-	shares             shareTracker
-	health             *health.State
-	speeds             *speed.State
+	// shortOfMemory is set when an upstream lacks memory for a request that it otherwise has
+	// room for, and reservations counts the requests that memory is reserved for, by service.
+	shortOfMemory bool
+	reservations  map[string]int
+	shares        shareTracker
+	health        *health.State
+	speeds        *speed.State
 	// speedsUpdatedAt is when the speeds of a service's upstreams were last computed.
 	speedsUpdatedAt map[string]time.Time
 	// unreportedTokens is the change of this router's load since the last Report,
@@ -104,6 +108,14 @@
 	predicted  time.Duration
 	// sentCold means that the attempt was counted as one to a cold upstream.
 	sentCold bool
+	// readBy is when the upstream should have read the prompt, and assumedRead the tokens
+	// that count as read although no first byte has arrived.
+	readBy      time.Time
+	assumedRead int
+	// reserved is where reservedMemory is kept for the request while it waits, and
+	// beyondExpected what it may have generated beyond the expectation.
+	reserved                       *upstream
+	reservedMemory, beyondExpected int
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -158,6 +170,7 @@
 		answers:         make(map[string]*pace.Peers),
 		unpaced:         make(map[string]bool),
 		paceTold:        make(map[string]map[uint32]pace.Evidence),
+		reservations:    make(map[string]int),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -375,11 +388,13 @@
 // handleTick samples the upstreams and partitions them when due, ends attempts that
 // have run out of time, aborts silent ones, and drains the queues.
 func (s *State) handleTick(now time.Time) {
+	s.assumeRead(now)
 	if now.Sub(s.sampledAt) >= tickIdle {
 		s.sampledAt = now
 		for _, u := range s.upstreams {
 			u.samplePrefill(now, s.options.PrefillRate*u.speed)
 		}
+		s.countGenerated(now)
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
 		s.updatePaces(now)
