--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -71,6 +71,11 @@
 	ColdStated, ColdUnknown bool
 	// ColdUntil is the end of Cold, counted from when this router read the entry.
 	ColdUntil time.Time
+	// Entry identifies the version of the directory's entry among all of the instance; 0 if
+	// not known. Departed means that the instance had left before, and that the directory has
+	// this entry again only since it was restored from an older copy.
+	Entry    uint64
+	Departed bool
 }
 
 // Event is an input of State.Step.
@@ -86,6 +91,19 @@
 		ID      string
 		Attempt int
 	}
+	// ErrorReceived is FirstByteReceived for an answer that is an error: its time does not
+	// tell how long the work takes.
+	ErrorReceived struct {
+		ID      string
+		Attempt int
+	}
+	// PauseMeasured reports the mean pause between the events of an attempt's stream. It comes
+	// before Done.
+	PauseMeasured struct {
+		ID      string
+		Attempt int
+		Pause   time.Duration
+	}
 	// AbortDeclined reports that an attempt was not aborted as silent, because part of
 	// its answer is waiting to be read.
 	AbortDeclined struct {
@@ -199,6 +217,8 @@
 
 func (Arrive) isEvent()            {}
 func (FirstByteReceived) isEvent() {}
+func (ErrorReceived) isEvent()     {}
+func (PauseMeasured) isEvent()     {}
 func (AbortDeclined) isEvent()     {}
 func (Done) isEvent()              {}
 func (Failed) isEvent()            {}
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -48,7 +48,7 @@
 		return
 	}
 	r.move.target = target
-	r.move.reservedLoad = Load{Running: 1, DecodeAttempts: 1, Memory: r.load.Memory}
+	r.move.reservedLoad = Load{Running: 1, DecodeAttempts: 1, Memory: memoryNeed(r, 0)}
 	target.local.add(r.move.reservedLoad)
 	target.incomingMoves++
 	s.emit(Move{ID: r.ID, Attempt: r.attempt, From: r.upstream.Instance, To: target.Instance})
@@ -64,7 +64,7 @@
 			slices.Contains(r.failedUpstreams, u.ID) || !s.health.Available(u.ID, now) {
 			continue
 		}
-		memory := u.local.Memory + u.remote.Memory + r.load.Memory
+		memory := u.memory() + memoryNeed(r, 0)
 		if float64(memory) > maxTargetMemory*float64(e.CacheTokens) || float64(u.running()) >= maxTargetSlots*float64(e.Slots) {
 			continue
 		}
@@ -80,7 +80,7 @@
 	if (a.Domain == from.Domain) != (b.Domain == from.Domain) {
 		return a.Domain == from.Domain
 	}
-	return a.running() < b.running()
+	return float64(a.running())*b.speed < float64(b.running())*a.speed
 }
 
 // cancelMove releases the load reserved for a move.
@@ -145,7 +145,8 @@
 func (s *State) continueMoved(now time.Time, r *request, target *upstream) {
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = target, now, now, false, false
-	r.load = Load{Running: 1, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
+	r.expectedWork = 0
+	r.load = Load{Running: 1, Memory: memoryNeed(r, 0) + r.beyondExpected}
 	if target.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
+	"github.com/jujubeford/jujubeford/internal/speed"
 )
 
 // Placement states that an upstream has cached a prompt part, or will cache it.
@@ -37,8 +38,12 @@
 	Pace map[uint32]pace.Report
 	// Leaving lists the runs of upstreams, by runKey, that have stated in an answer that
 	// they are leaving. An answer that is passed on by one router may come from another
-	// one's upstream, so that a router alone would not know.
+	// one's upstream, so that a router alone would not know. It also lists the entries, by
+	// entryKey, of those that left before the directory was restored.
 	Leaving []uint64
+	// Speeds is what was measured of the upstreams' speeds, by run; nil if the report does not
+	// say.
+	Speeds map[uint32]speed.Sum
 	// Crashes is what the router has seen of requests that crash upstreams since the
 	// previous report.
 	Crashes []poison.Fact
@@ -73,6 +78,7 @@
 // Report returns this router's load, and the placements and news of crashes since the
 // last call.
 func (s *State) Report(now time.Time) Report {
+	s.assumeRead(now)
 	s.unreportedTokens = 0
 	r := NewReport()
 	for _, u := range s.upstreams {
@@ -83,7 +89,10 @@
 			r.Limits[u.key] = l
 		}
 		if u.leaving {
-			r.Leaving = append(r.Leaving, runKey(u.Instance))
+			r.Leaving = append(r.Leaving, u.runKey)
+		}
+		if u.Departed {
+			r.Leaving = append(r.Leaving, u.entryKey())
 		}
 	}
 	for org, m := range s.shares.local {
@@ -101,6 +110,7 @@
 	s.unreportedPlacements = s.unreportedPlacements[:0]
 	r.Cold, r.Pace = s.reportCold(now), s.reportPace(now)
 	r.Crashes, s.newsCounted = s.poison.News(now), false
+	r.Speeds = s.speeds.Report(now)
 	return r
 }
 
@@ -113,6 +123,7 @@
 	s.peers[peer] = Report{Loads: r.Loads, Contended: r.Contended}
 	s.shares.setPeer(peer, r.Usage)
 	s.poison.Learn(now, r.Crashes)
+	s.speeds.SetPeer(peer, r.Speeds)
 	for key, l := range r.Limits {
 		if u := s.byKey[key]; u != nil {
 			s.setLimit(now, u, l.PerSecond, now.Add(-l.Age))
@@ -136,9 +147,12 @@
 		return
 	}
 	for _, u := range s.upstreams {
-		if !u.leaving && slices.Contains(runs, runKey(u.Instance)) {
+		if !u.leaving && slices.Contains(runs, u.runKey) {
 			s.setLeaving(now, u)
 		}
+		if u.Entry != 0 && slices.Contains(runs, u.entryKey()) {
+			u.departedUntil = now.Add(departedHold)
+		}
 	}
 }
 
@@ -171,11 +185,12 @@
 	s.replaceLoads(s.peers[peer], Report{})
 	delete(s.peers, peer)
 	s.shares.setPeer(peer, nil)
+	s.speeds.DropPeer(peer)
 	s.learnPace(now, peer, nil)
 	s.drainAllQueues(now)
 }
 
-// Add adds another router's report, except for its placements and crashes.
+// Add adds another router's report, except for its placements, crashes and speeds.
 func (r *Report) Add(o Report) {
 	for key, l := range o.Loads {
 		sum := r.Loads[key]
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -11,6 +11,7 @@
 	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
+	"github.com/jujubeford/jujubeford/internal/speed"
 )
 
 // State is the reducer of dispatch events. It is not safe for concurrent use.
@@ -56,8 +57,15 @@
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
-	shares             shareTracker
-	health             *health.State
+	// shortOfMemory is set when an upstream lacks memory for a request that it otherwise has
+	// room for, and reservations counts the requests that memory is reserved for, by service.
+	shortOfMemory bool
+	reservations  map[string]int
+	shares        shareTracker
+	health        *health.State
+	speeds        *speed.State
+	// speedsUpdatedAt is when the speeds of a service's upstreams were last computed.
+	speedsUpdatedAt map[string]time.Time
 	// unreportedTokens is the change of this router's load since the last Report,
 	// in prompt tokens.
 	unreportedTokens int
@@ -91,12 +99,23 @@
 	attempt  int
 	upstream *upstream
 	sentAt   time.Time
+	// expectedWork is the time that the attempt takes to its first byte at the speed 1,
+	// apart from its setup; 0 if it does not tell of the upstream's speed.
+	expectedWork time.Duration
 	// unanswered means that the attempt is counted as one without an answer, which was
 	// predicted to begin after a time, 0 if not known.
 	unanswered bool
 	predicted  time.Duration
 	// sentCold means that the attempt was counted as one to a cold upstream.
 	sentCold bool
+	// readBy is when the upstream should have read the prompt, and assumedRead the tokens
+	// that count as read although no first byte has arrived.
+	readBy      time.Time
+	assumedRead int
+	// reserved is where reservedMemory is kept for the request while it waits, and
+	// beyondExpected what it may have generated beyond the expectation.
+	reserved                       *upstream
+	reservedMemory, beyondExpected int
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -145,9 +164,13 @@
 		evacuated:  evacuations{emptied: make(map[string]bool), openFraction: 1},
 		shares:     newShareTracker(o.ShareWindow),
 		health:     health.New(),
-		answers:    make(map[string]*pace.Peers),
-		unpaced:    make(map[string]bool),
-		paceTold:   make(map[string]map[uint32]pace.Evidence),
+		speeds:     speed.New(),
+
+		speedsUpdatedAt: make(map[string]time.Time),
+		answers:         make(map[string]*pace.Peers),
+		unpaced:         make(map[string]bool),
+		paceTold:        make(map[string]map[uint32]pace.Evidence),
+		reservations:    make(map[string]int),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -162,6 +185,10 @@
 		s.handleArrival(now, e.Request)
 	case FirstByteReceived:
 		s.handleFirstByte(now, e)
+	case ErrorReceived:
+		s.handleError(now, e)
+	case PauseMeasured:
+		s.handlePause(now, e)
 	case AbortDeclined:
 		s.handleAbortDeclined(now, e)
 	case Done:
@@ -270,15 +297,16 @@
 		isNew := u == nil || !SameStart(u.Instance, in)
 		if isNew {
 			s.forgetUpstream(now, in.ID)
-			u = &upstream{key: Key(in.ID)}
+			u = newUpstream(in)
 			s.restoreAdvice(u, in)
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
 		}
+		s.setDeparted(u, in)
 		u.Instance = in
 		u.evacuatedAt = s.evacuated.since[in.Domain]
 		s.applyColdEntry(now, u, isNew)
-		if in.Draining || u.leaving {
+		if in.Draining || in.Departed || u.leaving {
 			u.markLeft(now)
 		} else {
 			u.leftAt = time.Time{}
@@ -315,6 +343,7 @@
 	delete(s.upstreams, id)
 	delete(s.byKey, u.key)
 	s.health.Remove(id)
+	s.speeds.Forget(u.run)
 }
 
 // cacheLimit returns the number of tokens of shared parts that an engine of a service
@@ -335,7 +364,7 @@
 	for _, u := range s.upstreams {
 		// The caller adds the loads reported by peers again, for all upstreams.
 		u.remote = Load{}
-		if !u.Draining && !u.isEvacuated() {
+		if !u.Draining && !u.Departed && !u.isEvacuated() {
 			s.services[u.Service] = append(s.services[u.Service], u)
 		}
 	}
@@ -359,11 +388,13 @@
 // handleTick samples the upstreams and partitions them when due, ends attempts that
 // have run out of time, aborts silent ones, and drains the queues.
 func (s *State) handleTick(now time.Time) {
+	s.assumeRead(now)
 	if now.Sub(s.sampledAt) >= tickIdle {
 		s.sampledAt = now
 		for _, u := range s.upstreams {
-			u.samplePrefill(now, s.options.PrefillRate)
+			u.samplePrefill(now, s.options.PrefillRate*u.speed)
 		}
+		s.countGenerated(now)
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
 		s.updatePaces(now)
@@ -420,5 +451,9 @@
 
 // silenceTimeout returns how long a retryable attempt may take to its first byte.
 func (s *State) silenceTimeout(r *request) time.Duration {
-	return max(minSilence, time.Duration(silenceFactor*float64(r.Route.LatencyTarget)))
+	timeout := silenceFactor * float64(r.Route.LatencyTarget)
+	if r.upstream != nil {
+		timeout /= min(1, r.upstream.speed)
+	}
+	return max(minSilence, time.Duration(timeout))
 }
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -57,7 +57,9 @@
 }
 
 // encodedReport has the sections of an encoded report: sequences of varints.
-type encodedReport struct{ loads, usage, placements, contended, crashes, limits, leaving, cold []byte }
+type encodedReport struct {
+	loads, usage, placements, contended, crashes, limits, leaving, cold, speeds []byte
+}
 
 // The field numbers of a datagram. Numbers 7 to 10 and 12 had other encodings.
 const (
@@ -181,7 +183,8 @@
 	for _, run := range r.Leaving {
 		section = binary.LittleEndian.AppendUint64(section, run)
 	}
-	return appendCold(appendSection(b, fieldRunsLeaving, section), r)
+	b = appendCold(appendSection(b, fieldRunsLeaving, section), r)
+	return appendSpeeds(b, r.Speeds)
 }
 
 func appendSection(b []byte, field protowire.Number, section []byte) []byte {
@@ -298,6 +301,8 @@
 		d.encoded.leaving = b
 	case fieldCold:
 		d.encoded.cold = b
+	case fieldSpeeds:
+		d.encoded.speeds = b
 	}
 }
 
@@ -367,9 +372,11 @@
 	for in.more() {
 		r.Leaving = append(r.Leaving, in.id())
 	}
-	if !decodeCold(e.cold, &r) || failed || in.failed {
+	speeds, err := decodeSpeeds(e.speeds)
+	if !decodeCold(e.cold, &r) || failed || in.failed || err != nil {
 		return dispatch.Report{}, errDatagram
 	}
+	r.Speeds = speeds
 	return r, nil
 }
 
