pace: try an upstream that is down with requests that may be repeated

cause: the one router that may try an upstream that is down may have ended or have no requests for it, so the upstream would stay idle for 10 s; a request that must run once is lost if it finds an upstream silent; and what peers saw of an upstream's earlier run counted against its new one.

before and after: found by reading; TestMoreRoutersTryWhatNobodyTries failed before.

conclusion: the window of an upstream that is down doubles each second in which nobody tries it, a failed attempt ends that.

--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -110,8 +110,8 @@
 
 // paceAllows reports whether this router may send a request to an upstream now, as far as
 // its temperature and its pace go.
-func (s *State) paceAllows(now time.Time, u *upstream) bool {
-	if s.nextColdSend(now, u).After(now) || !s.windowAllows(now, u) {
+func (s *State) paceAllows(now time.Time, r *request, u *upstream) bool {
+	if s.nextColdSend(now, u).After(now) || !s.windowAllows(now, r, u) {
 		s.held++
 		return false
 	}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -109,10 +109,14 @@
 // windowAllows reports whether this router may have another unanswered request at an
 // upstream. What a cold upstream is known to tolerate goes before a window that nothing has
 // spoken against.
-func (s *State) windowAllows(now time.Time, u *upstream) bool {
+func (s *State) windowAllows(now time.Time, r *request, u *upstream) bool {
 	if !u.pace.Paced() || u.pace.Untroubled() && s.isCold(now, u) || !u.pace.Down() && s.unpaced[u.Service] {
 		return true
 	}
+	if u.pace.Down() && u.pace.Window() == 1 && !r.Route.Kind.Repeatable() {
+		// A request that can be sent elsewhere afterwards finds out at less cost.
+		return false
+	}
 	if v := s.fleet.Version(); u.pace.rankedFor != v {
 		u.pace.rank, u.pace.rankedFor = s.fleet.Rank(u.ID, u.Domain), v
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -95,7 +95,7 @@
 
 // hasRoom reports whether an upstream can take a request now.
 func (s *State) hasRoom(now time.Time, r *request, u *upstream) bool {
-	if !u.limit.allows(now) || !s.paceAllows(now, u) {
+	if !u.limit.allows(now) || !s.paceAllows(now, r, u) {
 		return false
 	}
 	e := s.engine(r.Service)
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -91,6 +91,23 @@
 	g.Expect(took[2]).To(BeNumerically(">", took[1]))
 }
 
+// If nobody tries an upstream that is down, more routers may; an attempt that fails ends that.
+// What was seen before a start does not count.
+func TestMoreRoutersTryWhatNobodyTries(t *testing.T) {
+	g := NewWithT(t)
+	var u Upstream
+	u.Fall(start)
+	for now := 500; now <= 2000; now += 500 {
+		u.Update(ms(now), Evidence{}, slots, false)
+	}
+	g.Expect(u.Window()).To(Equal(4))
+	u.Update(ms(2100), Evidence{Failures: 1, BadAt: ms(2050)}, slots, false)
+	g.Expect(u.Window()).To(Equal(1))
+	u.Start(ms(3000))
+	u.Update(ms(3010), Evidence{Failures: 9, BadAt: ms(2900)}, slots, false)
+	g.Expect(u.Down()).To(BeFalse())
+}
+
 // While its peers are in trouble, single bad answers do not speak against an upstream, and
 // more failures in a row are needed.
 func TestTroubleOfAllPeersIsNotHeldAgainstOne(t *testing.T) {
--- a/internal/pace/upstream.go
+++ b/internal/pace/upstream.go
@@ -18,6 +18,8 @@
 	// silentSteps is the number of steps after which a window is doubled without answers to
 	// go by: there is no load, or those who saw answers are cut off.
 	silentSteps = 2
+	// maxTries bounds the window of an upstream that is down.
+	maxTries = 16
 	// maxFalls bounds the number of falls in a row that prolong the steps: an upstream that
 	// goes down and up is tried more cautiously each time.
 	maxFalls = 2
@@ -77,7 +79,7 @@
 	if troubled {
 		failures = downAfterTroubled
 	}
-	if u.phase != down && e.Failures >= failures && e.BadAt.After(e.GoodAt) && now.Sub(e.BadAt) < Memory {
+	if u.phase != down && e.Failures >= failures && e.BadAt.After(later(e.GoodAt, u.since)) && now.Sub(e.BadAt) < Memory {
 		u.Fall(now)
 		return false
 	}
@@ -87,8 +89,12 @@
 		case e.GoodAt.After(u.since) && e.GoodAt.After(e.BadAt):
 			u.Start(now)
 			return true
+		case e.BadAt.After(u.stepAt):
+			u.window, u.stepAt = 1, e.BadAt
+		case now.Sub(u.stepAt) >= silentSteps*step && u.window < maxTries:
+			// Nobody has tried: those who may are gone, or have no requests for it.
+			u.window, u.stepAt = 2*u.window, now
 		case now.Sub(later(u.since, e.BadAt)) > Memory:
-			// Nobody has tried for long.
 			u.Start(now)
 		}
 	case rising:
