pace: silence counts from when a request was sent

ruled out: more failures for down (a dark upstream would be found later); waiting for the others' word (0.5 s in which each router sends once).

conclusion: an attempt of which nothing is heard counts from its sending, so a good answer after that refutes it; a complete answer counts as good at an upstream that is steady or down. The mean prompt leaves plain services out.

--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// applyColdEntry applies what an upstream's entry says of its temperature. An upstream that
-// is new in the list and does not say has just started; listed is false for the first list.
+// applyColdEntry applies what an upstream's entry says of its temperature. One that is new
+// has just started, unless the list is this router's first.
 func (s *State) applyColdEntry(now time.Time, u *upstream, isNew bool) {
 	s.setCold(now, u, coldstart.Stated, u.ColdUntil)
 	if !isNew || !s.listed {
@@ -163,10 +163,12 @@
 const promptWeight = 0.02
 
 // recordPrompt counts the prompt tokens that an engine has to read for a request.
-func (s *State) recordPrompt(tokens int) {
-	if s.meanPrompt == 0 {
-		s.meanPrompt = float64(tokens)
+func (s *State) recordPrompt(service string, tokens int) {
+	switch {
+	case s.engine(service) == nil:
 		return
+	case s.meanPrompt == 0:
+		s.meanPrompt = float64(tokens)
 	}
 	s.meanPrompt += promptWeight * (float64(tokens) - s.meanPrompt)
 }
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -45,9 +45,8 @@
 	if !s.options.Pace {
 		return
 	}
-	for u.pace.own.Failures < endedFailures {
-		u.pace.own.Failed(now)
-	}
+	u.pace.own.Failed(now)
+	u.pace.own.Failures = max(u.pace.own.Failures, endedFailures)
 	s.updatePace(now, u)
 }
 
@@ -169,6 +168,15 @@
 	s.updatePace(now, u)
 }
 
+// recordComplete records an answer that is complete: the upstream is there. How fast it begins to
+// answer is seen at the first byte.
+func (s *State) recordComplete(now time.Time, u *upstream) {
+	if s.options.Pace && (u.pace.Down() || !u.pace.Paced()) {
+		u.pace.own.Good(now)
+		s.updatePace(now, u)
+	}
+}
+
 // recordBadAnswer records an attempt that failed at its upstream.
 func (s *State) recordBadAnswer(now time.Time, r *request, e Failed) {
 	u := r.upstream
@@ -184,17 +192,19 @@
 		return
 	case e.Kind == core.FailRefused || e.Kind == core.FailStatus || r.firstByteReceived:
 		u.pace.own.Bad(now)
-	case e.Kind != core.FailCancelled || r.aborting:
+	case e.Kind == core.FailIdle || e.Kind == core.FailCancelled && r.aborting:
+		u.pace.own.Failed(r.sentAt)
+	case e.Kind != core.FailCancelled:
 		u.pace.own.Failed(now)
 	}
 	s.updatePace(now, u)
 }
 
 // recordSilence records an attempt that has got no answer for too long.
-func (s *State) recordSilence(now time.Time, u *upstream) {
+func (s *State) recordSilence(now time.Time, r *request) {
 	if s.options.Pace {
-		u.pace.own.Failed(now)
-		s.updatePace(now, u)
+		r.upstream.pace.own.Failed(r.sentAt)
+		s.updatePace(now, r.upstream)
 	}
 }
 
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -307,3 +307,24 @@
 	}
 	g.Expect(sim.failed + sim.refused).To(BeZero())
 }
+
+// Engines that are slow because too much is asked of all of them are not taken for engines that
+// do not answer.
+func TestPaceChangesNothingUnderOverload(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			var results [2][3]int
+			for i, withPace := range []bool{false, true} {
+				sim := newFleetSim(seed, 12, 0)
+				sim.disturbed = true
+				for _, s := range sim.routers {
+					s.options.Pace = withPace
+				}
+				playSteady(sim, 1.2*simReadRate*12, 10)
+				results[i] = [3]int{sim.inTime, sim.late, sim.refused}
+			}
+			NewWithT(t).Expect(results[1]).To(Equal(results[0]))
+		})
+	}
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -191,7 +191,7 @@
 	r.sentCold = s.isCold(now, choice.upstream)
 	choice.upstream.cold.Take(now)
 	r.beginUnanswered(choice.firstByte)
-	s.recordPrompt(choice.prefillTokens)
+	s.recordPrompt(r.Service, choice.prefillTokens)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
 	s.queueFor(r).drainRate.add(now, float64(s.prefillTime(r.Prompt.Tokens)))
@@ -258,6 +258,7 @@
 		return
 	}
 	s.health.RecordSuccess(r.upstream.ID, r.Service, now)
+	s.recordComplete(now, r.upstream)
 	s.poison.Succeeded(now, r.traits)
 	s.releaseAttempt(r)
 	delete(s.requests, r.ID)
@@ -419,7 +420,7 @@
 // fail ends a request that may have run.
 func (s *State) fail(now time.Time, r *request, e Fail) {
 	if r.upstream != nil && !r.firstByteReceived {
-		s.recordSilence(now, r.upstream)
+		s.recordSilence(now, r)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 	s.releaseAttempt(r)
--- a/internal/pace/evidence.go
+++ b/internal/pace/evidence.go
@@ -116,8 +116,12 @@
 // Bad records an answer that is not.
 func (e *Evidence) Bad(now time.Time) { e.BadAt = now }
 
-// Failed records an attempt that got no answer.
-func (e *Evidence) Failed(now time.Time) {
-	e.BadAt = now
+// Failed records an attempt that got no answer. At is when it broke or, if nothing was heard of
+// it, when it was sent: a good answer after that shows that the upstream is only slow.
+func (e *Evidence) Failed(at time.Time) {
+	if e.GoodAt.After(at) {
+		return
+	}
+	e.BadAt = later(e.BadAt, at)
 	e.Failures++
 }
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -91,6 +91,17 @@
 	g.Expect(took[2]).To(BeNumerically(">", took[1]))
 }
 
+// An attempt of which nothing is heard says nothing if a later one was answered well.
+func TestSilenceCountsFromTheSending(t *testing.T) {
+	g := NewWithT(t)
+	var e Evidence
+	e.Good(ms(500))
+	e.Failed(ms(100))
+	g.Expect(e.Failures).To(BeZero())
+	e.Failed(ms(600))
+	g.Expect(e).To(Equal(Evidence{Failures: 1, GoodAt: ms(500), BadAt: ms(600)}))
+}
+
 // If nobody tries an upstream that is down, more routers may; an attempt that fails ends that.
 // What was seen before a start does not count.
 func TestMoreRoutersTryWhatNobodyTries(t *testing.T) {
