pace: take a router's own failures out of the sums that it gets back

cause: in a fleet with relays a router's report comes back to it in the sum of its domain, so its failures counted twice and two of them made an upstream count as down, where three are asked for.

ruled out: leaving the router's report out of its own sum (one sum for each receiver).

before and after: TestOwnFailuresInASumCountOnce: 3 failures left of 3 after the own 2 are taken out, now 1.

conclusion: Report.Sub takes failures out as it does loads; ages cannot be taken out, and do no harm: they are the router's own.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -275,6 +275,17 @@
 	}
 }
 
+// subPace takes the failures of another report out of a sum: a router's own would come back to
+// it and count twice.
+func (r *Report) subPace(o Report) {
+	for key, p := range o.Pace {
+		if sum, ok := r.Pace[key]; ok {
+			sum.Failures = max(0, sum.Failures-p.Failures)
+			r.Pace[key] = sum
+		}
+	}
+}
+
 // PacedUpstreams returns the number of upstreams that have a pace.
 func (s *State) PacedUpstreams() (n int) {
 	for _, u := range s.upstreams {
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
@@ -328,3 +329,16 @@
 		})
 	}
 }
+
+// A router's own failures that come back in a sum do not count twice.
+func TestOwnFailuresInASumCountOnce(t *testing.T) {
+	g, key := NewWithT(t), Key("p00")
+	own := Report{Pace: map[uint32]pace.Report{key: {Failures: 2, BadAge: 0, GoodAge: pace.Never}}}
+	sum := NewReport()
+	sum.Add(own)
+	sum.Add(Report{Pace: map[uint32]pace.Report{key: {Failures: 1, BadAge: 0, GoodAge: pace.Never}}})
+	g.Expect(sum.Pace[key].Failures).To(Equal(3))
+	sum.Sub(own)
+	g.Expect(sum.Pace[key].Failures).To(Equal(1))
+	g.Expect(own.Pace[key].Failures).To(Equal(2))
+}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -249,4 +249,5 @@
 		}
 		r.Usage[key] = left
 	}
+	r.subPace(o)
 }
