pace: an upstream is down only where nobody has had a good answer for a while

A failing router knows of the good answers of others only after 0.5 s through relays, in which some failures add up, so upstreams that answered were taken for down and tried with one request at a time.

ruled out: more failures in a row (with 50 answers a second some add up whatever the number is).

before and after: TestPaceChangesNothingWhereAllLoseAnswers with a settle time of 0 passes upstreams over, with twice the time of a report never.

conclusion: failures count from the first since the last good answer of any router, and have to stand for as long as reports take there and back. Single bad answers are held against none while over one in fifty of the steady upstreams' is bad.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -47,7 +47,9 @@
 	}
 	u.pace.own.Failed(now)
 	u.pace.own.Failures = max(u.pace.own.Failures, endedFailures)
-	s.updatePace(now, u)
+	before := u.pace.Phase()
+	u.pace.Fall(now)
+	s.tellPace(u, before)
 }
 
 // endedFailures is the number of failed attempts that a refused connection counts as: it
@@ -61,7 +63,7 @@
 	}
 	before, slots := u.pace.Phase(), max(1, u.Slots)
 	u.pace.own.Refute(u.pace.told)
-	if u.pace.Update(now, u.pace.own.Merge(u.pace.told), slots, s.peersOf(u.Service).Troubled()) {
+	if u.pace.Update(now, u.pace.own.Merge(u.pace.told), slots, s.peersOf(u.Service).Troubled(), 2*crashReportTime(s.aggregatedByDomain)) {
 		// It may have ended and started in between.
 		if bound, ok := s.coldBound(u.Service); ok {
 			s.setCold(now, u, coldstart.Assumed, now.Add(bound.Duration))
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -27,6 +27,8 @@
 	// inTime, late, failed and refused count the callers' requests, and most is the largest
 	// number of requests at the first upstream.
 	inTime, late, failed, refused, most int
+	// loseEach means that of so many answers one is lost, 0 for none. ended counts them.
+	loseEach, ended int
 }
 
 // simServer is an upstream: it runs slots requests at a time, each for simWork times slower.
@@ -155,6 +157,10 @@
 			delete(server.atWork, call)
 			server.running--
 			sim.work(server)
+			if sim.ended++; sim.loseEach > 0 && sim.ended%sim.loseEach == 0 {
+				sim.end(call, Failed{ID: call.id, Attempt: call.send.Attempt, Kind: core.FailReset, MayHaveRun: true})
+				return
+			}
 			sim.end(call, Done{ID: call.id, Attempt: call.send.Attempt})
 		})
 	}
@@ -290,6 +296,19 @@
 	g.Expect(results[1]).To(Equal(results[0]))
 }
 
+// Where all upstreams lose some of their answers, none is taken for one that does not answer.
+func TestPaceChangesNothingWhereAllLoseAnswers(t *testing.T) {
+	g := NewWithT(t)
+	for _, loseEach := range []int{40, 16, 5} {
+		sim := newPaceSim(true)
+		sim.loseEach = loseEach
+		sim.play(5*time.Second, 600)
+		for _, s := range sim.routers {
+			g.Expect(s.Held()).To(BeZero(), "one of %d", loseEach)
+		}
+	}
+}
+
 // An upstream is neither left idle after it has come back, nor does it get more at once than
 // its window.
 func TestPacedUpstreamIsNeitherFloodedNorIdle(t *testing.T) {
--- a/internal/gateway/datagram_cold.go
+++ b/internal/gateway/datagram_cold.go
@@ -11,8 +11,8 @@
 )
 
 // fieldCold is the section of upstreams that are cold, that have started or that fail: the
-// key, the cold time left, the failures, and the ages of the last bad and the last good answer,
-// in milliseconds. Ages are sent plus 1, and 0 for never.
+// key, the cold time left, the failures, and the ages of the first of these and of the last bad
+// and the last good answer, in milliseconds. Ages are sent plus 1, and 0 for never.
 const fieldCold protowire.Number = 28
 
 const (
@@ -27,14 +27,14 @@
 	var section []byte
 	appendEntry := func(key uint32, p pace.Report) {
 		section = binary.LittleEndian.AppendUint32(section, key)
-		section = appendVarints(section, uint64(r.Cold[key]/time.Millisecond), uint64(max(0, p.Failures)), encodeAge(p.BadAge), encodeAge(p.GoodAge))
+		section = appendVarints(section, uint64(r.Cold[key]/time.Millisecond), uint64(max(0, p.Failures)), encodeAge(p.FirstAge), encodeAge(p.BadAge), encodeAge(p.GoodAge))
 	}
 	for key, p := range r.Pace {
 		appendEntry(key, p)
 	}
 	for key := range r.Cold {
 		if _, ok := r.Pace[key]; !ok {
-			appendEntry(key, pace.Report{BadAge: pace.Never, GoodAge: pace.Never})
+			appendEntry(key, pace.Report{FirstAge: pace.Never, BadAge: pace.Never, GoodAge: pace.Never})
 		}
 	}
 	return appendSection(b, fieldCold, section)
@@ -66,7 +66,7 @@
 			r.Cold[key] = time.Duration(left) * time.Millisecond
 		}
 		p := pace.Report{Failures: int(min(in.number(), maxFailures))}
-		p.BadAge, p.GoodAge = decodeAge(in.number()), decodeAge(in.number())
+		p.FirstAge, p.BadAge, p.GoodAge = decodeAge(in.number()), decodeAge(in.number()), decodeAge(in.number())
 		if p.BadAge >= 0 || p.GoodAge >= 0 {
 			r.Pace[key] = p
 		}
--- a/internal/gateway/datagram_cold_test.go
+++ b/internal/gateway/datagram_cold_test.go
@@ -12,17 +12,17 @@
 )
 
 // The section stays small when every upstream of the users' largest fleet is cold and paced:
-// docs/CAPACITY.md counts with 11 bytes each.
+// docs/CAPACITY.md counts with 13 bytes each.
 func TestColdSectionOfTheLargestFleet(t *testing.T) {
 	g, r := NewWithT(t), dispatch.NewReport()
 	r.Cold, r.Pace = make(map[uint32]time.Duration), make(map[uint32]pace.Report)
 	for i := range 600 {
 		key := dispatch.Key(fmt.Sprint("i", i))
 		r.Cold[key] = 3 * time.Second
-		r.Pace[key] = pace.Report{Failures: 100, BadAge: 8 * time.Second, GoodAge: 4 * time.Second}
+		r.Pace[key] = pace.Report{Failures: 100, FirstAge: 9 * time.Second, BadAge: 8 * time.Second, GoodAge: 4 * time.Second}
 	}
 	b := appendCold(nil, r)
-	g.Expect(len(b)).To(BeNumerically("<=", 600*11+8))
+	g.Expect(len(b)).To(BeNumerically("<=", 600*13+8))
 	d, err := decode(append((&datagram{addr: "a"}).encode(nil, dispatch.NewReport()), b...))
 	g.Expect(err).NotTo(HaveOccurred())
 	got, err := d.encoded.decode()
@@ -38,9 +38,9 @@
 	var r dispatch.Report
 	g.Expect(decodeCold([]byte{1, 2, 3, 4, 9}, &r)).To(BeFalse())
 	r = dispatch.Report{}
-	entry := appendVarints([]byte{1, 2, 3, 4}, 1<<60, 1<<60, 1<<60, 0)
+	entry := appendVarints([]byte{1, 2, 3, 4}, 1<<60, 1<<60, 1<<60, 1<<60, 0)
 	g.Expect(decodeCold(entry, &r)).To(BeTrue())
 	key := uint32(0x04030201)
 	g.Expect(r.Cold[key]).To(Equal(maxColdLeft * time.Millisecond))
-	g.Expect(r.Pace[key]).To(Equal(pace.Report{Failures: maxFailures, BadAge: maxPaceAge * time.Millisecond, GoodAge: pace.Never}))
+	g.Expect(r.Pace[key]).To(Equal(pace.Report{Failures: maxFailures, FirstAge: maxPaceAge * time.Millisecond, BadAge: maxPaceAge * time.Millisecond, GoodAge: pace.Never}))
 }
--- a/internal/gateway/datagram_test.go
+++ b/internal/gateway/datagram_test.go
@@ -32,7 +32,7 @@
 	r.Limits[dispatch.Key("i1")] = dispatch.Limit{Age: 3 * time.Second}
 	r.Cold = map[uint32]time.Duration{dispatch.Key("i0"): 2900 * time.Millisecond, dispatch.Key("i2"): time.Minute}
 	r.Pace = map[uint32]pace.Report{
-		dispatch.Key("i0"): {Failures: 3, BadAge: 0, GoodAge: pace.Never}, dispatch.Key("i3"): {BadAge: pace.Never, GoodAge: 70 * time.Millisecond},
+		dispatch.Key("i0"): {Failures: 3, FirstAge: time.Second, BadAge: 0, GoodAge: pace.Never}, dispatch.Key("i3"): {FirstAge: pace.Never, BadAge: pace.Never, GoodAge: 70 * time.Millisecond},
 	}
 	r.Crashes = []poison.Fact{
 		{Kind: poison.FactSuspect, Trait: poison.Trait{Kind: poison.KindRequest, ID: 1 << 63}, Run: 1<<63 + 1, Before: 1 << 62, Proven: true},
--- a/internal/pace/compare.go
+++ b/internal/pace/compare.go
@@ -16,9 +16,9 @@
 	minLate = 100 * time.Millisecond
 	// usualWeight is the weight of an answer in the usual time and in the ratio of bad ones.
 	usualWeight = 0.05
-	// maxBadRatio is the ratio of bad answers from which a service is in trouble as a whole:
-	// one upstream in ten that fails is found out one by one.
-	maxBadRatio = 0.1
+	// maxBadRatio is the ratio of bad answers of steady upstreams from which a single bad one
+	// says nothing: a paced upstream would have one in most steps.
+	maxBadRatio = 0.02
 )
 
 // Verdict is the comparison of an answer with those of other upstreams.
--- a/internal/pace/evidence.go
+++ b/internal/pace/evidence.go
@@ -10,6 +10,8 @@
 type Evidence struct {
 	// Failures counts the attempts that got no answer since the last good one.
 	Failures int
+	// FirstAt is when the first of them failed.
+	FirstAt time.Time
 	// BadAt is when an answer last was an error, a refusal, much later than that of a peer, or
 	// did not come; GoodAt when one last was like those of its peers. They are zero if never.
 	BadAt, GoodAt time.Time
@@ -18,8 +20,9 @@
 // Report is evidence as one router tells it to others.
 type Report struct {
 	Failures int
-	// BadAge and GoodAge are the times since BadAt and GoodAt, negative if never.
-	BadAge, GoodAge time.Duration
+	// FirstAge, BadAge and GoodAge are the times since FirstAt, BadAt and GoodAt, negative
+	// if never.
+	FirstAge, BadAge, GoodAge time.Duration
 }
 
 // Never is the age of what has not happened.
@@ -43,34 +46,25 @@
 
 // Report returns what is told to other routers.
 func (e Evidence) Report(now time.Time) Report {
-	r := Report{Failures: e.Failures, BadAge: age(now, e.BadAt), GoodAge: age(now, e.GoodAt)}
+	r := Report{Failures: e.Failures, FirstAge: Never, BadAge: age(now, e.BadAt), GoodAge: age(now, e.GoodAt)}
 	if r.BadAge < 0 {
 		r.Failures = 0
 	}
+	if r.Failures > 0 {
+		r.FirstAge = min(Memory, max(0, now.Sub(e.FirstAt)))
+	}
 	return r
 }
 
 // Evidence returns what a report tells, received at the time now.
 func (r Report) Evidence(now time.Time) Evidence {
-	return Evidence{Failures: r.Failures, BadAt: at(now, r.BadAge), GoodAt: at(now, r.GoodAge)}
+	return Evidence{Failures: r.Failures, FirstAt: at(now, r.FirstAge), BadAt: at(now, r.BadAge), GoodAt: at(now, r.GoodAge)}
 }
 
 // Add adds another router's report to a sum.
 func (r Report) Add(o Report) Report {
-	sum := Report{BadAge: youngest(r.BadAge, o.BadAge), GoodAge: youngest(r.GoodAge, o.GoodAge)}
-	for _, part := range []Report{r, o} {
-		if part.BadAge >= 0 && (sum.GoodAge < 0 || part.BadAge < sum.GoodAge) {
-			sum.Failures += part.Failures
-		}
-	}
-	return sum
-}
-
-func youngest(a, b time.Duration) time.Duration {
-	if a < 0 || b >= 0 && b < a {
-		return b
-	}
-	return a
+	sum := r.Evidence(time.Time{}.Add(2 * Memory)).Merge(o.Evidence(time.Time{}.Add(2 * Memory)))
+	return sum.Report(time.Time{}.Add(2 * Memory))
 }
 
 // Sum returns the evidence of several routers. Failures of a router that saw the last of them
@@ -89,9 +83,14 @@
 func (e Evidence) Merge(o Evidence) Evidence {
 	sum := Evidence{BadAt: later(e.BadAt, o.BadAt), GoodAt: later(e.GoodAt, o.GoodAt)}
 	for _, part := range []Evidence{e, o} {
-		if part.BadAt.After(sum.GoodAt) {
-			sum.Failures += part.Failures
+		if part.Failures == 0 || !part.BadAt.After(sum.GoodAt) {
+			continue
 		}
+		first := later(part.FirstAt, sum.GoodAt)
+		if sum.Failures == 0 || first.Before(sum.FirstAt) {
+			sum.FirstAt = first
+		}
+		sum.Failures += part.Failures
 	}
 	return sum
 }
@@ -122,6 +121,9 @@
 	if e.GoodAt.After(at) {
 		return
 	}
+	if e.Failures == 0 || at.Before(e.FirstAt) {
+		e.FirstAt = at
+	}
 	e.BadAt = later(e.BadAt, at)
 	e.Failures++
 }
--- a/internal/pace/upstream.go
+++ b/internal/pace/upstream.go
@@ -72,14 +72,15 @@
 
 // Update brings the pace up to date with the evidence of all routers. Slots is the number of
 // requests that the upstream runs at once: a window of that size is none. While the upstream's
-// peers are in trouble, single bad answers do not speak against it. It reports whether the
+// peers are in trouble, single bad answers do not speak against it. Settle is how long it takes
+// until the others' good answers since a failure have been heard of. It reports whether the
 // upstream has recovered by that.
-func (u *Upstream) Update(now time.Time, e Evidence, slots int, troubled bool) (recovered bool) {
+func (u *Upstream) Update(now time.Time, e Evidence, slots int, troubled bool, settle time.Duration) (recovered bool) {
 	failures := downAfter
 	if troubled {
 		failures = downAfterTroubled
 	}
-	if u.phase != down && e.Failures >= failures && e.BadAt.After(later(e.GoodAt, u.since)) && now.Sub(e.BadAt) < Memory {
+	if u.phase != down && e.Failures >= failures && e.BadAt.After(later(e.GoodAt, u.since)) && now.Sub(e.BadAt) < Memory && now.Sub(e.FirstAt) >= settle {
 		u.Fall(now)
 		return false
 	}
