Do not offload a request whose header is longer than the buffer

Cause: when a request has to end is parsed from its header; of one longer than 4 KiB only a part has been read, so it counted as one without a time limit and its connection was reset 30 s after it came, also where the caller waits for longer, and a route's shorter timeout was not kept. Ruled out: offloading it without a limit (a peer that freezes holds the caller as before); parsing the part (the time limit may be in the rest). Before: TestCallerThatHasLeftIsNotOffloaded fails, the peer gets a connection. After: it passes; such a request is served from the reserve or refused.

--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -134,7 +134,8 @@
 		l.g.metrics.recordShed("left")
 		return
 	}
-	if u.offloadCharge > 0 && l.g.offloader.offload(c, reader, header, p) {
+	// When a request has to end is known from its whole header only.
+	if complete && u.offloadCharge > 0 && l.g.offloader.offload(c, reader, header, p) {
 		return
 	}
 	l.g.pressure.admission.refundOffload(u.offloadCharge)
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -140,7 +140,8 @@
 }
 
 // TestCallerThatHasLeftIsNotOffloaded: in a flood connections wait for longer than their
-// callers do.
+// callers do. Neither is a request whose header is longer than the buffer: when it has to end
+// is not known.
 func TestCallerThatHasLeftIsNotOffloaded(t *testing.T) {
 	g := NewWithT(t)
 	peer, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -168,11 +169,11 @@
 	gw.offloader.handleReport(time.Now(), &datagram{addr: "127.0.0.1:1", domain: "d", spare: 100, offloadPort: port})
 	time.Sleep(20 * time.Millisecond)
 	l := &shedListener{TCPListener: ln, g: gw}
-	refuse := func(leaves bool) {
+	refuse := func(leaves bool, field string) {
 		c, err := net.Dial("tcp4", ln.Addr().String())
 		g.Expect(err).NotTo(HaveOccurred())
 		defer c.Close()
-		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n"+field+"Content-Length: 4\r\n\r\nbody")
 		g.Expect(err).NotTo(HaveOccurred())
 		if leaves {
 			c.Close()
@@ -181,9 +182,11 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		l.refuse(unadmitted{conn: accepted, offloadCharge: 1})
 	}
-	refuse(true)
+	refuse(true, "")
 	g.Consistently(offloaded, 100*time.Millisecond).ShouldNot(Receive())
-	refuse(false)
+	refuse(false, "X: "+strings.Repeat("x", 2*shedBuffer)+"\r\n")
+	g.Consistently(offloaded, 100*time.Millisecond).ShouldNot(Receive())
+	refuse(false, "")
 	g.Eventually(offloaded, 30*time.Second).Should(Receive())
 }
 
