Say that a connection is taken once the server has it, and wait for it

Cause: the router said "taken" before it handed the connection to the callers' server. If that had ended meanwhile, the connection was closed and the caller got 502 for a request that no router had read. A taken connection without its first bytes counted as idle, so a stop went on to Shutdown, and net/http closes a connection without an answer whose request it reads after that. Ruled out: a wait after the listener is closed (the bytes may come at any time within the header's timeout); refusing connections while draining (peers may not have heard of it). Before: TestTakenConnectionIsServedAtAStop fails in both parts: the byte says taken though the server has ended, and awaitNoPendingReads does not wait.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -21,7 +21,8 @@
 	// pendingReads counts the connections whose readPending is set.
 	pendingReads *atomic.Int64
 	// readPending is set while part of a request has been read and its handler does not
-	// run yet, inHandler while a handler runs.
+	// run yet, also from when a connection of another router is taken; inHandler while a
+	// handler runs.
 	readPending, inHandler atomic.Bool
 }
 
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -45,8 +45,8 @@
 	open, offloaded int
 	// idle maps connections without a request to the time at which they became idle.
 	idle map[net.Conn]time.Time
-	// pendingReads counts the connections from which part of a request has been read
-	// whose handler does not run yet.
+	// pendingReads counts the connections from which part of a request has been read, or
+	// that were taken of another router, and whose handler does not run yet.
 	pendingReads atomic.Int64
 	// charges holds what admission control has charged for the next request of a
 	// connection.
--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -404,29 +404,34 @@
 	}
 }
 
-// takeOrRefuse tells the router that offloads a connection whether this one takes it, and
-// hands it to the callers' server if so. One that is not taken goes back to its caller's
-// router.
+// takeOrRefuse hands a connection that a router offloads to the callers' server, and tells
+// that router whether this one takes it. One that is not taken goes back to its caller's
+// router, so nothing is promised before the server has the connection.
 func (l *shedListener) takeOrRefuse(c *net.TCPConn) error {
-	answer := handshakeTaken
 	if !l.g.pressure.admission.admitOffloaded(time.Now()) {
-		answer = handshakeBusy
-	}
-	// The byte fits the empty send buffer, so the write does not block.
-	if _, err := c.Write([]byte{answer}); err != nil {
-		return err
-	}
-	if answer == handshakeBusy {
-		return errors.Join(errOwnTimeSpent, c.Close())
+		return errors.Join(errOwnTimeSpent, sayWhetherTaken(c, handshakeBusy))
 	}
 	conn := l.g.conns.wrap(c, nil)
 	conn.offloaded = true
+	// The request is on its way: a stop waits for it.
+	conn.markReadPending()
 	if !l.handToServer(conn, charge{admitted: true}) {
-		return net.ErrClosed
+		return errors.Join(net.ErrClosed, sayWhetherTaken(c, handshakeBusy))
+	}
+	if err := sayWhetherTaken(c, handshakeTaken); err != nil {
+		// The server, which has the connection, notices its end as well.
+		logs.Info("take-offloaded", "Gateway: router that offloads a connection has gone.", "err", err)
 	}
 	return nil
 }
 
+// sayWhetherTaken writes the byte of the handshake. It fits the empty send buffer, so the
+// write does not block.
+func sayWhetherTaken(c *net.TCPConn, answer byte) error {
+	_, err := c.Write([]byte{answer})
+	return err
+}
+
 var errOwnTimeSpent = errors.New("no processor time left for connections of others")
 
 // offloadAcceptPause is the pause after a failed accept, while descriptors are short.
--- a/internal/gateway/offload_handshake_test.go
+++ b/internal/gateway/offload_handshake_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -191,3 +193,39 @@
 	over := appendTimeLeft(nil, -time.Second)
 	x.Expect(over).To(Equal([]byte{0, 0, 0, 0}))
 }
+
+// TestTakenConnectionIsServedAtAStop: a router that has said that it takes a connection waits
+// for the request, and one whose server has ended says that it does not take it.
+func TestTakenConnectionIsServedAtAStop(t *testing.T) {
+	for name, stopped := range map[string]bool{"taken": false, "server ended": true} {
+		t.Run(name, func(t *testing.T) {
+			x := newOffloadTest(t)
+			gw := x.o.g
+			gw.pressure.admission = newAdmission(0)
+			router, atPeer := connect(x.GomegaWithT, x.peers)
+			defer router.Close()
+			defer atPeer.Close()
+			l := &shedListener{g: gw, accepted: make(chan acceptResult), closed: make(chan struct{})}
+			taken := make(chan net.Conn, 1)
+			if stopped {
+				close(l.closed)
+			} else {
+				go func() { taken <- (<-l.accepted).conn }()
+			}
+			err := l.takeOrRefuse(atPeer)
+			if stopped {
+				x.Expect(err).To(HaveOccurred())
+				x.Expect(awaitTaken(router)).To(MatchError(errPeerBusy))
+				x.Expect(gw.conns.awaitNoPendingReads(t.Context())).To(Succeed())
+				return
+			}
+			x.Expect(err).NotTo(HaveOccurred())
+			x.Expect(awaitTaken(router)).To(Succeed())
+			ctx, cancel := context.WithTimeout(t.Context(), 10*quietPolls*readPoll)
+			defer cancel()
+			x.Expect(gw.conns.awaitNoPendingReads(ctx)).To(MatchError(context.DeadlineExceeded))
+			gw.conns.onConnState(<-taken, http.StateClosed)
+			x.Expect(gw.conns.awaitNoPendingReads(t.Context())).To(Succeed())
+		})
+	}
+}
