Count the written part of a chunk as part of the answer

Cause: copyChunks counted whole chunks only. If the caller's connection took a part of the first chunk of an answer until the deadline, none was counted, and the router's own 504 or 502 was written behind that part: bytes of two answers. Ruled out: by the size of the send buffer, which a first chunk of 4 KiB fits today; the correctness of an answer must not rest on that. Before: TestPartOfAChunkCounts fails with 0 for a part of 3 bytes. After: it passes, and such a connection is reset like any broken answer.

--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -337,10 +337,11 @@
 			return n, err
 		}
 		chunk, _ := src.Peek(src.Buffered())
-		if _, err := dst.Write(chunk); err != nil {
+		written, err := dst.Write(chunk)
+		n += written
+		if err != nil {
 			return n, err
 		}
-		n += len(chunk)
 		// Discarding what is buffered cannot fail.
 		_, _ = src.Discard(len(chunk))
 	}
--- a/internal/gateway/offload_handshake_test.go
+++ b/internal/gateway/offload_handshake_test.go
@@ -194,6 +194,19 @@
 	x.Expect(over).To(Equal([]byte{0, 0, 0, 0}))
 }
 
+// partWriter writes a part and fails.
+type partWriter struct{}
+
+func (partWriter) Write([]byte) (int, error) { return 3, io.ErrShortWrite }
+
+// TestPartOfAChunkCounts: nothing else may follow bytes of an answer.
+func TestPartOfAChunkCounts(t *testing.T) {
+	g := NewWithT(t)
+	n, err := copyChunks(partWriter{}, bufio.NewReader(strings.NewReader("answer")))
+	g.Expect(err).To(MatchError(io.ErrShortWrite))
+	g.Expect(n).To(Equal(3))
+}
+
 // TestTakenConnectionIsServedAtAStop: a router that has said that it takes a connection waits
 // for the request, and one whose server has ended says that it does not take it.
 func TestTakenConnectionIsServedAtAStop(t *testing.T) {
