Call a peer silent only if it has got the whole request

Cause: a peer that has not answered at the end of a request's time counted as silent and got nothing until its next report. A caller that sends its header and withholds the body makes any peer look so: it has nothing to answer yet. A few such callers could keep this router from offloading at all. Ruled out: a shorter time for bodies at the peer (it would answer 400 for what is a slow caller, and the same caller is given longer when not offloaded). Before: TestCallerThatDoesNotSendItsBodyIsNotItsPeersFault fails. After: it passes, and a peer that has the whole request is still called silent (added to TestPeerThatFallsSilentDoesNotHoldTheCaller).

--- a/internal/gateway/offload.go
+++ b/internal/gateway/offload.go
@@ -152,7 +152,7 @@
 	started := time.Now()
 	r := offloadedConn{caller: c, fromCaller: reader, peer: conn, header: header, expiresAt: p.expiresAt}
 	outcome := r.run()
-	if outcome == offloadLate {
+	if outcome == offloadLate && r.sentWhole {
 		o.markSilent(addr)
 	}
 	o.g.metrics.recordOffload(string(outcome))
@@ -260,6 +260,8 @@
 	expiresAt time.Time
 	// answered is the number of bytes of the answer.
 	answered int
+	// sentWhole means that the peer has got the whole request, so that an answer is due.
+	sentWhole bool
 }
 
 // run copies in both directions until either side closes or the request's time is over.
@@ -280,9 +282,12 @@
 	_, _ = r.fromCaller.Discard(len(rest))
 	left := make(chan struct{})
 	forwarded := make(chan struct{})
+	sent := len(rest)
 	go func() {
 		defer close(forwarded)
-		if _, err := copyChunks(r.peer, r.fromCaller); err == nil {
+		n, err := copyChunks(r.peer, r.fromCaller)
+		sent += n
+		if err == nil {
 			// The caller has closed its connection: the peer must stop the request.
 			close(left)
 			r.peer.Close()
@@ -310,6 +315,8 @@
 		logs.Info("offload-options", "Gateway: setting the options of an offloaded connection failed.", "err", err)
 	}
 	<-forwarded
+	length, known := contentLength(r.header)
+	r.sentWhole = known && sent >= length
 	return outcome
 }
 
--- a/internal/gateway/offload_handshake_test.go
+++ b/internal/gateway/offload_handshake_test.go
@@ -136,10 +136,12 @@
 					t.Error(err)
 				}
 			}()
+			reported := time.Now()
 			x.Expect(x.offload(300 * time.Millisecond)).To(BeTrue())
 			x.atRouter.Close()
 			got, err := io.ReadAll(x.caller)
 			if part == "" {
+				x.Expect(x.o.available(reported)).To(BeFalse())
 				x.Expect(err).NotTo(HaveOccurred())
 				x.Expect(string(got)).To(Equal(string(lateAnswer)))
 				return
@@ -194,6 +196,28 @@
 	x.Expect(over).To(Equal([]byte{0, 0, 0, 0}))
 }
 
+// TestCallerThatDoesNotSendItsBodyIsNotItsPeersFault: the peer has nothing to answer yet, and
+// gets other connections.
+func TestCallerThatDoesNotSendItsBodyIsNotItsPeersFault(t *testing.T) {
+	x := newOffloadTest(t)
+	go func() {
+		c, err := x.peers.AcceptTCP()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		if _, err := c.Write([]byte{handshakeTaken}); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.Copy(io.Discard, c) // the router closes the connection, also by a reset
+	}()
+	header := strings.Replace(offloadedHeader, "Length: 4", "Length: 5", 1)
+	reported := time.Now()
+	x.Expect(x.o.offload(x.atRouter, x.reader, []byte(header), parsedRequest{expiresAt: reported.Add(200 * time.Millisecond)})).To(BeTrue())
+	x.Expect(x.o.available(reported)).To(BeTrue())
+}
+
 // partWriter writes a part and fails.
 type partWriter struct{}
 
