Answer the requests that no peer takes before a stop ends

Cause: a stop waits for the server's requests and for offloaded connections, but not for the goroutines that refuse connections. One that waits up to 400 ms for a peer's connection and its byte, and is then refused, could outlive the drain: the process ended and the caller's connection closed without an answer, though its request had been read. Ruled out: the offloader's count alone (it begins after the dial and ends before the refusal is written); pendingReads (it would hold Shutdown up for as long as any connection is offloaded). Before: TestRefusalIsWaitedForAtAStop fails with the count left out: no answer when the wait returns. After: it passes, three times with -race. Conclusion: kept; a caller that has sent nothing holds up a stop for 2 s at most (shedTimeout), and only on a router that was refusing.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -48,6 +48,8 @@
 	// pendingReads counts the connections from which part of a request has been read, or
 	// that were taken of another router, and whose handler does not run yet.
 	pendingReads atomic.Int64
+	// refusals counts the connections that are being refused or offloaded.
+	refusals atomic.Int64
 	// charges holds what admission control has charged for the next request of a
 	// connection.
 	charges map[net.Conn]charge
@@ -196,6 +198,18 @@
 	return nil
 }
 
+// awaitRefused waits until no connection is being refused or offloaded.
+func (c *conns) awaitRefused(ctx context.Context) error {
+	for c.refusals.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readPoll):
+		}
+	}
+	return nil
+}
+
 func (c *conns) hasUnread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,6 +220,10 @@
 		klog.InfoS("Gateway: connections were cut off at the end of the grace period.", "running", g.running())
 	}
 	g.offloader.wait(ctx)
+	// Those that no peer takes any more are refused.
+	if err := g.conns.awaitRefused(ctx); err != nil {
+		klog.InfoS("Gateway: refusals were cut off at the end of the grace period.", "err", err)
+	}
 }
 
 func (g *Gateway) running() int {
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -110,7 +110,7 @@
 		if canOffload {
 			pending.offloadCharge, _ = l.g.pressure.admission.chargeOffload()
 		}
-		go l.refuse(pending)
+		l.startRefusal(pending)
 	}
 }
 
--- a/internal/gateway/offload_handshake_test.go
+++ b/internal/gateway/offload_handshake_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/sockets"
 )
 
 const offloadedHeader = "POST /book/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
@@ -266,3 +268,28 @@
 		})
 	}
 }
+
+// TestRefusalIsWaitedForAtAStop: a request that a peer does not take is answered before the
+// router ends.
+func TestRefusalIsWaitedForAtAStop(t *testing.T) {
+	x := newOffloadTest(t)
+	gw := x.o.g
+	gw.offloader, gw.options.Protocol = x.o, anonymous{}
+	gw.pressure.admission = newAdmission(1e-9)
+	x.reportSpare()
+	callers, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	x.Expect(err).NotTo(HaveOccurred())
+	defer callers.Close()
+	caller, atRouter := connect(x.GomegaWithT, callers)
+	defer caller.Close()
+	_, err = io.WriteString(caller, offloadedHeader+"body")
+	x.Expect(err).NotTo(HaveOccurred())
+	l := &shedListener{g: gw, accepted: make(chan acceptResult), closed: make(chan struct{})}
+	close(l.closed)
+	l.startRefusal(unadmitted{conn: atRouter, acceptedAt: time.Now(), offloadCharge: 1})
+	silent, err := x.peers.AcceptTCP()
+	x.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	x.Expect(gw.conns.awaitRefused(t.Context())).To(Succeed())
+	x.Expect(sockets.HasUnread(caller)).To(BeTrue(), "it has its answer")
+}
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -57,7 +57,7 @@
 		logs.Info("shed", "Gateway: a connection to refuse cannot be used, closed.", "err", err)
 		return
 	}
-	go l.refuse(unadmitted{conn: c, acceptedAt: time.Now()})
+	l.startRefusal(unadmitted{conn: c, acceptedAt: time.Now()})
 }
 
 // answerUnpolled sends the refusal and closes the connection, at once if the whole request
@@ -101,6 +101,15 @@
 	offloadCharge time.Duration
 }
 
+// startRefusal runs refuse in a goroutine, which a stop waits for.
+func (l *shedListener) startRefusal(u unadmitted) {
+	l.g.conns.refusals.Add(1)
+	go func() {
+		defer l.g.conns.refusals.Add(-1)
+		l.refuse(u)
+	}()
+}
+
 // refuse refuses the first request on a connection as not run and closes the
 // connection, unless it can be offloaded to another router, or there is time for it after
 // all, as for the request of an underserved organisation; then it hands the connection to
