--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -64,6 +64,13 @@
 	// Started is the start time of the instance in Unix milliseconds, 0 if not
 	// known. It distinguishes restarts under the same id.
 	Started int64
+	// Cold is how long the instance stays cold, as its entry said when it was written.
+	// ColdStated means that the entry says so, and ColdUnknown that what it says could not
+	// be read.
+	Cold                    time.Duration
+	ColdStated, ColdUnknown bool
+	// ColdUntil is the end of Cold, counted from when this router read the entry.
+	ColdUntil time.Time
 }
 
 // Event is an input of State.Step.
@@ -79,6 +86,19 @@
 		ID      string
 		Attempt int
 	}
+	// ErrorReceived is FirstByteReceived for an answer that is an error: its time does not
+	// tell how long the work takes.
+	ErrorReceived struct {
+		ID      string
+		Attempt int
+	}
+	// Paced reports the mean pause between the events of an attempt's stream. It comes
+	// before Done.
+	Paced struct {
+		ID      string
+		Attempt int
+		Pause   time.Duration
+	}
 	// AbortDeclined reports that an attempt was not aborted as silent, because part of
 	// its answer is waiting to be read.
 	AbortDeclined struct {
@@ -123,6 +143,8 @@
 		// together, 0 if it names no limit. LimitUnknown means that it could not be read.
 		Limit        float64
 		LimitUnknown bool
+		// Cold is how long the instance stays cold, 0 if it does not say.
+		Cold time.Duration
 	}
 	// Probed reports the result of a Probe.
 	Probed struct {
@@ -157,8 +179,13 @@
 	Tick struct{}
 	// TableChanged replaces the routing table.
 	TableChanged struct{ Table *routing.Table }
-	// InstancesChanged replaces the list of upstreams.
-	InstancesChanged struct{ Instances []Instance }
+	// InstancesChanged replaces the list of upstreams and that of evacuated domains.
+	InstancesChanged struct {
+		Instances []Instance
+		// Evacuated holds the evacuated failure domains, with the time at which this router
+		// learnt of each. Their upstreams get no new work.
+		Evacuated map[string]time.Time
+	}
 	// PeerReported delivers the report of another router.
 	PeerReported struct {
 		Peer   string
@@ -174,6 +201,8 @@
 		// included, the same at each router.
 		Self       string
 		Registered []string
+		// Domains has the failure domains of the registered routers, by name.
+		Domains map[string]string
 	}
 	// PeerLost reports that a router no longer sends reports.
 	PeerLost struct{ Peer string }
@@ -181,6 +210,8 @@
 
 func (Arrive) isEvent()            {}
 func (FirstByteReceived) isEvent() {}
+func (ErrorReceived) isEvent()     {}
+func (Paced) isEvent()             {}
 func (AbortDeclined) isEvent()     {}
 func (Done) isEvent()              {}
 func (Failed) isEvent()            {}
@@ -204,6 +235,10 @@
 const (
 	// ReasonNoUpstream: no upstream takes work before the request's queue deadline.
 	ReasonNoUpstream Reason = "no-upstream"
+	// ReasonEvacuated: the upstreams that would take the request are in evacuated domains.
+	ReasonEvacuated Reason = "domains-evacuated"
+	// ReasonRegion: no upstream is in a region that the route and the organisation allow.
+	ReasonRegion Reason = "no-allowed-region"
 	// ReasonOverloaded: the queue is too long for the request to be served in time.
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonOverShare: the organisation is over its share.
@@ -296,6 +331,12 @@
 		Age                     time.Duration
 		Routers                 int
 	}
+	// DomainEmptied tells that nothing runs in an evacuated failure domain any more. After is
+	// the time since this router learnt of the evacuation.
+	DomainEmptied struct {
+		Domain string
+		After  time.Duration
+	}
 	// Probe connects to an upstream whose connections broke, to tell a crash from the
 	// loss of connections. It is followed by Probed. ID is the first request that broke.
 	Probe struct {
@@ -328,6 +369,9 @@
 // RequestID implements Effect. The effect concerns no single request.
 func (e LimitChanged) RequestID() string { return "" }
 
+// RequestID implements Effect. The effect concerns no single request.
+func (e DomainEmptied) RequestID() string { return "" }
+
 // RequestID implements Effect.
 func (e Probe) RequestID() string { return e.ID }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -16,6 +16,9 @@
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
 	}
+	if s.table != nil {
+		r.regions = s.table.AllowedRegions(r.Route, r.Organisation)
+	}
 	if s.refuseIfBlocked(now, r) {
 		return
 	}
@@ -71,7 +74,12 @@
 
 // admit sends a request, queues it, or refuses it if waiting cannot help.
 func (s *State) admit(now time.Time, r *request) {
-	if readyAt, ok := s.availableAt(now, r.Service); !ok || readyAt.After(now) && readyAt.After(r.queueDeadline) {
+	readyAt, ok := s.availableTo(now, r)
+	if !ok {
+		s.refuseOrFail(now, r, s.unavailableReason(r))
+		return
+	}
+	if readyAt.After(now) && readyAt.After(r.queueDeadline) {
 		s.refuseOrFail(now, r, ReasonNoUpstream)
 		return
 	}
@@ -173,8 +181,11 @@
 	if r.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
+	r.expectedWork = s.expectedWork(r, choice)
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
+	choice.upstream.cold.Take(now)
+	s.recordPrompt(choice.prefillTokens)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
 	s.queueFor(r).drainRate.add(now, float64(s.prefillTime(r.Prompt.Tokens)))
@@ -197,6 +208,7 @@
 		return
 	}
 	r.firstByteReceived, r.firstByteAt = true, now
+	s.recordSpeed(now, r)
 	r.upstream.local.Prefill -= r.load.Prefill
 	s.unreportedTokens += r.load.Prefill
 	r.load.Prefill = 0
@@ -311,6 +323,7 @@
 		u.replaced = true
 	case e.Unreachable:
 		u.unavailableUntil = laterOf(u.unavailableUntil, now.Add(unreachableHold))
+		s.noteUnreachable(now, u)
 	}
 }
 
@@ -410,7 +423,7 @@
 	s.refusals++
 	spread := time.Duration(s.refusals%8) * (retryAfterMax - retryAfterMin) / 8
 	after := retryAfterMin + spread
-	if readyAt, ok := s.availableAt(now, r.Service); ok {
+	if readyAt, ok := s.availableTo(now, r); ok {
 		after = max(after, readyAt.Sub(now)+spread/4)
 	}
 	return min(after, time.Duration(retryAfterFraction*float64(r.Deadline.Sub(now))))
