Do not count the time before a caller sends the request that is offloaded

Cause: the end of an offloaded request was counted from the acceptance of its connection. A caller that opens connections ahead, and sends up to 2 s later, lost that time: with a route of 1 s its fresh request was refused as expired, or ended with 504 at once. Ruled out: counting from the parsed header (in a flood a connection waits for its goroutine, and that time is the router's); a look at the socket first (a system call for each refusal). Before: TestTimeBeforeARequestIsSentDoesNotCount fails, a second is missing of the time that is left. After: it passes, three times with -race. Conclusion: kept; what a goroutine waits for the processor while it reads the header counts as the caller's, as for requests that are served here.

--- a/internal/gateway/offload_handshake_test.go
+++ b/internal/gateway/offload_handshake_test.go
@@ -293,3 +293,31 @@
 	x.Expect(gw.conns.awaitRefused(t.Context())).To(Succeed())
 	x.Expect(sockets.HasUnread(caller)).To(BeTrue(), "it has its answer")
 }
+
+// TestTimeBeforeARequestIsSentDoesNotCount: callers open connections before they need them.
+func TestTimeBeforeARequestIsSentDoesNotCount(t *testing.T) {
+	const pause = time.Second
+	x := newOffloadTest(t)
+	gw := x.o.g
+	gw.offloader, gw.options.Protocol = x.o, anonymous{}
+	callers, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	x.Expect(err).NotTo(HaveOccurred())
+	defer callers.Close()
+	caller, atRouter := connect(x.GomegaWithT, callers)
+	defer caller.Close()
+	l := &shedListener{g: gw}
+	l.startRefusal(unadmitted{conn: atRouter, acceptedAt: time.Now(), offloadCharge: 1})
+	time.Sleep(pause)
+	x.reportSpare()
+	sentAt := time.Now()
+	_, err = io.WriteString(caller, offloadedHeader+"body")
+	x.Expect(err).NotTo(HaveOccurred())
+	atPeer, err := x.peers.AcceptTCP()
+	x.Expect(err).NotTo(HaveOccurred())
+	defer atPeer.Close()
+	_, err = atPeer.Write([]byte{handshakeTaken})
+	x.Expect(err).NotTo(HaveOccurred())
+	left, err := readTimeLeft(atPeer)
+	x.Expect(err).NotTo(HaveOccurred())
+	x.Expect(left).To(BeNumerically(">", defaultTimeout-time.Since(sentAt)-pause/2))
+}
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -135,7 +135,8 @@
 		l.g.metrics.recordShed("left")
 		return
 	}
-	p := l.parseRequest(u.acceptedAt, header)
+	// The time in which the router waited for the header is the caller's own.
+	p := l.parseRequest(u.acceptedAt.Add(time.Since(now)), header)
 	if hasWholeRequest(reader, header) && sockets.ClosedByPeer(c) {
 		// It has waited for longer than its caller.
 		l.g.pressure.admission.refundOffload(u.offloadCharge)
@@ -190,11 +191,11 @@
 	expiresAt time.Time
 }
 
-// parseRequest parses the header of a request that has arrived at a time.
-func (l *shedListener) parseRequest(arrivedAt time.Time, header []byte) parsedRequest {
+// parseRequest parses the header of a request that its caller sent at a time.
+func (l *shedListener) parseRequest(sentAt time.Time, header []byte) parsedRequest {
 	reader := l.bufferFor(bytes.NewReader(header))
 	defer l.buffers.Put(reader)
-	p := parsedRequest{expiresAt: arrivedAt.Add(defaultTimeout)}
+	p := parsedRequest{expiresAt: sentAt.Add(defaultTimeout)}
 	r, err := http.ReadRequest(reader)
 	if err != nil {
 		return p
@@ -208,7 +209,7 @@
 			timeout = min(timeout, route.Timeout)
 		}
 	}
-	p.expiresAt = arrivedAt.Add(timeout)
+	p.expiresAt = sentAt.Add(timeout)
 	return p
 }
 
