--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,6 +12,7 @@
 
 // handleArrival admits a new request: it is sent, waits, or is refused immediately.
 func (s *State) handleArrival(now time.Time, req *Request) {
+	s.assumeRead(now)
 	r := &request{Request: req, class: classify(req.Prompt), traits: traitsOf(req), arrivedAt: now, expiresAt: req.Deadline, lastEventID: req.ResumeAfter}
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
@@ -157,6 +158,7 @@
 
 // trySend sends a request if an upstream has room for it.
 func (s *State) trySend(now time.Time, r *request) bool {
+	s.shortOfMemory = false
 	choice, ok := s.place(now, r)
 	if !ok || !s.health.Admit(choice.upstream.ID, now) {
 		return false
@@ -177,14 +179,18 @@
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = choice.upstream, now, now, false, false
 	r.survived = false
-	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
+	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: memoryNeed(r, choice.cachedTokens)}
 	if r.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
 	r.expectedWork = s.expectedWork(r, choice)
+	r.beyondExpected = 0
+	r.readBy, r.assumedRead = now.Add(choice.firstByte-s.firstToken(r.Service)), 0
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
+	r.sentCold = s.isCold(now, choice.upstream)
 	choice.upstream.cold.Take(now)
+	r.beginUnanswered(choice.firstByte)
 	s.recordPrompt(choice.prefillTokens)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
@@ -207,6 +213,8 @@
 	if r == nil || r.firstByteReceived {
 		return
 	}
+	s.recordAnswer(now, r)
+	r.endUnanswered()
 	r.firstByteReceived, r.firstByteAt = true, now
 	s.recordSpeed(now, r)
 	r.upstream.local.Prefill -= r.load.Prefill
@@ -234,6 +242,7 @@
 		return
 	}
 	s.cancelMove(r)
+	r.endUnanswered()
 	r.upstream.local.sub(r.load)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	if !r.firstByteReceived {
@@ -291,11 +300,12 @@
 	if s.returnToSource(now, r, e) {
 		return
 	}
-	if !e.Local {
+	if !e.Local && !e.Withheld {
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, e.Kind)
 		r.failedUpstreams = append(r.failedUpstreams, r.upstream.ID)
 		s.markUnavailable(now, r.upstream, e)
 	}
+	s.recordBadAnswer(now, r, e)
 	s.recordBreak(now, r, e)
 	if !e.MayHaveRun {
 		s.shares.recordStart(now, r.Organisation, -s.shareCost(r))
@@ -409,6 +419,7 @@
 // fail ends a request that may have run.
 func (s *State) fail(now time.Time, r *request, e Fail) {
 	if r.upstream != nil && !r.firstByteReceived {
+		s.recordSilence(now, r.upstream)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 	s.releaseAttempt(r)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -54,7 +54,7 @@
 	firstAt, lastAt time.Time
 	maxGap          time.Duration
 	// pace measures the events of the latest attempt.
-	pace pace
+	pace eventPace
 	// upstream is the id of the upstream of the latest attempt.
 	upstream string
 	// lastFailure is the latest error answer of an upstream. It is forwarded if no
