--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -106,11 +106,11 @@
 			}
 			continue
 		}
-		pending := unadmitted{conn: tcp}
+		pending := unadmitted{conn: tcp, acceptedAt: now}
 		if canOffload {
 			pending.offloadCharge, _ = l.g.pressure.admission.chargeOffload()
 		}
-		go l.refuse(pending)
+		l.startRefusal(pending)
 	}
 }
 
