--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -69,6 +69,13 @@
 	// this entry again only since it was restored from an older copy.
 	Entry    uint64
 	Departed bool
+	// Cold is how long the instance stays cold, as its entry said when it was written.
+	// ColdStated means that the entry says so, and ColdUnknown that what it says could not
+	// be read.
+	Cold                    time.Duration
+	ColdStated, ColdUnknown bool
+	// ColdUntil is the end of Cold, counted from when this router read the entry.
+	ColdUntil time.Time
 }
 
 // Event is an input of State.Step.
@@ -84,6 +91,19 @@
 		ID      string
 		Attempt int
 	}
+	// ErrorReceived is FirstByteReceived for an answer that is an error: its time does not
+	// tell how long the work takes.
+	ErrorReceived struct {
+		ID      string
+		Attempt int
+	}
+	// Paced reports the mean pause between the events of an attempt's stream. It comes
+	// before Done.
+	Paced struct {
+		ID      string
+		Attempt int
+		Pause   time.Duration
+	}
 	// AbortDeclined reports that an attempt was not aborted as silent, because part of
 	// its answer is waiting to be read.
 	AbortDeclined struct {
@@ -128,6 +148,8 @@
 		// together, 0 if it names no limit. LimitUnknown means that it could not be read.
 		Limit        float64
 		LimitUnknown bool
+		// Cold is how long the instance stays cold, 0 if it does not say.
+		Cold time.Duration
 	}
 	// Probed reports the result of a Probe.
 	Probed struct {
@@ -184,6 +206,8 @@
 		// included, the same at each router.
 		Self       string
 		Registered []string
+		// Domains has the failure domains of the registered routers, by name.
+		Domains map[string]string
 	}
 	// PeerLost reports that a router no longer sends reports.
 	PeerLost struct{ Peer string }
@@ -191,6 +215,8 @@
 
 func (Arrive) isEvent()            {}
 func (FirstByteReceived) isEvent() {}
+func (ErrorReceived) isEvent()     {}
+func (Paced) isEvent()             {}
 func (AbortDeclined) isEvent()     {}
 func (Done) isEvent()              {}
 func (Failed) isEvent()            {}
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -60,7 +60,7 @@
 func (s *State) moveTarget(now time.Time, r *request) (best *upstream) {
 	e := s.engine(r.Service)
 	for _, u := range s.services[r.Service] {
-		if u.class != classDecode || u == r.upstream || !s.mayReach(r, u) || !u.acceptsWork(now) || u.limit.perSecond > 0 || u.incomingMoves >= maxMovesPerTarget ||
+		if u.class != classDecode || u == r.upstream || !s.mayReach(r, u) || !u.acceptsWork(now) || u.limit.perSecond > 0 || s.isCold(now, u) || u.incomingMoves >= maxMovesPerTarget ||
 			slices.Contains(r.failedUpstreams, u.ID) || !s.health.Available(u.ID, now) {
 			continue
 		}
@@ -80,7 +80,7 @@
 	if (a.Domain == from.Domain) != (b.Domain == from.Domain) {
 		return a.Domain == from.Domain
 	}
-	return a.running() < b.running()
+	return float64(a.running())*b.speed < float64(b.running())*a.speed
 }
 
 // cancelMove releases the load reserved for a move.
@@ -145,12 +145,14 @@
 func (s *State) continueMoved(now time.Time, r *request, target *upstream) {
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = target, now, now, false, false
+	r.expectedWork = 0
 	r.load = Load{Running: 1, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
 	if target.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
 	target.local.add(r.load)
 	target.limit.take(now)
+	target.cold.Take(now)
 	s.emit(Send{
 		ID: r.ID, Attempt: r.attempt, Upstream: target.Instance, ResumeAfter: r.lastEventID, ExpiresAt: r.expiresAt,
 		ContinueFrom: r.move.source.Addr + "/" + r.move.handle, Waited: now.Sub(r.arrivedAt),
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -181,8 +181,11 @@
 	if r.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
+	r.expectedWork = s.expectedWork(r, choice)
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
+	choice.upstream.cold.Take(now)
+	s.recordPrompt(choice.prefillTokens)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
 	s.queueFor(r).drainRate.add(now, float64(s.prefillTime(r.Prompt.Tokens)))
@@ -205,6 +208,7 @@
 		return
 	}
 	r.firstByteReceived, r.firstByteAt = true, now
+	s.recordSpeed(now, r)
 	r.upstream.local.Prefill -= r.load.Prefill
 	s.unreportedTokens += r.load.Prefill
 	r.load.Prefill = 0
@@ -319,6 +323,7 @@
 		u.replaced = true
 	case e.Unreachable:
 		u.unavailableUntil = laterOf(u.unavailableUntil, now.Add(unreachableHold))
+		s.noteUnreachable(now, u)
 	}
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -5,10 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/health"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
+	"github.com/jujubeford/jujubeford/internal/speed"
 )
 
 // State is the reducer of dispatch events. It is not safe for concurrent use.
@@ -38,11 +40,20 @@
 	// self is the name of this router and routers those of all that are registered.
 	self    string
 	routers []string
+	// fleet orders the registered routers as senders to cold upstreams. listed means that
+	// the first list of upstreams has been applied.
+	fleet  coldstart.Fleet
+	listed bool
+	// meanPrompt is the moving average of the prompt tokens that engines read per request.
+	meanPrompt float64
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
 	shares             shareTracker
 	health             *health.State
+	speeds             *speed.State
+	// speedsUpdatedAt is when the speeds of a service's upstreams were last computed.
+	speedsUpdatedAt map[string]time.Time
 	// unreportedTokens is the change of this router's load since the last Report,
 	// in prompt tokens.
 	unreportedTokens int
@@ -76,6 +87,9 @@
 	attempt  int
 	upstream *upstream
 	sentAt   time.Time
+	// expectedWork is the time that the attempt takes to its first byte at the speed 1,
+	// apart from its setup; 0 if it does not tell of the upstream's speed.
+	expectedWork time.Duration
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -124,6 +138,9 @@
 		evacuated:  evacuations{emptied: make(map[string]bool), openFraction: 1},
 		shares:     newShareTracker(o.ShareWindow),
 		health:     health.New(),
+		speeds:     speed.New(),
+
+		speedsUpdatedAt: make(map[string]time.Time),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -138,6 +155,10 @@
 		s.handleArrival(now, e.Request)
 	case FirstByteReceived:
 		s.handleFirstByte(now, e)
+	case ErrorReceived:
+		s.handleError(now, e)
+	case Paced:
+		s.handlePace(now, e)
 	case AbortDeclined:
 		s.handleAbortDeclined(now, e)
 	case Done:
@@ -168,6 +189,7 @@
 	case FleetChanged:
 		s.setRetryBudget(e.Routers)
 		s.setRouters(now, e.Self, e.Registered)
+		s.fleet.Set(now, e.Self, e.Registered, e.Domains)
 		s.aggregatedByDomain = e.AggregatedByDomain
 		s.poison.SetSettleTime(crashReportTime(e.AggregatedByDomain))
 	case PeerLost:
@@ -242,9 +264,10 @@
 	for _, in := range list {
 		seen[in.ID] = true
 		u := s.upstreams[in.ID]
-		if u == nil || !SameStart(u.Instance, in) {
+		isNew := u == nil || !SameStart(u.Instance, in)
+		if isNew {
 			s.forgetUpstream(now, in.ID)
-			u = &upstream{key: Key(in.ID)}
+			u = newUpstream(in)
 			s.restoreAdvice(u, in)
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
@@ -252,6 +275,7 @@
 		s.setDeparted(u, in)
 		u.Instance = in
 		u.evacuatedAt = s.evacuated.since[in.Domain]
+		s.applyColdEntry(now, u, isNew)
 		if in.Draining || in.Departed || u.leaving {
 			u.markLeft(now)
 		} else {
@@ -264,6 +288,7 @@
 			s.forgetUpstream(now, id)
 		}
 	}
+	s.listed = s.listed || len(list) > 0
 	s.expireDelisted(now)
 	s.rebuildServices()
 	for _, r := range s.peers {
@@ -287,6 +312,7 @@
 	delete(s.upstreams, id)
 	delete(s.byKey, u.key)
 	s.health.Remove(id)
+	s.speeds.Forget(u.run)
 }
 
 // cacheLimit returns the number of tokens of shared parts that an engine of a service
@@ -334,10 +360,11 @@
 	if now.Sub(s.sampledAt) >= tickIdle {
 		s.sampledAt = now
 		for _, u := range s.upstreams {
-			u.samplePrefill(now, s.options.PrefillRate)
+			u.samplePrefill(now, s.options.PrefillRate*u.speed)
 		}
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
+		s.endCold(now)
 	}
 	if now.Sub(s.partitionedAt) >= partitionInterval {
 		s.partitionedAt = now
@@ -389,5 +416,9 @@
 
 // silenceTimeout returns how long a retryable attempt may take to its first byte.
 func (s *State) silenceTimeout(r *request) time.Duration {
-	return max(minSilence, time.Duration(silenceFactor*float64(r.Route.LatencyTarget)))
+	timeout := silenceFactor * float64(r.Route.LatencyTarget)
+	if r.upstream != nil {
+		timeout /= min(1, r.upstream.speed)
+	}
+	return max(minSilence, time.Duration(timeout))
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 )
 
 // Load is what one router, or all of them, have in flight at an upstream.
@@ -70,8 +72,18 @@
 	// unavailableUntil is until when the upstream gets no work, because it refused a
 	// connection or asked for a hold-off.
 	unavailableUntil time.Time
+	// run identifies this run of the instance among what is learnt of speeds, and speed is
+	// its speed as a multiple of the mean of its service.
+	run   uint32
+	speed float64
+	// slow and fast say that its speed is below or above the others'; see updateSpeeds.
+	slow, fast bool
 	// limit bounds the requests that the upstream gets.
 	limit rateLimit
+	// cold is the upstream's temperature. countedCold means that ColdChanged has told that
+	// it is cold.
+	cold        coldstart.Upstream
+	countedCold bool
 }
 
 // acceptsWork reports whether the upstream may get work at all.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -202,7 +202,7 @@
 	g.peers.setRegistered(g.mirror.Entries(routerPrefix))
 	g.step(dispatch.FleetChanged{
 		Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays(),
-		Self: g.options.PeerListen, Registered: g.peers.registered(),
+		Self: g.options.PeerListen, Registered: g.peers.registered(), Domains: g.peers.registeredDomains(),
 	})
 	g.peers.wakeSender()
 	if g.mirror.Position().Revision > 0 && !g.listed.Swap(true) {
@@ -240,6 +240,9 @@
 				in.Draining, in.Departed = true, true
 			}
 			in.Entry = entryNumber(at)
+			if err == nil {
+				g.readTemperature(&in, before, at)
+			}
 			d = decodedInstance{at: at, instance: in, valid: err == nil}
 			if known && in.Draining && !before.Draining {
 				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "position", at)
@@ -287,6 +290,7 @@
 		return
 	}
 	g.noteUnknownRegions(t)
+	g.logUnreadableBounds(t)
 	g.inForce = tableEntry{value, at}
 	g.table.Store(t)
 	g.step(dispatch.TableChanged{Table: t})
