dispatch: prompts are unread until their first byte again (revert)

Cause: with prompts taken for read when they should be, routers gave out more of the engines' time, also where engines were short of it and first bytes came later than expected.

Conclusion: callers who come when engines are short lose what others gain; reverted.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -26,6 +26,13 @@
 	// setup is the time from the reading of a prompt to the first byte, in which the engine
 	// reads others.
 	setup time.Duration
+	// reading is the time that engines have read prompts or will have once they have read
+	// those that they hold.
+	reading map[string]time.Duration
+	// interleaved means that streams generate less while their engine reads.
+	interleaved bool
+	// outcomes counts requests by their route and whether their answers began in time.
+	outcomes map[string]*outcomes
 	// speeds holds the speeds of engines that differ from readRate. disturbed makes each
 	// engine slower by 2.5 for a sixth of the time, 600 ms at once.
 	speeds    map[string]float64
@@ -71,6 +78,19 @@
 	token time.Duration
 }
 
+// outcomes counts the requests of a route.
+type outcomes struct{ inTime, late, refused int }
+
+// of returns the outcomes of a request's route.
+func (sim *fleetSim) of(r *simRequest) *outcomes {
+	o := sim.outcomes[r.kind.route.Name]
+	if o == nil {
+		o = &outcomes{}
+		sim.outcomes[r.kind.route.Name] = o
+	}
+	return o
+}
+
 type simEvent struct {
 	at    time.Time
 	order int
@@ -103,12 +123,14 @@
 	// users' days.
 	simReadRate = 35_000
 	simNetwork  = 2 * time.Millisecond
+	// simHeldUp is the part of the time that an engine reads in which its streams stand still.
+	simHeldUp = 0.8
 )
 
 // newFleetSim returns six routers in four failure domains before a number of engines.
 func newFleetSim(seed uint64, engines int, tokenRate float64) *fleetSim {
 	sim := &fleetSim{
-		now: start, random: rand.New(rand.NewPCG(seed, 1)), readRate: simReadRate, setup: DefaultOptions().FirstToken, freeAt: make(map[string]time.Time), requests: make(map[string]*simRequest),
+		now: start, random: rand.New(rand.NewPCG(seed, 1)), readRate: simReadRate, setup: DefaultOptions().FirstToken, freeAt: make(map[string]time.Time), reading: make(map[string]time.Duration), outcomes: make(map[string]*outcomes), requests: make(map[string]*simRequest),
 		asked: make(map[string][]float64), got: make(map[string][]float64), unserved: make(map[string][]bool),
 	}
 	domains := []string{"a", "a", "b", "b", "c", "d"}
@@ -174,6 +196,7 @@
 			delete(sim.requests, id)
 			if r.again {
 				sim.refused++
+				sim.of(r).refused++
 			} else {
 				retry := *r
 				retry.again, retry.router = true, sim.random.IntN(len(sim.routers))
@@ -196,6 +219,7 @@
 	}
 	read := begin.Add(time.Duration(float64(r.prompt.Tokens-send.Cached) / (sim.readRate * sim.speed(send.Upstream.ID, begin)) * float64(time.Second)))
 	sim.freeAt[send.Upstream.ID] = read
+	sim.reading[send.Upstream.ID] += read.Sub(begin)
 	first := read.Add(sim.setup)
 	ifRunning := func(do func()) func() {
 		return func() {
@@ -209,18 +233,34 @@
 		if sim.now.Sub(r.arrivedAt) > r.kind.route.LatencyTarget {
 			sim.markUnserved(r.org)
 			sim.late++
+			sim.of(r).late++
 		} else {
 			sim.inTime++
+			sim.of(r).inTime++
 		}
 		sim.step(router, FirstByteReceived{ID: send.ID, Attempt: send.Attempt})
 	}))
 	token := time.Duration(float64(r.kind.token) / sim.speed(send.Upstream.ID, first))
 	end := first.Add(time.Duration(r.prompt.MaxOutput) * token)
-	sim.after(end.Sub(sim.now), ifRunning(func() {
+	before := sim.readSoFar(send.Upstream.ID, first)
+	var finish func()
+	finish = ifRunning(func() {
+		// What was read meanwhile has held the stream up.
+		if held := sim.readSoFar(send.Upstream.ID, sim.now) - before; sim.interleaved && held > time.Millisecond {
+			before += held
+			sim.after(time.Duration(simHeldUp*float64(held)), finish)
+			return
+		}
 		delete(sim.requests, send.ID)
-		sim.step(router, Paced{ID: send.ID, Attempt: send.Attempt, Pause: 5 * token})
+		sim.step(router, Paced{ID: send.ID, Attempt: send.Attempt, Pause: 5 * sim.now.Sub(first) / time.Duration(r.prompt.MaxOutput)})
 		sim.step(router, Done{ID: send.ID, Attempt: send.Attempt})
-	}))
+	})
+	sim.after(end.Sub(sim.now), finish)
+}
+
+// readSoFar returns the time that an engine has spent on reading.
+func (sim *fleetSim) readSoFar(engine string, at time.Time) time.Duration {
+	return sim.reading[engine] - max(0, sim.freeAt[engine].Sub(at))
 }
 
 // advance lets a step pass, with the events, ticks and reports that are due.
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -71,7 +71,6 @@
 // Report returns this router's load, and the placements and news of crashes since the
 // last call.
 func (s *State) Report(now time.Time) Report {
-	s.assumeRead(now)
 	s.unreportedTokens = 0
 	r := NewReport()
 	for _, u := range s.upstreams {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -88,7 +88,7 @@
 		score = staleDomainPenalty
 	}
 	if s.engine(r.Service) != nil {
-		score += milliseconds(s.firstToken(r.Service))
+		score += milliseconds(s.options.FirstToken)
 	}
 	return score
 }
@@ -150,7 +150,7 @@
 	c.cachedTokens, c.prefillTokens = cached, max(0, r.Prompt.Tokens-cached)
 	c.backlog = s.prefillTimeAt(u, u.prefill())
 	prefill := s.prefillTimeAt(u, c.prefillTokens)
-	c.firstByte = s.firstToken(r.Service) + c.backlog + prefill + copyTime
+	c.firstByte = s.options.FirstToken + c.backlog + prefill + copyTime
 	otherStreams := max(0, u.running())
 	expectedEvents := float64(r.Prompt.ExpectedOutput()) / float64(max(1, s.engine(r.Service).EventTokens))
 	c.score = milliseconds(c.firstByte) + streamDelayWeight*milliseconds(prefill)*float64(otherStreams) + interferenceWeight*expectedEvents*u.prefillBusy
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,7 +12,6 @@
 
 // handleArrival admits a new request: it is sent, waits, or is refused immediately.
 func (s *State) handleArrival(now time.Time, req *Request) {
-	s.assumeRead(now)
 	r := &request{Request: req, class: classify(req.Prompt), traits: traitsOf(req), arrivedAt: now, expiresAt: req.Deadline, lastEventID: req.ResumeAfter}
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
@@ -177,7 +176,6 @@
 	}
 	r.expectedWork = s.expectedWork(r, choice)
 	r.beyondExpected = 0
-	r.readBy, r.assumedRead = now.Add(choice.firstByte-s.firstToken(r.Service)), 0
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -60,11 +60,15 @@
 
 // playSteady plays callers who ask for a number of prompt tokens a second.
 func playSteady(sim *fleetSim, tokenRate float64, seconds int) {
-	kinds := []*simKind{
+	playKinds(sim, tokenRate, seconds, []*simKind{
 		{route: draft, perSecond: 42, shared: 5382, own: 6610, ownSpread: 0.6, output: 380, outSpread: 0.9, token: 6 * time.Millisecond},
 		{route: chat, perSecond: 110, shared: 198, own: 628, ownSpread: 0.6, output: 290, outSpread: 0.9, token: 5 * time.Millisecond},
 		{route: permit, perSecond: 65, shared: 568, own: 1800, ownSpread: 0.6, output: 25, outSpread: 0.9, token: 6 * time.Millisecond},
-	}
+	})
+}
+
+// playKinds is playSteady with kinds of requests in proportion to their rates.
+func playKinds(sim *fleetSim, tokenRate float64, seconds int, kinds []*simKind) {
 	total := 0.0
 	for _, kind := range kinds {
 		total += kind.perSecond * kind.own
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -85,10 +85,6 @@
 	// expectedWork is the time that the attempt takes to its first byte at the speed 1,
 	// apart from its setup; 0 if it does not tell of the upstream's speed.
 	expectedWork time.Duration
-	// readBy is when the upstream should have read the prompt, and assumedRead the tokens
-	// that count as read although no first byte has arrived.
-	readBy      time.Time
-	assumedRead int
 	// reserved is where reservedMemory is kept for the request while it waits, and
 	// beyondExpected what it may have generated beyond the expectation.
 	reserved                       *upstream
@@ -351,7 +347,6 @@
 // handleTick samples the upstreams and partitions them when due, ends attempts that
 // have run out of time, aborts silent ones, and drains the queues.
 func (s *State) handleTick(now time.Time) {
-	s.assumeRead(now)
 	if now.Sub(s.sampledAt) >= tickIdle {
 		s.sampledAt = now
 		for _, u := range s.upstreams {
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -159,15 +159,6 @@
 	return 1
 }
 
-// Setup returns the part of the time to the first byte that passes for any prompt of a
-// service; 0 while it is not known for certain.
-func (s *State) Setup(service string) time.Duration {
-	if of := s.setups[service]; of != nil && of.count >= 4*enoughSamples {
-		return of.time
-	}
-	return 0
-}
-
 // Report returns what this router has measured, or nil while the last report is new enough.
 func (s *State) Report(now time.Time) map[uint32]Sum {
 	if now.Sub(s.reportedAt) < ReportInterval {
