dispatch: short prompts use the spare time of upstreams of streams

Cause: upstreams of classDecode have slots and time to spare, up to half of all upstreams, while half of the long prompts and of the short checks are refused for want of room at the others.

What: while those have no room, a prompt that is read within 0.15 of the pause that its route allows goes to an upstream of classDecode that reads nothing, has 0.3 of its slots free and reads less than a quarter of its time. Routes without a bound on pauses stay apart, as do prompts that are long beside it.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -105,7 +105,7 @@
 	if u.running() >= s.health.SlotLimit(u.ID, e.Slots, now) {
 		return false
 	}
-	if r.sends == 0 && r.class == classPrefill && u.class == classDecode {
+	if r.sends == 0 && r.class == classPrefill && u.class == classDecode && !s.hasSpareTime(r, u) {
 		return false
 	}
 	// An upstream without queued prefill work takes a prompt of any length.
