--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -64,6 +64,18 @@
 	// Started is the start time of the instance in Unix milliseconds, 0 if not
 	// known. It distinguishes restarts under the same id.
 	Started int64
+	// Cold is how long the instance stays cold, as its entry said when it was written.
+	// ColdStated means that the entry says so, and ColdUnknown that what it says could not
+	// be read.
+	Cold                    time.Duration
+	ColdStated, ColdUnknown bool
+	// ColdUntil is the end of Cold, counted from when this router read the entry.
+	ColdUntil time.Time
+	// Entry identifies the version of the directory's entry among all of the instance; 0 if
+	// not known. Departed means that the instance had left before, and that the directory has
+	// this entry again only since it was restored from an older copy.
+	Entry    uint64
+	Departed bool
 }
 
 // Event is an input of State.Step.
@@ -85,9 +97,9 @@
 		ID      string
 		Attempt int
 	}
-	// Paced reports the mean pause between the events of an attempt's stream. It comes
+	// PauseMeasured reports the mean pause between the events of an attempt's stream. It comes
 	// before Done.
-	Paced struct {
+	PauseMeasured struct {
 		ID      string
 		Attempt int
 		Pause   time.Duration
@@ -115,6 +127,8 @@
 		// Local means that this router lacked file descriptors or memory for the
 		// attempt.
 		Local bool
+		// Withheld means that the request was not sent because MayReach did not allow it.
+		Withheld bool
 		// MayHaveRun means that the upstream may have run the request.
 		MayHaveRun bool
 		// ResponseStarted means that part of the answer has been delivered to the caller.
@@ -136,6 +150,8 @@
 		// together, 0 if it names no limit. LimitUnknown means that it could not be read.
 		Limit        float64
 		LimitUnknown bool
+		// Cold is how long the instance stays cold, 0 if it does not say.
+		Cold time.Duration
 	}
 	// Probed reports the result of a Probe.
 	Probed struct {
@@ -170,8 +186,13 @@
 	Tick struct{}
 	// TableChanged replaces the routing table.
 	TableChanged struct{ Table *routing.Table }
-	// InstancesChanged replaces the list of upstreams.
-	InstancesChanged struct{ Instances []Instance }
+	// InstancesChanged replaces the list of upstreams and that of evacuated domains.
+	InstancesChanged struct {
+		Instances []Instance
+		// Evacuated holds the evacuated failure domains, with the time at which this router
+		// learnt of each. Their upstreams get no new work.
+		Evacuated map[string]time.Time
+	}
 	// PeerReported delivers the report of another router.
 	PeerReported struct {
 		Peer   string
@@ -187,6 +208,8 @@
 		// included, the same at each router.
 		Self       string
 		Registered []string
+		// Domains has the failure domains of the registered routers, by name.
+		Domains map[string]string
 	}
 	// PeerLost reports that a router no longer sends reports.
 	PeerLost struct{ Peer string }
@@ -195,7 +218,7 @@
 func (Arrive) isEvent()            {}
 func (FirstByteReceived) isEvent() {}
 func (ErrorReceived) isEvent()     {}
-func (Paced) isEvent()             {}
+func (PauseMeasured) isEvent()     {}
 func (AbortDeclined) isEvent()     {}
 func (Done) isEvent()              {}
 func (Failed) isEvent()            {}
@@ -219,6 +242,10 @@
 const (
 	// ReasonNoUpstream: no upstream takes work before the request's queue deadline.
 	ReasonNoUpstream Reason = "no-upstream"
+	// ReasonEvacuated: the upstreams that would take the request are in evacuated domains.
+	ReasonEvacuated Reason = "domains-evacuated"
+	// ReasonRegion: no upstream is in a region that the route and the organisation allow.
+	ReasonRegion Reason = "no-allowed-region"
 	// ReasonOverloaded: the queue is too long for the request to be served in time.
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonOverShare: the organisation is over its share.
@@ -311,6 +338,12 @@
 		Age                     time.Duration
 		Routers                 int
 	}
+	// DomainEmptied tells that nothing runs in an evacuated failure domain any more. After is
+	// the time since this router learnt of the evacuation.
+	DomainEmptied struct {
+		Domain string
+		After  time.Duration
+	}
 	// Probe connects to an upstream whose connections broke, to tell a crash from the
 	// loss of connections. It is followed by Probed. ID is the first request that broke.
 	Probe struct {
@@ -343,6 +376,9 @@
 // RequestID implements Effect. The effect concerns no single request.
 func (e LimitChanged) RequestID() string { return "" }
 
+// RequestID implements Effect. The effect concerns no single request.
+func (e DomainEmptied) RequestID() string { return "" }
+
 // RequestID implements Effect.
 func (e Probe) RequestID() string { return e.ID }
 
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -252,7 +252,7 @@
 			return
 		}
 		delete(sim.requests, send.ID)
-		sim.step(router, Paced{ID: send.ID, Attempt: send.Attempt, Pause: 5 * sim.now.Sub(first) / time.Duration(r.prompt.MaxOutput)})
+		sim.step(router, PauseMeasured{ID: send.ID, Attempt: send.Attempt, Pause: 5 * sim.now.Sub(first) / time.Duration(r.prompt.MaxOutput)})
 		sim.step(router, Done{ID: send.ID, Attempt: send.Attempt})
 	})
 	sim.after(end.Sub(sim.now), finish)
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -73,7 +73,7 @@
 	}
 	var best *upstream
 	for _, u := range s.services[r.Service] {
-		if u.reservedFor == nil && u.acceptsWork(now) && s.health.Available(u.ID, now) && !(r.class == classPrefill && u.class == classDecode) &&
+		if u.reservedFor == nil && s.mayReach(r, u) && u.acceptsWork(now) && s.health.Available(u.ID, now) && !(r.class == classPrefill && u.class == classDecode) &&
 			(best == nil || u.memory() < best.memory()) {
 			best = u
 		}
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -38,7 +38,9 @@
 	if e == nil || !e.Moves || r.move.target != nil || r.move.handle != "" || r.upstream.class == classDecode {
 		return
 	}
-	if r.Prompt.ExpectedOutput() < minMoveTokens {
+	if r.upstream.isEvacuated() || r.Prompt.ExpectedOutput() < minMoveTokens {
+		// A stream that cannot be moved after all goes back, which an evacuated upstream does
+		// not allow.
 		return
 	}
 	target := s.moveTarget(now, r)
@@ -58,7 +60,7 @@
 func (s *State) moveTarget(now time.Time, r *request) (best *upstream) {
 	e := s.engine(r.Service)
 	for _, u := range s.services[r.Service] {
-		if u.class != classDecode || u == r.upstream || !u.acceptsWork(now) || u.limit.perSecond > 0 || u.incomingMoves >= maxMovesPerTarget ||
+		if u.class != classDecode || u == r.upstream || !s.mayReach(r, u) || !u.acceptsWork(now) || u.limit.perSecond > 0 || s.takesNoMoves(now, u) || u.incomingMoves >= maxMovesPerTarget ||
 			slices.Contains(r.failedUpstreams, u.ID) || !s.health.Available(u.ID, now) {
 			continue
 		}
@@ -102,7 +104,7 @@
 // target of its move.
 func (s *State) MayHandOver(id string, attempt int) bool {
 	r := s.activeRequest(id, attempt)
-	return r != nil && r.move.target != nil && r.move.target.leftAt.IsZero()
+	return r != nil && r.move.target != nil && r.move.target.leftAt.IsZero() && !r.move.target.isEvacuated() && !r.upstream.isEvacuated()
 }
 
 // handleMoved continues a stopped stream at the upstream that has its memory: the target, or
@@ -150,6 +152,7 @@
 	}
 	target.local.add(r.load)
 	target.limit.take(now)
+	target.cold.Take(now)
 	s.emit(Send{
 		ID: r.ID, Attempt: r.attempt, Upstream: target.Instance, ResumeAfter: r.lastEventID, ExpiresAt: r.expiresAt,
 		ContinueFrom: r.move.source.Addr + "/" + r.move.handle, Waited: now.Sub(r.arrivedAt),
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/speed"
 )
@@ -30,9 +31,15 @@
 	Contended []uint32
 	// Limits holds the limits that upstreams name, and those that ended lately.
 	Limits map[uint32]Limit
+	// Cold holds the upstreams that the router itself has seen to be cold, with the time
+	// left.
+	Cold map[uint32]time.Duration
+	// Pace holds what the router itself saw of upstreams that have started or failed.
+	Pace map[uint32]pace.Report
 	// Leaving lists the runs of upstreams, by runKey, that have stated in an answer that
 	// they are leaving. An answer that is passed on by one router may come from another
-	// one's upstream, so that a router alone would not know.
+	// one's upstream, so that a router alone would not know. It also lists the entries, by
+	// entryKey, of those that left before the directory was restored.
 	Leaving []uint64
 	// Speeds is what was measured of the upstreams' speeds, by run; nil if the report does not
 	// say.
@@ -81,7 +88,10 @@
 			r.Limits[u.key] = l
 		}
 		if u.leaving {
-			r.Leaving = append(r.Leaving, runKey(u.Instance))
+			r.Leaving = append(r.Leaving, u.runKey)
+		}
+		if u.Departed {
+			r.Leaving = append(r.Leaving, u.entryKey())
 		}
 	}
 	for org, m := range s.shares.local {
@@ -97,6 +107,7 @@
 	}
 	r.Placements = append(r.Placements, s.unreportedPlacements...)
 	s.unreportedPlacements = s.unreportedPlacements[:0]
+	r.Cold, r.Pace = s.reportCold(now), s.reportPace(now)
 	r.Crashes, s.newsCounted = s.poison.News(now), false
 	r.Speeds = s.speeds.Report(now)
 	return r
@@ -117,6 +128,8 @@
 			s.setLimit(now, u, l.PerSecond, now.Add(-l.Age))
 		}
 	}
+	s.learnCold(now, r.Cold)
+	s.learnPace(now, peer, r.Pace)
 	s.learnLeaving(now, r.Leaving)
 	for _, p := range r.Placements {
 		if u := s.byKey[p.Upstream]; u != nil {
@@ -133,9 +146,12 @@
 		return
 	}
 	for _, u := range s.upstreams {
-		if !u.leaving && slices.Contains(runs, runKey(u.Instance)) {
+		if !u.leaving && slices.Contains(runs, u.runKey) {
 			s.setLeaving(now, u)
 		}
+		if u.Entry != 0 && slices.Contains(runs, u.entryKey()) {
+			u.departedUntil = now.Add(departedHold)
+		}
 	}
 }
 
@@ -169,6 +185,7 @@
 	delete(s.peers, peer)
 	s.shares.setPeer(peer, nil)
 	s.speeds.DropPeer(peer)
+	s.learnPace(now, peer, nil)
 	s.drainAllQueues(now)
 }
 
@@ -194,6 +211,8 @@
 			r.Leaving = append(r.Leaving, run)
 		}
 	}
+	r.addCold(o)
+	r.addPace(o)
 	for key, l := range o.Limits {
 		if known, ok := r.Limits[key]; !ok || l.Age < known.Age {
 			r.Limits[key] = l
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -166,7 +166,8 @@
 				tooLarge = memoryNeed(r, 0)
 				s.reserveMemory(now, r)
 			default:
-				full = true
+				// Others may have upstreams in more regions.
+				full = full || !r.regions.Restricted
 			}
 		}
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/health"
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
 	"github.com/jujubeford/jujubeford/internal/speed"
@@ -34,10 +36,24 @@
 	// queueOrder holds the keys of queues, in the order in which they are drained.
 	queueOrder []queueKey
 	partitions map[string]*partition
+	evacuated  evacuations
 	peers      map[string]Report
 	// self is the name of this router and routers those of all that are registered.
 	self    string
 	routers []string
+	// fleet orders the registered routers as senders to cold upstreams. listed means that
+	// the first list of upstreams has been applied.
+	fleet  coldstart.Fleet
+	listed bool
+	// answers knows how the upstreams of each service answer, and paceTold what each peer
+	// tells of upstreams that have started or failed. held counts the upstreams passed over.
+	answers  map[string]*pace.Peers
+	paceTold map[string]map[uint32]pace.Evidence
+	held     int
+	// unpaced has the services whose upstreams have no pace while they are up.
+	unpaced map[string]bool
+	// meanPrompt is the moving average of the prompt tokens that engines read per request.
+	meanPrompt float64
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
@@ -69,6 +85,7 @@
 type request struct {
 	*Request
 	class     workloadClass
+	regions   routing.Regions
 	traits    poison.Request
 	arrivedAt time.Time
 	// expiresAt is when the request has to end.
@@ -89,6 +106,12 @@
 	// beyondExpected what it may have generated beyond the expectation.
 	reserved                       *upstream
 	reservedMemory, beyondExpected int
+	// unanswered means that the attempt is counted as one without an answer, which was
+	// predicted to begin after a time, 0 if not known.
+	unanswered bool
+	predicted  time.Duration
+	// sentCold means that the attempt was counted as one to a cold upstream.
+	sentCold bool
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -134,12 +157,16 @@
 		queues:     make(map[queueKey]*queue),
 		partitions: make(map[string]*partition),
 		peers:      make(map[string]Report),
+		evacuated:  evacuations{emptied: make(map[string]bool), openFraction: 1},
 		shares:     newShareTracker(o.ShareWindow),
 		health:     health.New(),
 		speeds:     speed.New(),
 
 		speedsUpdatedAt: make(map[string]time.Time),
 		reservations:    make(map[string]int),
+		answers:         make(map[string]*pace.Peers),
+		unpaced:         make(map[string]bool),
+		paceTold:        make(map[string]map[uint32]pace.Evidence),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -156,8 +183,8 @@
 		s.handleFirstByte(now, e)
 	case ErrorReceived:
 		s.handleError(now, e)
-	case Paced:
-		s.handlePace(now, e)
+	case PauseMeasured:
+		s.handlePause(now, e)
 	case AbortDeclined:
 		s.handleAbortDeclined(now, e)
 	case Done:
@@ -181,12 +208,14 @@
 	case TableChanged:
 		s.table = e.Table
 	case InstancesChanged:
+		s.setEvacuations(e.Evacuated)
 		s.setInstances(now, e.Instances)
 	case PeerReported:
 		s.setPeer(now, e.Peer, e.Report)
 	case FleetChanged:
 		s.setRetryBudget(e.Routers)
 		s.setRouters(now, e.Self, e.Registered)
+		s.fleet.Set(now, e.Self, e.Registered, e.Domains)
 		s.aggregatedByDomain = e.AggregatedByDomain
 		s.poison.SetSettleTime(crashReportTime(e.AggregatedByDomain))
 	case PeerLost:
@@ -261,15 +290,19 @@
 	for _, in := range list {
 		seen[in.ID] = true
 		u := s.upstreams[in.ID]
-		if u == nil || !SameStart(u.Instance, in) {
+		isNew := u == nil || !SameStart(u.Instance, in)
+		if isNew {
 			s.forgetUpstream(now, in.ID)
 			u = newUpstream(in)
 			s.restoreAdvice(u, in)
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
 		}
+		s.setDeparted(u, in)
 		u.Instance = in
-		if in.Draining || u.leaving {
+		u.evacuatedAt = s.evacuated.since[in.Domain]
+		s.applyColdEntry(now, u, isNew)
+		if in.Draining || in.Departed || u.leaving {
 			u.markLeft(now)
 		} else {
 			u.leftAt = time.Time{}
@@ -281,13 +314,16 @@
 			s.forgetUpstream(now, id)
 		}
 	}
+	s.listed = s.listed || len(list) > 0
 	s.expireDelisted(now)
 	s.rebuildServices()
 	for _, r := range s.peers {
 		s.replaceLoads(Report{}, r)
 	}
+	s.findPeerless()
 	s.partitionUpstreams(now)
 	s.drainAllQueues(now)
+	s.refuseEvacuated(now)
 }
 
 // forgetUpstream removes an upstream. Requests that run there keep their pointer to
@@ -324,13 +360,14 @@
 	for _, u := range s.upstreams {
 		// The caller adds the loads reported by peers again, for all upstreams.
 		u.remote = Load{}
-		if !u.Draining {
+		if !u.Draining && !u.Departed && !u.isEvacuated() {
 			s.services[u.Service] = append(s.services[u.Service], u)
 		}
 	}
 	for _, list := range s.services {
 		sortUpstreams(list)
 	}
+	s.countEvacuated()
 }
 
 // engine returns the engine of a service, or nil if the service has none.
@@ -355,10 +392,13 @@
 		s.countGenerated(now)
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
+		s.updatePaces(now)
+		s.endCold(now)
 	}
 	if now.Sub(s.partitionedAt) >= partitionInterval {
 		s.partitionedAt = now
 		s.partitionUpstreams(now)
+		s.reportEmptied(now)
 	}
 	for _, r := range s.overdueAttempts(now) {
 		s.checkAttempt(now, r)
@@ -392,6 +432,7 @@
 		s.emit(Abort{ID: r.ID, Attempt: r.attempt})
 	case !r.silenceCounted && silent > nonRetryableSilence:
 		r.silenceCounted = true
+		s.recordSilence(now, r.upstream)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 )
 
 // Load is what one router, or all of them, have in flight at an upstream.
@@ -43,6 +45,7 @@
 type upstream struct {
 	Instance
 	key    uint32
+	runKey uint64
 	local  Load
 	remote Load
 	cache  prefixCache
@@ -57,9 +60,15 @@
 	replaced bool
 	// leaving means that the instance announced that it is about to stop.
 	leaving bool
+	// departedUntil is until when the entry counts as that of an instance that has left,
+	// because a peer knows it to come from an older copy of the directory.
+	departedUntil time.Time
 	// leftAt is when this router learnt that the instance is leaving or gone, zero if it
 	// is neither.
 	leftAt time.Time
+	// evacuatedAt is when this router learnt that the upstream's domain is evacuated, zero if
+	// it is not.
+	evacuatedAt time.Time
 	// unavailableUntil is until when the upstream gets no work, because it refused a
 	// connection or asked for a hold-off.
 	unavailableUntil time.Time
@@ -73,11 +82,16 @@
 	reservedFor *request
 	// limit bounds the requests that the upstream gets.
 	limit rateLimit
+	// cold is the upstream's temperature. countedCold means that ColdChanged has told that
+	// it is cold.
+	cold        coldstart.Upstream
+	countedCold bool
+	pace        upstreamPace
 }
 
 // acceptsWork reports whether the upstream may get work at all.
 func (u *upstream) acceptsWork(now time.Time) bool {
-	return !u.replaced && !u.leaving && !now.Before(u.unavailableUntil)
+	return !u.replaced && !u.isLeaving(now) && !now.Before(u.unavailableUntil)
 }
 
 // markLeft records that the instance is leaving or gone.
@@ -89,7 +103,7 @@
 
 // mayContinue reports whether requests that are bound to the upstream may still be sent.
 func (u *upstream) mayContinue(now time.Time) bool {
-	return u.leftAt.IsZero() || now.Sub(u.leftAt) < maxSendAfterLeaving
+	return (u.leftAt.IsZero() || now.Sub(u.leftAt) < maxSendAfterLeaving) && u.maySendEvacuated(now)
 }
 
 // Key returns the short identifier of an instance, an organisation or a service in
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -57,7 +57,9 @@
 }
 
 // encodedReport has the sections of an encoded report: sequences of varints.
-type encodedReport struct{ loads, usage, placements, contended, crashes, limits, leaving, speeds []byte }
+type encodedReport struct {
+	loads, usage, placements, contended, crashes, limits, leaving, cold, speeds []byte
+}
 
 // The field numbers of a datagram. Numbers 7 to 10 and 12 had other encodings.
 const (
@@ -181,7 +183,7 @@
 	for _, run := range r.Leaving {
 		section = binary.LittleEndian.AppendUint64(section, run)
 	}
-	b = appendSection(b, fieldRunsLeaving, section)
+	b = appendCold(appendSection(b, fieldRunsLeaving, section), r)
 	return appendSpeeds(b, r.Speeds)
 }
 
@@ -297,6 +299,8 @@
 		d.encoded.limits = b
 	case fieldRunsLeaving:
 		d.encoded.leaving = b
+	case fieldCold:
+		d.encoded.cold = b
 	case fieldSpeeds:
 		d.encoded.speeds = b
 	}
@@ -369,7 +373,7 @@
 		r.Leaving = append(r.Leaving, in.id())
 	}
 	speeds, err := decodeSpeeds(e.speeds)
-	if failed || in.failed || err != nil {
+	if !decodeCold(e.cold, &r) || failed || in.failed || err != nil {
 		return dispatch.Report{}, errDatagram
 	}
 	r.Speeds = speeds
--- a/internal/gateway/pace.go
+++ b/internal/gateway/event_pace.go
@@ -9,14 +9,14 @@
 // single one may have been held up by anything.
 const minPacedEvents = 6
 
-// pace measures how fast the events of one attempt's stream arrive.
-type pace struct {
+// eventPace measures how fast the events of one attempt's stream arrive.
+type eventPace struct {
 	first, last time.Time
 	events      int
 }
 
 // add counts the complete events that have arrived together.
-func (p *pace) add(now time.Time, events []byte) {
+func (p *eventPace) add(now time.Time, events []byte) {
 	if p.first.IsZero() {
 		p.first = now
 	}
@@ -25,7 +25,7 @@
 }
 
 // meanPause returns the mean pause between events, 0 if there were too few.
-func (p *pace) meanPause() time.Duration {
+func (p *eventPace) meanPause() time.Duration {
 	if p.events < minPacedEvents {
 		return 0
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -64,7 +64,7 @@
 			listed, backoff = true, storeBackoff
 			continue
 		case errors.Is(err, store.ErrCompacted):
-			logs.Info("compacted", "Store: changes are not available, listing all keys again.", "after", g.position())
+			logs.Info("compacted", "Store: changes are not available, listing all keys again.", "after", g.position(), "err", err)
 			listed = false
 			sleep(ctx, relistPause)
 			continue
@@ -173,11 +173,13 @@
 func (g *Gateway) expire(now time.Time) {
 	g.mirrorMu.Lock()
 	expired := g.mirror.RemoveExpired(now)
+	departuresEnded := g.mirror.ExpireDepartures(now)
 	g.mirrorMu.Unlock()
+	evacuationsEnded := g.expireEvacuations(now)
 	for _, r := range expired {
 		logs.Info("entry-deleted", "Directory: removed entry deleted.", "key", r.Key, "revision", r.Revision, "retained", now.Sub(r.At), "inOutage", r.InOutage)
 	}
-	if len(expired) > 0 {
+	if len(expired) > 0 || departuresEnded || evacuationsEnded {
 		g.applyMirror()
 	}
 }
@@ -196,11 +198,11 @@
 		}
 	}
 	list := g.decodeInstances(g.mirror.Entries(directory.InstancePrefix()))
-	g.step(dispatch.InstancesChanged{Instances: list})
+	g.step(dispatch.InstancesChanged{Instances: list, Evacuated: g.updateEvacuations(time.Now(), list)})
 	g.peers.setRegistered(g.mirror.Entries(routerPrefix))
 	g.step(dispatch.FleetChanged{
 		Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays(),
-		Self: g.options.PeerListen, Registered: g.peers.registered(),
+		Self: g.options.PeerListen, Registered: g.peers.registered(), Domains: g.peers.registeredDomains(),
 	})
 	g.peers.wakeSender()
 	if g.mirror.Position().Revision > 0 && !g.listed.Swap(true) {
@@ -214,6 +216,8 @@
 	at       store.Position
 	instance dispatch.Instance
 	valid    bool
+	// departed means that the entry comes from an older copy and its instance has left.
+	departed bool
 }
 
 // decodeInstances decodes the entries of upstreams; those that have not changed since the
@@ -233,22 +237,35 @@
 			before := d.instance
 			if known && d.at.Era != era && before.Draining && dispatch.SameStart(before, in) {
 				// The restored store has an older entry, until the upstream writes it again.
-				in.Draining = true
+				in.Draining, in.Departed = true, true
 			}
+			if err == nil {
+				g.readTemperature(&in, before, at)
+			}
+			in.Entry = entryNumber(at)
 			d = decodedInstance{at: at, instance: in, valid: err == nil}
 			if known && in.Draining && !before.Draining {
 				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "position", at)
 			}
 		}
+		if departed := g.mirror.Departed(e.Key); departed != d.departed {
+			d.departed = departed
+			logs.Info("entry-departed", "Directory: whether an upstream that the restored store has again has left.", "upstream", d.instance.ID, "addr", d.instance.Addr, "left", departed, "position", at)
+		}
 		decoded[e.Key] = d
 		if d.valid {
-			list = append(list, d.instance)
+			in := d.instance
+			in.Departed = in.Departed || d.departed
+			list = append(list, in)
 		}
 	}
 	g.decoded = decoded
 	return list
 }
 
+// entryNumber returns the number by which routers name an entry to each other.
+func entryNumber(at store.Position) uint64 { return at.Era<<48 ^ at.Revision }
+
 // tableEntry is the entry of a configuration.
 type tableEntry struct {
 	value []byte
@@ -272,6 +289,8 @@
 		logs.Info("config-kept", "Config: the version in force is kept, the store has an older one.", "version", old.Version, "stored", t.Version, "position", at)
 		return
 	}
+	g.noteUnknownRegions(t)
+	g.logUnreadableBounds(t)
 	g.inForce = tableEntry{value, at}
 	g.table.Store(t)
 	g.step(dispatch.TableChanged{Table: t})
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -77,6 +79,8 @@
 	MaxAttempts int
 	// Public means that requests need no API key.
 	Public bool
+	// Regions are the regions in which requests may be handled; empty for all.
+	Regions []string
 }
 
 // SelectService selects the service for a request in proportion to the weights of
@@ -128,6 +132,18 @@
 	MaxConns int
 	// Engine is nil if the upstreams are not model engines.
 	Engine *Engine
+	// Cold is what an upstream tolerates after its start, nil if that is not bounded.
+	// ColdUnknown means that the configuration has a value that could not be read.
+	Cold        *ColdStart
+	ColdUnknown bool
+}
+
+// ColdStart bounds the requests to an upstream that has just started.
+type ColdStart struct {
+	// Duration is how long an upstream is cold after its start.
+	Duration time.Duration
+	// PerSecond is the number of requests a second that it tolerates while it is cold.
+	PerSecond float64
 }
 
 // Organisation is a customer that shares the capacity.
@@ -135,6 +151,8 @@
 	Name string
 	// Keys are the organisation's API keys.
 	Keys []string
+	// Regions are the regions in which requests may be handled; empty for all.
+	Regions []string
 }
 
 // Limits are the bounds for what callers send, and the expected throughput of the
@@ -157,6 +175,8 @@
 	hosts        map[string][]*Route
 	keys         map[string]string
 	requiresKeys bool
+	// orgRegions holds the regions of the organisations that name any.
+	orgRegions map[string][]string
 }
 
 // NewTable returns a Table. It keeps references to routes and services, which must
@@ -168,6 +188,7 @@
 		hosts:        make(map[string][]*Route),
 		keys:         make(map[string]string),
 		requiresKeys: len(orgs) > 0,
+		orgRegions:   make(map[string][]string),
 	}
 	for i := range services {
 		t.services[services[i].Name] = &services[i]
@@ -184,6 +205,9 @@
 		for _, key := range org.Keys {
 			t.keys[key] = org.Name
 		}
+		if len(org.Regions) > 0 {
+			t.orgRegions[org.Name] = org.Regions
+		}
 	}
 	return t
 }
@@ -202,6 +226,9 @@
 // Service returns the service with a name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Services returns the names of all services, in order.
+func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 // Organisation returns the name of the organisation that owns an API key.
 func (t *Table) Organisation(key string) (name string, ok bool) {
 	name, ok = t.keys[key]
