--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -195,23 +196,41 @@
 // Update computes the speeds of the instances of a service, given their runs.
 func (s *State) Update(now time.Time, runs []uint32) {
 	sums := make([]Sum, len(runs))
-	total := Sum{}
 	for i, run := range runs {
 		sums[i] = s.sum(now, run)
-		total.Add(sums[i])
 	}
-	mean := 0.0
+	usual := medianRatio(sums)
+	total := 0.0
 	for i, run := range runs {
-		s.speeds[run] = relativeSpeed(sums[i], total)
-		mean += s.speeds[run] / float64(len(runs))
+		s.speeds[run] = relativeSpeed(sums[i], usual)
+		total += s.speeds[run]
 	}
 	// The mean stays 1: what differs moves work between instances, and the capacity of the
 	// service stays as it is.
+	mean := total / float64(len(runs))
 	for _, run := range runs {
 		s.speeds[run] /= mean
 	}
 }
 
+// medianRatio returns the median over instances of work by time, 0 if none is known.
+func medianRatio(sums []Sum) float64 {
+	var ratios []float64
+	for _, sum := range sums {
+		if sum.known() {
+			ratios = append(ratios, sum.ratio())
+		}
+	}
+	if len(ratios) == 0 {
+		return 0
+	}
+	slices.Sort(ratios)
+	return ratios[len(ratios)/2]
+}
+
+func (s Sum) known() bool    { return s.Work >= enoughWork && s.Time > 0 }
+func (s Sum) ratio() float64 { return float64(s.Work) / float64(s.Time) }
+
 // sum returns what all routers have measured of a run.
 func (s *State) sum(now time.Time, run uint32) (sum Sum) {
 	if m := s.local[run]; m != nil {
@@ -224,13 +243,13 @@
 	return sum
 }
 
-// relativeSpeed returns the speed of an instance beside all of its service, as far as the
-// measurements show it with certainty.
-func relativeSpeed(sum, total Sum) float64 {
-	if sum.Work < enoughWork || sum.Time <= 0 || total.Time <= 0 {
+// relativeSpeed returns the speed of an instance beside the usual one of its service, as far as
+// the measurements show it with certainty.
+func relativeSpeed(sum Sum, usual float64) float64 {
+	if !sum.known() {
 		return 1
 	}
-	log := math.Log(float64(sum.Work) / float64(sum.Time) * float64(total.Time) / float64(total.Work))
+	log := math.Log(sum.ratio() / usual)
 	log = certain(log, indifference+certainty*spread/math.Sqrt(float64(sum.Work)/float64(unitWork)))
 	return max(minSpeed, min(math.Exp(log), maxSpeed))
 }
