--- a/internal/relay/sim_test.go
+++ b/internal/relay/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -29,7 +30,10 @@
 	state  *State
 	load   dispatch.Report
 	// views are the sums in use, by name.
-	views map[string]dispatch.Report
+	// speeds holds the measured speeds of each view, and speedReports counts reports of them.
+	speeds       map[string]speeds
+	speedReports int
+	views        map[string]dispatch.Report
 	// crashes counts how often each fact of a crash was in a view.
 	crashes map[poison.Fact]int
 	// down means that it neither sends nor receives: killed, frozen or cut off.
@@ -84,7 +88,7 @@
 		list = append(list, r)
 	}
 	for i, r := range list {
-		s := &simRouter{router: r, state: New(r), views: make(map[string]dispatch.Report), crashes: make(map[poison.Fact]int), seenAt: make(map[string]time.Time)}
+		s := &simRouter{router: r, state: New(r), views: make(map[string]dispatch.Report), speeds: make(map[string]speeds), crashes: make(map[poison.Fact]int), seenAt: make(map[string]time.Time)}
 		s.state.SetRouters(list)
 		s.setLoad(i+1, 0)
 		f.routers[r.Addr] = s
@@ -187,6 +191,10 @@
 
 // use puts a view in use at a router.
 func (r *simRouter) use(name string, report dispatch.Report) {
+	if report.Speeds != nil {
+		r.speeds[name] = report.Speeds
+		r.speedReports++
+	}
 	r.views[name] = report
 	for _, fact := range report.Crashes {
 		r.crashes[fact]++
@@ -223,5 +231,6 @@
 	c.Add(r)
 	c.Placements = append(c.Placements, r.Placements...)
 	c.Crashes = append(c.Crashes, r.Crashes...)
+	c.Speeds = maps.Clone(r.Speeds)
 	return c
 }
