gateway: operators see which upstreams are slow or fast by nature

Cause: what routers learn of speeds decides where requests go, and nothing showed it.

Ruled out: a gauge for each upstream, which grows with the fleet.

Before and after: no change of behaviour; two gauges and one bounded log line for each upstream that begins to differ or ceases to.

Conclusion: an operator can tell slow by nature from slow by trouble.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -344,6 +344,13 @@
 		Domain string
 		After  time.Duration
 	}
+	// SpeedChanged tells that an upstream counts as slow or fast by nature from now on, or as
+	// neither. Speed is a multiple of the mean of its service.
+	SpeedChanged struct {
+		Upstream   Instance
+		Speed      float64
+		Slow, Fast bool
+	}
 	// Probe connects to an upstream whose connections broke, to tell a crash from the
 	// loss of connections. It is followed by Probed. ID is the first request that broke.
 	Probe struct {
@@ -376,6 +383,9 @@
 // RequestID implements Effect. The effect concerns no single request.
 func (e LimitChanged) RequestID() string { return "" }
 
+// RequestID implements Effect. The effect concerns no single request.
+func (e SpeedChanged) RequestID() string { return "" }
+
 // RequestID implements Effect. The effect concerns no single request.
 func (e DomainEmptied) RequestID() string { return "" }
 
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -107,8 +107,12 @@
 	s.speeds.Update(now, runs)
 	for _, u := range list {
 		u.speed = s.speeds.Of(u.run)
-		u.slow = u.speed < slowEnter || u.slow && u.speed < slowExit
-		u.fast = u.speed > fastEnter || u.fast && u.speed > fastExit
+		slow := u.speed < slowEnter || u.slow && u.speed < slowExit
+		fast := u.speed > fastEnter || u.fast && u.speed > fastExit
+		if slow != u.slow || fast != u.fast {
+			u.slow, u.fast = slow, fast
+			s.emit(SpeedChanged{Upstream: u.Instance, Speed: u.speed, Slow: slow, Fast: fast})
+		}
 	}
 }
 
@@ -131,3 +135,22 @@
 	slices.SortStableFunc(sorted, func(a, b *upstream) int { return rank(a) - rank(b) })
 	return sorted
 }
+
+// SlowUpstreams returns the number of upstreams that are slow by nature.
+func (s *State) SlowUpstreams() int {
+	return s.countUpstreams(func(u *upstream) bool { return u.slow })
+}
+
+// FastUpstreams returns the number of upstreams that are fast by nature.
+func (s *State) FastUpstreams() int {
+	return s.countUpstreams(func(u *upstream) bool { return u.fast })
+}
+
+func (s *State) countUpstreams(counts func(u *upstream) bool) (n int) {
+	for _, u := range s.upstreams {
+		if counts(u) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -260,6 +260,9 @@
 			logs.Info("limit", "Gateway: limit of an upstream changed.", "upstream", e.Upstream.ID, "perSecond", e.PerSecond,
 				"before", e.Before, "part", e.Part, "age", e.Age, "routers", e.Routers)
 			continue
+		case dispatch.SpeedChanged:
+			logs.Info("speed", "Gateway: speed of an upstream changed.", "upstream", e.Upstream.ID, "speed", e.Speed, "slow", e.Slow, "fast", e.Fast)
+			continue
 		case dispatch.DomainEmptied:
 			klog.InfoS("Evacuation: nothing runs in the domain any more.", "domain", e.Domain, "after", e.After)
 			continue
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -125,6 +125,8 @@
 		{"retries", "", "Repeats that are left of the budget, of the service with the fewest.", locked(g.dispatcher.RetriesLeft)},
 		{"config", "", "Version of the configuration in force.", func() float64 { return float64(g.configVersion()) }},
 		{"revision", "", "Revision of the last change of the store that is known.", func() float64 { return float64(g.lastChange().Revision) }},
+		{"slow", "", "Upstreams that are slower by nature than the mean of their service.", locked(g.dispatcher.SlowUpstreams)},
+		{"fast", "", "Upstreams that are faster by nature than the mean of their service.", locked(g.dispatcher.FastUpstreams)},
 		{"limited", "", "Upstreams that get no more requests than the limit that they name.", locked(g.dispatcher.LimitedUpstreams)},
 		{"cold", "", "Upstreams that are cold, so that they get no more requests than they tolerate.", locked(func() int { return g.dispatcher.ColdUpstreams(time.Now()) })},
 		{"paced", "", "Upstreams that get less than they could because they have just started, recovered or failed.", locked(g.dispatcher.PacedUpstreams)},
