routing: a request keeps its own route in memory, not its whole version

Cause: routes and services were stored in two arrays, and a table pointed into them. A stream of 15 s kept some 1 MB of each version of a large configuration that began a request in that time.

Ruled out: copying the route into each request; most of them last for milliseconds.

Conclusion: memory no longer grows with versions times running requests.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -159,8 +159,9 @@
 	requiresKeys bool
 }
 
-// NewTable returns a Table. It keeps references to routes and services, which must
-// not be modified afterwards.
+// NewTable returns a Table. It keeps references to the targets, engines and keys, which must
+// not be modified afterwards. A request in progress keeps its own route in memory, not the
+// others of its version.
 func NewTable(version uint64, limits Limits, routes []Route, services []Service, orgs []Organisation) *Table {
 	t := &Table{
 		Version: version, Limits: limits,
@@ -169,12 +170,12 @@
 		keys:         make(map[string]string),
 		requiresKeys: len(orgs) > 0,
 	}
-	for i := range services {
-		t.services[services[i].Name] = &services[i]
+	for _, s := range services {
+		t.services[s.Name] = &s
 	}
-	for i := range routes {
-		host := canonicalHost(routes[i].Host)
-		t.hosts[host] = append(t.hosts[host], &routes[i])
+	for _, r := range routes {
+		host := canonicalHost(r.Host)
+		t.hosts[host] = append(t.hosts[host], &r)
 	}
 	for _, hostRoutes := range t.hosts {
 		// The longest prefix comes first, so that Match can return the first match.
