--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -6,6 +6,9 @@
 type Options struct {
 	// Domain is the failure domain of this router.
 	Domain string
+	// Region is the region of this router, and Regions that of each failure domain.
+	Region  string
+	Regions map[string]string
 	// PrefillRate is the number of prompt tokens that an engine reads per second
 	// while it also runs the decode steps of its streams.
 	PrefillRate float64
@@ -21,9 +24,19 @@
 	// its budget, and RetryBurst the number that the whole fleet may accumulate.
 	RetryRatio float64
 	RetryBurst float64
+	// ColdOverage and ColdSlack bound the requests in any second to a cold upstream:
+	// ColdOverage times what it tolerates, and ColdSlack more. An overage below 1 counts
+	// as 1.
+	ColdOverage, ColdSlack float64
+	// Pace makes the router find how much an upstream gets that has just started or
+	// recovered from how it answers.
+	Pace bool
 	// IgnorePeers makes the router ignore the reports of peers. It is the baseline
 	// against which sharing the load reports is measured.
 	IgnorePeers bool
+	// IgnoreSpeeds makes the router take all upstreams for equally fast. It is the
+	// baseline against which learning their speeds is measured.
+	IgnoreSpeeds bool
 }
 
 // DefaultOptions returns the options for the engines described by the users.
@@ -39,6 +52,7 @@
 		// Half of the ratio that the users allow, since the reports of peers lag.
 		RetryRatio: 0.1,
 		RetryBurst: 40,
+		Pace:       true,
 	}
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -68,7 +68,7 @@
 // bestUpstream returns the candidate with the lowest score among the eligible upstreams.
 func (s *State) bestUpstream(now time.Time, r *request, list []*upstream, source prefixSource, eligible func(*upstream) bool) (best candidate, ok bool) {
 	for _, u := range list {
-		if !eligible(u) || slices.Contains(r.failedUpstreams, u.ID) || !u.acceptsWork(now) || !s.health.Available(u.ID, now) || !s.hasRoom(now, r, u) {
+		if !eligible(u) || !s.mayReach(r, u) || slices.Contains(r.failedUpstreams, u.ID) || !u.acceptsWork(now) || !s.health.Available(u.ID, now) || !s.hasRoom(now, r, u) {
 			continue
 		}
 		c := s.evaluate(now, r, u, source)
@@ -88,14 +88,14 @@
 		score = staleDomainPenalty
 	}
 	if s.engine(r.Service) != nil {
-		score += milliseconds(s.options.FirstToken)
+		score += milliseconds(s.firstToken(r.Service))
 	}
 	return score
 }
 
 // hasRoom reports whether an upstream can take a request now.
 func (s *State) hasRoom(now time.Time, r *request, u *upstream) bool {
-	if !u.limit.allows(now) {
+	if !u.limit.allows(now) || !s.paceAllows(now, u) {
 		return false
 	}
 	e := s.engine(r.Service)
@@ -113,7 +113,7 @@
 	if r.overShare {
 		limit = idleBacklog
 	}
-	return u.prefill() == 0 || s.prefillTime(u.prefill()) < limit
+	return (u.prefill() == 0 || s.prefillTimeAt(u, u.prefill()) < limit) && s.memoryAllows(r, u)
 }
 
 // evaluate predicts the effects of sending a request to an upstream, and scores them.
@@ -122,7 +122,7 @@
 	if s.engine(r.Service) != nil {
 		s.evaluateEngine(r, &c, source)
 	} else {
-		c.score = 50 * float64(u.running()) / float64(max(1, u.Slots))
+		c.score = 50 * plainLoad(u)
 	}
 	switch {
 	case u.Domain == s.options.Domain:
@@ -148,9 +148,9 @@
 		c.fetchFrom, cached = source.upstream, source.tokens
 	}
 	c.cachedTokens, c.prefillTokens = cached, max(0, r.Prompt.Tokens-cached)
-	c.backlog = s.prefillTime(u.prefill())
-	prefill := s.prefillTime(c.prefillTokens)
-	c.firstByte = s.options.FirstToken + c.backlog + prefill + copyTime
+	c.backlog = s.prefillTimeAt(u, u.prefill())
+	prefill := s.prefillTimeAt(u, c.prefillTokens)
+	c.firstByte = s.firstToken(r.Service) + c.backlog + prefill + copyTime
 	otherStreams := max(0, u.running())
 	expectedEvents := float64(r.Prompt.ExpectedOutput()) / float64(max(1, s.engine(r.Service).EventTokens))
 	c.score = milliseconds(c.firstByte) + streamDelayWeight*milliseconds(prefill)*float64(otherStreams) + interferenceWeight*expectedEvents*u.prefillBusy
@@ -179,6 +179,9 @@
 		return best
 	}
 	for _, u := range s.services[r.Service] {
+		if !s.mayReach(r, u) {
+			continue
+		}
 		n, used := u.cache.prefixTokens(parts, true, best.usedSince)
 		if n > best.tokens || n > 0 && n == best.tokens && used.After(best.lastUsed) {
 			best.upstream, best.tokens, best.lastUsed = u, n, used
@@ -187,7 +190,7 @@
 	return best
 }
 
-// prefillTime returns how long an engine takes to read a number of prompt tokens.
+// prefillTime returns how long an engine of mean speed takes to read a number of prompt tokens.
 func (s *State) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / s.options.PrefillRate * float64(time.Second))
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,10 +12,14 @@
 
 // handleArrival admits a new request: it is sent, waits, or is refused immediately.
 func (s *State) handleArrival(now time.Time, req *Request) {
+	s.assumeRead(now)
 	r := &request{Request: req, class: classify(req.Prompt), traits: traitsOf(req), arrivedAt: now, expiresAt: req.Deadline, lastEventID: req.ResumeAfter}
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
 	}
+	if s.table != nil {
+		r.regions = s.table.AllowedRegions(r.Route, r.Organisation)
+	}
 	if s.refuseIfBlocked(now, r) {
 		return
 	}
@@ -71,7 +75,12 @@
 
 // admit sends a request, queues it, or refuses it if waiting cannot help.
 func (s *State) admit(now time.Time, r *request) {
-	if readyAt, ok := s.availableAt(now, r.Service); !ok || readyAt.After(now) && readyAt.After(r.queueDeadline) {
+	readyAt, ok := s.availableTo(now, r)
+	if !ok {
+		s.refuseOrFail(now, r, s.unavailableReason(r))
+		return
+	}
+	if readyAt.After(now) && readyAt.After(r.queueDeadline) {
 		s.refuseOrFail(now, r, ReasonNoUpstream)
 		return
 	}
@@ -149,6 +158,7 @@
 
 // trySend sends a request if an upstream has room for it.
 func (s *State) trySend(now time.Time, r *request) bool {
+	s.shortOfMemory = false
 	choice, ok := s.place(now, r)
 	if !ok || !s.health.Admit(choice.upstream.ID, now) {
 		return false
@@ -169,12 +179,19 @@
 	r.attempt++
 	r.upstream, r.sentAt, r.silentSince, r.firstByteReceived, r.aborting = choice.upstream, now, now, false, false
 	r.survived = false
-	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: r.Prompt.Tokens + r.Prompt.ExpectedOutput()}
+	r.load = Load{Running: 1, Prefill: choice.prefillTokens, Memory: memoryNeed(r, choice.cachedTokens)}
 	if r.class == classDecode {
 		r.load.DecodeAttempts = 1
 	}
+	r.expectedWork = s.expectedWork(r, choice)
+	r.beyondExpected = 0
+	r.readBy, r.assumedRead = now.Add(choice.firstByte-s.firstToken(r.Service)), 0
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
+	r.sentCold = s.isCold(now, choice.upstream)
+	choice.upstream.cold.Take(now)
+	r.beginUnanswered(choice.firstByte)
+	s.recordPrompt(choice.prefillTokens)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
 	s.queueFor(r).drainRate.add(now, float64(s.prefillTime(r.Prompt.Tokens)))
@@ -196,7 +213,10 @@
 	if r == nil || r.firstByteReceived {
 		return
 	}
+	s.recordAnswer(now, r)
+	r.endUnanswered()
 	r.firstByteReceived, r.firstByteAt = true, now
+	s.recordSpeed(now, r)
 	r.upstream.local.Prefill -= r.load.Prefill
 	s.unreportedTokens += r.load.Prefill
 	r.load.Prefill = 0
@@ -222,6 +242,7 @@
 		return
 	}
 	s.cancelMove(r)
+	r.endUnanswered()
 	r.upstream.local.sub(r.load)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	if !r.firstByteReceived {
@@ -279,11 +300,12 @@
 	if s.returnToSource(now, r, e) {
 		return
 	}
-	if !e.Local {
+	if !e.Local && !e.Withheld {
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, e.Kind)
 		r.failedUpstreams = append(r.failedUpstreams, r.upstream.ID)
 		s.markUnavailable(now, r.upstream, e)
 	}
+	s.recordBadAnswer(now, r, e)
 	s.recordBreak(now, r, e)
 	if !e.MayHaveRun {
 		s.shares.recordStart(now, r.Organisation, -s.shareCost(r))
@@ -311,6 +333,7 @@
 		u.replaced = true
 	case e.Unreachable:
 		u.unavailableUntil = laterOf(u.unavailableUntil, now.Add(unreachableHold))
+		s.noteUnreachable(now, u)
 	}
 }
 
@@ -396,6 +419,7 @@
 // fail ends a request that may have run.
 func (s *State) fail(now time.Time, r *request, e Fail) {
 	if r.upstream != nil && !r.firstByteReceived {
+		s.recordSilence(now, r.upstream)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 	s.releaseAttempt(r)
@@ -410,7 +434,7 @@
 	s.refusals++
 	spread := time.Duration(s.refusals%8) * (retryAfterMax - retryAfterMin) / 8
 	after := retryAfterMin + spread
-	if readyAt, ok := s.availableAt(now, r.Service); ok {
+	if readyAt, ok := s.availableTo(now, r); ok {
 		after = max(after, readyAt.Sub(now)+spread/4)
 	}
 	return min(after, time.Duration(retryAfterFraction*float64(r.Deadline.Sub(now))))
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -5,10 +5,13 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/health"
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
+	"github.com/jujubeford/jujubeford/internal/speed"
 )
 
 // State is the reducer of dispatch events. It is not safe for concurrent use.
@@ -33,15 +36,36 @@
 	// queueOrder holds the keys of queues, in the order in which they are drained.
 	queueOrder []queueKey
 	partitions map[string]*partition
+	evacuated  evacuations
 	peers      map[string]Report
 	// self is the name of this router and routers those of all that are registered.
 	self    string
 	routers []string
+	// fleet orders the registered routers as senders to cold upstreams. listed means that
+	// the first list of upstreams has been applied.
+	fleet  coldstart.Fleet
+	listed bool
+	// answers knows how the upstreams of each service answer, and paceTold what each peer
+	// tells of upstreams that have started or failed. held counts the upstreams passed over.
+	answers  map[string]*pace.Peers
+	paceTold map[string]map[uint32]pace.Evidence
+	held     int
+	// unpaced has the services whose upstreams have no pace while they are up.
+	unpaced map[string]bool
+	// meanPrompt is the moving average of the prompt tokens that engines read per request.
+	meanPrompt float64
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
-	shares             shareTracker
-	health             *health.State
+	// shortOfMemory is set when an upstream lacks memory for a request that it otherwise has
+	// room for, and reservations counts the requests that memory is reserved for, by service.
+	shortOfMemory bool
+	reservations  map[string]int
+	shares        shareTracker
+	health        *health.State
+	speeds        *speed.State
+	// speedsUpdatedAt is when the speeds of a service's upstreams were last computed.
+	speedsUpdatedAt map[string]time.Time
 	// unreportedTokens is the change of this router's load since the last Report,
 	// in prompt tokens.
 	unreportedTokens int
@@ -61,6 +85,7 @@
 type request struct {
 	*Request
 	class     workloadClass
+	regions   routing.Regions
 	traits    poison.Request
 	arrivedAt time.Time
 	// expiresAt is when the request has to end.
@@ -74,6 +99,23 @@
 	attempt  int
 	upstream *upstream
 	sentAt   time.Time
+	// expectedWork is the time that the attempt takes to its first byte at the speed 1,
+	// apart from its setup; 0 if it does not tell of the upstream's speed.
+	expectedWork time.Duration
+	// unanswered means that the attempt is counted as one without an answer, which was
+	// predicted to begin after a time, 0 if not known.
+	unanswered bool
+	predicted  time.Duration
+	// sentCold means that the attempt was counted as one to a cold upstream.
+	sentCold bool
+	// readBy is when the upstream should have read the prompt, and assumedRead the tokens
+	// that count as read although no first byte has arrived.
+	readBy      time.Time
+	assumedRead int
+	// reserved is where reservedMemory is kept for the request while it waits, and
+	// beyondExpected what it may have generated beyond the expectation.
+	reserved                       *upstream
+	reservedMemory, beyondExpected int
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -119,8 +161,16 @@
 		queues:     make(map[queueKey]*queue),
 		partitions: make(map[string]*partition),
 		peers:      make(map[string]Report),
+		evacuated:  evacuations{emptied: make(map[string]bool), openFraction: 1},
 		shares:     newShareTracker(o.ShareWindow),
 		health:     health.New(),
+		speeds:     speed.New(),
+
+		speedsUpdatedAt: make(map[string]time.Time),
+		answers:         make(map[string]*pace.Peers),
+		unpaced:         make(map[string]bool),
+		paceTold:        make(map[string]map[uint32]pace.Evidence),
+		reservations:    make(map[string]int),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -135,6 +185,10 @@
 		s.handleArrival(now, e.Request)
 	case FirstByteReceived:
 		s.handleFirstByte(now, e)
+	case ErrorReceived:
+		s.handleError(now, e)
+	case PauseMeasured:
+		s.handlePause(now, e)
 	case AbortDeclined:
 		s.handleAbortDeclined(now, e)
 	case Done:
@@ -158,12 +212,14 @@
 	case TableChanged:
 		s.table = e.Table
 	case InstancesChanged:
+		s.setEvacuations(e.Evacuated)
 		s.setInstances(now, e.Instances)
 	case PeerReported:
 		s.setPeer(now, e.Peer, e.Report)
 	case FleetChanged:
 		s.setRetryBudget(e.Routers)
 		s.setRouters(now, e.Self, e.Registered)
+		s.fleet.Set(now, e.Self, e.Registered, e.Domains)
 		s.aggregatedByDomain = e.AggregatedByDomain
 		s.poison.SetSettleTime(crashReportTime(e.AggregatedByDomain))
 	case PeerLost:
@@ -238,15 +294,19 @@
 	for _, in := range list {
 		seen[in.ID] = true
 		u := s.upstreams[in.ID]
-		if u == nil || !SameStart(u.Instance, in) {
+		isNew := u == nil || !SameStart(u.Instance, in)
+		if isNew {
 			s.forgetUpstream(now, in.ID)
-			u = &upstream{key: Key(in.ID)}
+			u = newUpstream(in)
 			s.restoreAdvice(u, in)
 			s.upstreams[in.ID] = u
 			s.byKey[u.key] = u
 		}
+		s.setDeparted(u, in)
 		u.Instance = in
-		if in.Draining || u.leaving {
+		u.evacuatedAt = s.evacuated.since[in.Domain]
+		s.applyColdEntry(now, u, isNew)
+		if in.Draining || in.Departed || u.leaving {
 			u.markLeft(now)
 		} else {
 			u.leftAt = time.Time{}
@@ -258,13 +318,16 @@
 			s.forgetUpstream(now, id)
 		}
 	}
+	s.listed = s.listed || len(list) > 0
 	s.expireDelisted(now)
 	s.rebuildServices()
 	for _, r := range s.peers {
 		s.replaceLoads(Report{}, r)
 	}
+	s.findPeerless()
 	s.partitionUpstreams(now)
 	s.drainAllQueues(now)
+	s.refuseEvacuated(now)
 }
 
 // forgetUpstream removes an upstream. Requests that run there keep their pointer to
@@ -280,6 +343,7 @@
 	delete(s.upstreams, id)
 	delete(s.byKey, u.key)
 	s.health.Remove(id)
+	s.speeds.Forget(u.run)
 }
 
 // cacheLimit returns the number of tokens of shared parts that an engine of a service
@@ -300,13 +364,14 @@
 	for _, u := range s.upstreams {
 		// The caller adds the loads reported by peers again, for all upstreams.
 		u.remote = Load{}
-		if !u.Draining {
+		if !u.Draining && !u.Departed && !u.isEvacuated() {
 			s.services[u.Service] = append(s.services[u.Service], u)
 		}
 	}
 	for _, list := range s.services {
 		sortUpstreams(list)
 	}
+	s.countEvacuated()
 }
 
 // engine returns the engine of a service, or nil if the service has none.
@@ -323,17 +388,22 @@
 // handleTick samples the upstreams and partitions them when due, ends attempts that
 // have run out of time, aborts silent ones, and drains the queues.
 func (s *State) handleTick(now time.Time) {
+	s.assumeRead(now)
 	if now.Sub(s.sampledAt) >= tickIdle {
 		s.sampledAt = now
 		for _, u := range s.upstreams {
-			u.samplePrefill(now, s.options.PrefillRate)
+			u.samplePrefill(now, s.options.PrefillRate*u.speed)
 		}
+		s.countGenerated(now)
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
+		s.updatePaces(now)
+		s.endCold(now)
 	}
 	if now.Sub(s.partitionedAt) >= partitionInterval {
 		s.partitionedAt = now
 		s.partitionUpstreams(now)
+		s.reportEmptied(now)
 	}
 	for _, r := range s.overdueAttempts(now) {
 		s.checkAttempt(now, r)
@@ -367,6 +437,7 @@
 		s.emit(Abort{ID: r.ID, Attempt: r.attempt})
 	case !r.silenceCounted && silent > nonRetryableSilence:
 		r.silenceCounted = true
+		s.recordSilence(now, r.upstream)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 }
@@ -380,5 +451,9 @@
 
 // silenceTimeout returns how long a retryable attempt may take to its first byte.
 func (s *State) silenceTimeout(r *request) time.Duration {
-	return max(minSilence, time.Duration(silenceFactor*float64(r.Route.LatencyTarget)))
+	timeout := silenceFactor * float64(r.Route.LatencyTarget)
+	if r.upstream != nil {
+		timeout /= min(1, r.upstream.speed)
+	}
+	return max(minSilence, time.Duration(timeout))
 }
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -96,6 +96,7 @@
 		"waited", e.Waited, "predicted", e.Predicted, "backlog", e.Backlog, "cached", e.Cached, "size", e.Size, "share", e.Share, "fetchFrom", e.FetchFrom,
 		"resumeAfter", e.ResumeAfter, "continue", e.ContinueFrom, "left", remaining, "config", g.configVersion())
 	g.metrics.recordAttempt(c.request.Route.Kind.String(), e)
+	withheld := false
 	x := g.client.Begin(&exchange.Request{
 		Addr: e.Upstream.Addr, Method: c.method, Target: c.target, Host: c.host, Body: c.body,
 		Header: g.options.Protocol.Forward(c.header, Forwarding{
@@ -103,7 +104,10 @@
 			FetchFrom: e.FetchFrom, ResumeAfter: e.ResumeAfter, ContinueFrom: e.ContinueFrom,
 		}),
 		Repeatable: c.request.Route.Kind.Repeatable(),
-		MaySend:    func() bool { return g.maySend(e.Upstream) },
+		MaySend: func() bool {
+			withheld = !g.mayReach(c, e)
+			return !withheld && g.maySend(e.Upstream)
+		},
 		OwnsResponse: func(status int, h http.Header) exchange.Ownership {
 			return g.options.Protocol.Ownership(status, h, c.caller.ID)
 		},
@@ -124,6 +128,9 @@
 		moved = c.awaitHandover()
 	}
 	if failure == nil && moved.notStopped {
+		if pause := c.pace.meanPause(); pause > 0 {
+			g.step(dispatch.PauseMeasured{ID: c.key, Attempt: e.Attempt, Pause: pause})
+		}
 		g.step(dispatch.Done{ID: c.key, Attempt: e.Attempt})
 		g.logEnd(c, "complete", "", a.Status)
 		return true
@@ -143,7 +150,7 @@
 		"err", failure.Err)
 	g.step(dispatch.Failed{
 		ID: c.key, Attempt: e.Attempt, Kind: failure.Kind, MayHaveRun: failure.Sent,
-		Replaced: failure.Replaced, Unreachable: failure.Unreachable(), Local: failure.OutOfResources(),
+		Replaced: failure.Replaced, Unreachable: failure.Unreachable(), Local: failure.OutOfResources(), Withheld: withheld,
 		ResponseStarted: c.wroteHeader, LastEventID: c.lastEventID,
 	})
 	return false
@@ -180,7 +187,7 @@
 // header: that it is leaving, wants no requests for some time, or only so many a second.
 func (g *Gateway) reportAdvice(c *call, e dispatch.Send, info AnswerInfo) {
 	avoid := info.Leaving || info.HoldOff > 0
-	if info.Replaced || !avoid && info.Limit == 0 && !info.LimitUnknown && !e.Limited {
+	if info.Replaced || !avoid && info.Limit == 0 && !info.LimitUnknown && !e.Limited && info.Cold == 0 && !info.ColdUnknown {
 		return
 	}
 	upstream := e.Upstream
@@ -191,8 +198,12 @@
 	if info.LimitUnknown {
 		logs.Info("limit-unreadable", "Gateway: upstream's limit is not a number, the one before holds.", "id", c.caller.ID, "upstream", upstream.ID)
 	}
+	if info.ColdUnknown {
+		g.metrics.recordUnreadable(unreadableAnswer)
+		logs.Info("cold-unreadable", "Gateway: upstream's temperature is not a time, ignored.", "id", c.caller.ID, "upstream", upstream.ID)
+	}
 	g.step(dispatch.InstanceReported{
-		Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff, Limit: info.Limit, LimitUnknown: info.LimitUnknown,
+		Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff, Limit: info.Limit, LimitUnknown: info.LimitUnknown, Cold: info.Cold,
 	})
 }
 
@@ -211,7 +222,7 @@
 	if failure != nil {
 		return failure
 	}
-	g.step(dispatch.FirstByteReceived{ID: c.key, Attempt: e.Attempt})
+	g.step(dispatch.ErrorReceived{ID: c.key, Attempt: e.Attempt})
 	if a.Status >= http.StatusMultipleChoices {
 		c.lastFailure = &upstreamFailure{status: a.Status, header: a.Header, body: body}
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -54,6 +54,10 @@
 	// together, 0 if it names no limit. LimitUnknown means that it could not be read.
 	Limit        float64
 	LimitUnknown bool
+	// Cold is how long the upstream stays cold, 0 if it does not say. ColdUnknown means
+	// that it could not be read.
+	Cold        time.Duration
+	ColdUnknown bool
 }
 
 // Protocol translates between the platform's headers and the gateway. It is safe for
@@ -92,6 +96,9 @@
 	// keys of upstreams.
 	ConfigKey() string
 	InstancePrefix() string
+	// EvacuationPrefix is the prefix of the keys that request the evacuation of a failure
+	// domain; the rest of a key is the domain's name.
+	EvacuationPrefix() string
 	// Table decodes the configuration.
 	Table(value []byte) (*routing.Table, error)
 	// Instance decodes an upstream's entry. The error says why the entry is invalid.
