check-config: a configuration is checked before it is sent

Cause: a configuration that the store accepts may hold routes that never match, keys that work for another organisation, services without a route, and limits that contradict each other; its operator learns of it from refused requests.

Ruled out: 'config check', which is for the configurations of the product's own fleet, in YAML; rules of their own for the check. What a route matches, what a version supersedes, which organisation a key belongs to and which regions are allowed is asked of package routing; the gateway names the limits that it does not keep; what is decoded to another value is named where it is decoded.

Before and after: 'jujubeford check-config [-against FILE|IP:PORT] FILE' prints errors and warnings with line, column and path, and what differs from the version in force and whom it concerns, as text or JSON; keys by digest only. Exit status 0, 1 with errors, 2 if it cannot be checked. 100 MB are refused after 4 MiB, deep nesting and unknown fields are errors.

Not checked: the token rate against what engines can do, which no configuration states.

Conclusion: what the store cannot tell its operator shows before it is sent.

--- a/cmd/jujubeford/main.go
+++ b/cmd/jujubeford/main.go
@@ -23,6 +23,7 @@
 	subcommands.Register(cli.GatewayCommand(platform.LoadSettings, platform.SettingsVariable), "")
 	subcommands.Register(cli.ConfigCommand(openStore), "")
 	subcommands.Register(cli.CheckDeployCommand(platform.LoadDeploy, platform.LoadSettings), "")
+	subcommands.Register(cli.CheckConfigCommand(cli.PlatformConfigs{Parse: platform.ParseConfig, Fetch: platform.FetchConfig}, platform.LoadSettings), "")
 	subcommands.Register(cli.StatusCommand(), "")
 	subcommands.Register(cli.ExplainCommand(), "")
 	subcommands.Register(cli.ReleaseCommand(), "")
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -285,7 +285,7 @@
 		logs.Info("skipped", "Store: invalid entry skipped.", "key", g.options.Directory.ConfigKey(), "position", at, "err", err)
 		return
 	}
-	if old != nil && (t.Version < old.Version || t.Version == old.Version && at.Era <= g.inForce.at.Era) {
+	if !t.Supersedes(old, at.Era > g.inForce.at.Era) {
 		logs.Info("config-kept", "Config: the version in force is kept, the store has an older one.", "version", old.Version, "stored", t.Version, "position", at)
 		return
 	}
