gateway: one account of the memory that is held for callers

Cause: bodies that are being read count nowhere; reading doubles them and each attempt copies them again; heads, what the kernel holds for slow callers, and connections in requests have no bound; a refused request whose body never comes keeps its connection for ever; whole answers that nobody reads take the room of all others; writes have no deadline.

Now internal/holding keeps one account with a part a kind. A body is read once there is room for the whole of it (64 KiB at first if its length is unknown), in segments that are passed on without a copy; others wait for up to half of their caller's time, the caller that holds least first; one that makes no progress for headerTimeoutMs gives way to those that wait. What is first of its kind always gets room. Long heads, streams ahead of slow callers: who holds most gives way. Callers' sockets inherit buffers of 64 KiB from the listener. A new connection beyond nine tenths of what descriptors and memory allow takes the place of an idle one or is closed. The rest of a refused request is read for 0.5 s. Streams are read at their upstream's pace into 256 KiB (sockets.Writer); a caller that reads nothing for 10 s, or whose backlog is full for a second, ends its answer alone; the dispatcher hears of the end of a whole answer before its caller has read it.

Ruled out: growing room step by step, where bodies of a burst hold each other up and all have to give way; refusing at once, which fails most of a burst that fits into the callers' time.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/holding"
 	"github.com/jujubeford/jujubeford/internal/sockets"
 )
 
@@ -29,6 +31,9 @@
 	// opening a new connection takes less time.
 	maxSkippedBody = 1 << 20
 	skipTimeout    = 200 * time.Millisecond
+	// sendBuffer bounds what the kernel holds of a body that its upstream reads slowly, in
+	// bytes; it is set for bodies that are longer.
+	sendBuffer = 64 << 10
 	// maxHeaderBytes bounds a response header together with the informational (1xx)
 	// responses before it.
 	maxHeaderBytes = 64 << 10
@@ -43,7 +48,7 @@
 	Host   string
 	// Header holds the end-to-end headers.
 	Header http.Header
-	Body   []byte
+	Body   holding.Body
 	// Repeatable means that the request may use a connection that has been idle for
 	// long. Other requests use an idle connection only if its end would have been
 	// noticed; see maxIdleNonRepeatable.
@@ -85,9 +90,13 @@
 // New returns a client without connections. The bodies that ReadAll has read may take
 // up memoryLimit bytes in total until their responses are closed; 0 means no bound.
 func New(memoryLimit int64) *Client {
-	return &Client{pool: newPool(), memory: memory{limit: memoryLimit, readers: make(map[*Response]struct{})}}
+	return &Client{pool: newPool(), memory: memory{limit: memoryLimit, note: func(int64) {}, readers: make(map[*Response]struct{})}}
 }
 
+// OnHeld makes note get each change of the total size of these bodies. It is called before the
+// first request.
+func (c *Client) OnHeld(note func(change int64)) { c.memory.note = note }
+
 // CloseExpired closes the connections whose idle timeout has expired.
 func (c *Client) CloseExpired(now time.Time) { c.pool.closeExpired(now) }
 
@@ -240,30 +249,42 @@
 // any byte may have been sent.
 func (e *Exchange) write(c *conn) (sent bool, err error) {
 	head := e.encodeHead()
-	if len(e.req.Body) <= maxInlineBody {
-		n, err := c.Write(append(head, e.req.Body...))
+	size := e.req.Body.Len()
+	if size <= maxInlineBody {
+		for _, part := range e.req.Body {
+			head = append(head, part...)
+		}
+		n, err := c.Write(head)
 		return n > 0, err
 	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && size > sendBuffer {
+		if err := tcp.SetWriteBuffer(sendBuffer); err != nil {
+			return false, errors.Wrap(err, "bound the send buffer")
+		}
+	}
 	e.writeResult = make(chan error, 1)
 	go func() {
-		_, err := c.Write(append(head, e.req.Body...))
+		// The segments are shared with later attempts; WriteTo consumes the list only.
+		parts := append(net.Buffers{head}, e.req.Body...)
+		_, err := parts.WriteTo(c.Conn)
 		e.writeResult <- err
 	}()
 	return true, nil
 }
 
-// encodeHead returns the request line and the header, with capacity for the body.
+// encodeHead returns the request line and the header, with capacity for a short body.
 func (e *Exchange) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(e.req.Body))
+	size := e.req.Body.Len()
+	b.Grow(512 + min(size, maxInlineBody))
 	b.WriteString(e.req.Method + " " + e.req.Target + " HTTP/1.1\r\nHost: " + e.req.Host + "\r\n")
 	for name, values := range e.req.Header {
 		for _, v := range values {
 			b.WriteString(name + ": " + v + "\r\n")
 		}
 	}
-	if len(e.req.Body) > 0 || e.req.Method != http.MethodGet && e.req.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(e.req.Body)) + "\r\n")
+	if size > 0 || e.req.Method != http.MethodGet && e.req.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
@@ -344,7 +365,7 @@
 // Read implements io.Reader.
 func (r memoryReader) Read(p []byte) (int, error) {
 	n, err := r.Response.Read(p)
-	if evicted := r.exchange.client.memory.take(r.Response, int64(n)); evicted != nil && err != io.EOF {
+	if evicted := r.exchange.client.memory.take(r.Response, int64(n)); evicted != nil && (n > 0 || err != io.EOF) {
 		err = evicted
 	}
 	return n, err
@@ -354,19 +375,21 @@
 func (r *Response) addr() string { return r.exchange.req.Addr }
 
 // ReadAll reads the whole body, which may have at most limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, *Failure) {
-	body, err := io.ReadAll(io.LimitReader(memoryReader{r}, limit+1))
-	if err == nil && int64(len(body)) > limit {
+func (r *Response) ReadAll(limit int64) (holding.Body, *Failure) {
+	var body holding.Body
+	err := body.Fill(memoryReader{r}, limit+1)
+	switch {
+	case err == nil:
 		err = errBodyTooLarge
-	}
-	if err == nil && !r.ended {
+	case err == io.EOF && int64(body.Len()) > limit:
+		err = errBodyTooLarge
+	case err == io.EOF && !r.ended:
 		err = errBodyTruncated
+	case err == io.EOF:
+		r.exchange.client.memory.finish(r)
+		return body, nil
 	}
-	if err != nil {
-		return nil, r.Fail(err)
-	}
-	r.exchange.client.memory.finish(r)
-	return body, nil
+	return nil, r.Fail(err)
 }
 
 // Discard reads and drops the body of a response that is not needed. An error means
--- a/internal/exchange/copies_test.go
+++ b/internal/exchange/copies_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/holding"
 )
 
 // scriptedServer answers requests, by their id and their place on the connection, with
@@ -79,7 +81,7 @@
 // exchangeWith sends a request and returns the status and body of the response in use.
 func exchangeWith(c *Client, addr, id, body string) (status int, text string, failure *Failure) {
 	resp, failure := c.Begin(&Request{
-		Addr: addr, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte(body),
+		Addr: addr, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {id}}, Body: holding.Body{[]byte(body)},
 		OwnsResponse: func(status int, h http.Header) Ownership {
 			switch got := h.Get("X-Id"); {
 			case got == id:
@@ -96,7 +98,7 @@
 	}
 	defer resp.Close()
 	all, failure := resp.ReadAll(1 << 20)
-	return resp.Status, string(all), failure
+	return resp.Status, string(all.Bytes()), failure
 }
 
 // TestLateCopyOfAnAnswer: whatever a server sends a second time, and however late, the
--- a/internal/exchange/head_cut_test.go
+++ b/internal/exchange/head_cut_test.go
@@ -73,7 +73,7 @@
 						g.Expect(failure).To(BeNil())
 						body, failure := resp.ReadAll(10)
 						g.Expect(failure).To(BeNil())
-						g.Expect(string(body)).To(Equal("ok"))
+						g.Expect(string(body.Bytes())).To(Equal("ok"))
 						resp.Close()
 					}
 					resp, failure := send()
--- a/internal/exchange/memory.go
+++ b/internal/exchange/memory.go
@@ -8,12 +8,21 @@
 // failure of its upstream. Smaller ones show only that this process is short of memory.
 const chargedBody = 1 << 20
 
+// exemptBody is the size, in bytes, up to which a body does not give way to larger ones: it
+// takes no more than the buffers of its connections. exemptShare bounds it by the limit.
+const (
+	exemptBody  = 4 << 10
+	exemptShare = 1.0 / 1024
+)
+
 // memory bounds the total size of the bodies that are held whole. Once they exceed it, the
 // upstream that holds most gives way: bytes without an end fail their own requests, not
 // those of other upstreams. It is safe for concurrent use.
 type memory struct {
 	// limit is in bytes; 0 means no bound.
 	limit int64
+	// note gets each change of the total.
+	note func(change int64)
 
 	mu sync.Mutex
 	// total is the size of the bodies that are held, and evicted the part of it that has
@@ -31,6 +40,7 @@
 	defer m.mu.Unlock()
 	r.held += n
 	m.total += n
+	m.note(n)
 	m.readers[r] = struct{}{}
 	if r.evicted != nil {
 		m.evicted += n
@@ -40,6 +50,9 @@
 		return nil
 	}
 	victim := m.victim(r)
+	if victim == r && float64(r.held) <= min(exemptBody, exemptShare*float64(m.limit)) {
+		return nil
+	}
 	victim.evicted = errMemoryLimit
 	if victim.held >= chargedBody {
 		victim.evicted = errBodyGaveWay
@@ -90,6 +103,7 @@
 	}
 	delete(m.readers, r)
 	m.total -= r.held
+	m.note(-r.held)
 	if r.evicted != nil {
 		m.evicted -= r.held
 	}
--- a/internal/exchange/memory_test.go
+++ b/internal/exchange/memory_test.go
@@ -48,7 +48,7 @@
 		}
 		defer a.Close()
 		body, f := a.ReadAll(limit)
-		return len(body), f
+		return body.Len(), f
 	}
 	var wg sync.WaitGroup
 	done := make(chan struct{})
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/exchange"
+	"github.com/jujubeford/jujubeford/internal/holding"
 )
 
 // effectQueueSize is the capacity of a call's effect channel. A send, an abort and the
@@ -22,7 +23,11 @@
 	method  string
 	target  string
 	host    string
-	body    []byte
+	body    holding.Body
+	// hold is the room for the body; nil if it takes none.
+	hold *hold
+	// conn is the caller's connection; nil if that is not known.
+	conn    *callerConn
 	started time.Time
 	// offloadedFrom is the address of the router that the caller is connected to, if it
 	// is another one.
@@ -44,6 +49,8 @@
 
 	// The fields below belong to the call's own goroutine.
 	wroteHeader bool
+	// reportedDone means that the dispatcher knows that the attempt has succeeded.
+	reportedDone bool
 	// streamStatus and streamType are the status and the Content-Type in that header, if the
 	// answer is a stream.
 	streamStatus int
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -2,15 +2,11 @@
 
 import (
 	"bytes"
-	"io"
 	"log"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-	"k8s.io/klog/v2"
-
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/logs"
 	"github.com/jujubeford/jujubeford/internal/routing"
@@ -53,7 +49,10 @@
 		g.refuse(w, r, refused)
 		return
 	}
-	defer g.bodies.Add(-int64(len(c.body)))
+	defer g.room.release(c.hold)
+	size := int64(c.body.Len())
+	g.bodies.Add(size)
+	defer g.bodies.Add(-size)
 	if callerDisconnected(r) {
 		logs.Info("left", "Gateway: caller disconnected before its request was read.", "id", c.caller.ID, "route", c.request.Route.Name)
 		g.metrics.recordRequest(c.request.Route.Kind.String(), "left", "", time.Since(c.started))
@@ -139,19 +138,16 @@
 		g.pressure.admission.recordRefusal()
 		return nil, overloadRefusal(w)
 	}
-	if g.options.Memory > 0 && float64(g.bodies.Load()) > bodyShare*float64(g.options.Memory) {
-		return nil, &refusal{http.StatusServiceUnavailable, "memory", retryAfterNotReady}
-	}
-	body, refused := readBody(w, r, table.Limits.BodyBytes)
+	body, hold, refused := g.readBody(w, r, table.Limits, org, started.Add(time.Duration(roomShare*float64(timeout))))
 	if refused != nil {
 		return nil, refused
 	}
-	g.bodies.Add(int64(len(body)))
 	c := &call{
 		key: caller.ID, caller: caller, header: r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
-		body: body, started: started, effects: make(chan dispatch.Effect, effectQueueSize), lastEventID: caller.ResumeAfter,
+		body: body, hold: hold, started: started, effects: make(chan dispatch.Effect, effectQueueSize), lastEventID: caller.ResumeAfter,
 		offloadedFrom: offloadedFrom(r),
 	}
+	c.conn, _ = connOf(r).(*callerConn)
 	c.startMove = func(e dispatch.Move) { g.move(c, e) }
 	c.startProbe = g.probe
 	c.reportAnswering = func(e dispatch.Abort) { g.step(dispatch.AbortDeclined(e)) }
@@ -214,33 +210,6 @@
 	return size
 }
 
-// readBody reads the whole body of a request. Only then does net/http notice that the
-// caller closes its connection while the request waits.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
-	if limit <= 0 {
-		limit = answerBytes
-	}
-	if r.ContentLength > limit {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
-	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		klog.ErrorS(err, "Gateway: setting the read deadline of a body failed.")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		klog.ErrorS(err, "Gateway: clearing the read deadline of a body failed.")
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
-	case err != nil:
-		return nil, &refusal{status: http.StatusBadRequest, reason: "body-unreadable"}
-	}
-	return body, nil
-}
-
 // refuse answers a request that was not dispatched.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, refused *refusal) {
 	logs.InfoFunc("refused", "Gateway: request refused.", func() []any {
@@ -254,6 +223,7 @@
 	if refused.retryAfter > 0 {
 		g.metrics.recordRetryAfter(refused.reason, refused.retryAfter)
 	}
+	boundRefusal(w, r)
 	writeStatus(w, refused.status, refused.retryAfter)
 }
 
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -21,6 +21,8 @@
 	crowdedShare = 0.4
 	fullShare    = 0.7
 	evictShare   = 0.8
+	// acceptShare is the share above which a new connection is closed unless an idle one can be.
+	acceptShare = 0.9
 	// connBytes is the memory of a caller's connection with its goroutine and buffers
 	// (net/http: two buffers of 4 KiB, a stack of 8 KiB, the rest). connMemory is the
 	// share of the process's memory that all callers' connections may take.
@@ -38,6 +40,11 @@
 	// max is the number of connections that descriptors and memory allow; 0 if there is
 	// no known limit.
 	max int
+	// room and metrics are those of the gateway.
+	room    *room
+	metrics *metrics
+	// refusing is the number of connections that are being refused without a server.
+	refusing atomic.Int64
 
 	mu sync.Mutex
 	// open is the number of callers' connections, in which offloaded ones count twice,
@@ -109,7 +116,33 @@
 		c.open--
 		delete(c.charges, conn)
 		clearReadPending(conn)
+		if caller, ok := conn.(*callerConn); ok {
+			caller.releaseHead()
+		}
+	}
+}
+
+// makeRoom reports whether there is room for one more connection. If there is none, it closes
+// the one that has been idle for longest, unless that has an unread request.
+func (c *conns) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Offloaded connections are among those being refused.
+	if taken := c.open - c.offloaded + int(c.refusing.Load()); c.max == 0 || float64(taken) < acceptShare*float64(c.max) {
+		return true
 	}
+	var longest net.Conn
+	for conn, since := range c.idle {
+		if longest == nil || since.Before(c.idle[longest]) {
+			longest = conn
+		}
+	}
+	if longest == nil || sockets.HasUnread(longest) {
+		return false
+	}
+	delete(c.idle, longest)
+	go longest.Close()
+	return true
 }
 
 // beginOffload counts a connection that is going to be offloaded. It reports false if too
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -70,6 +70,7 @@
 		g.logEnd(c, "broken-off", string(e.Reason), 0)
 		// Closing the connection is the only way to signal that the answer is
 		// incomplete.
+		c.conn.abort()
 		panic(http.ErrAbortHandler)
 	}
 	if c.lastFailure != nil && !e.Timeout {
@@ -121,7 +122,9 @@
 	}
 	if failure == nil {
 		c.abandonHandover()
-		g.step(dispatch.Done{ID: c.key, Attempt: e.Attempt})
+		if !c.reportedDone {
+			g.step(dispatch.Done{ID: c.key, Attempt: e.Attempt})
+		}
 		g.logEnd(c, "complete", "", a.Status)
 		return true
 	}
@@ -206,7 +209,7 @@
 	}
 	g.step(dispatch.FirstByteReceived{ID: c.key, Attempt: e.Attempt})
 	if a.Status >= http.StatusMultipleChoices {
-		c.lastFailure = &upstreamFailure{status: a.Status, header: a.Header, body: body}
+		c.lastFailure = &upstreamFailure{status: a.Status, header: a.Header, body: body.Bytes()}
 	}
 	return &exchange.Failure{Kind: core.FailStatus, Sent: true, Err: statusError(a.Status)}
 }
@@ -220,12 +223,18 @@
 	g.step(dispatch.FirstByteReceived{ID: c.key, Attempt: e.Attempt})
 	g.metrics.recordFirstByte(c.request.Route.Kind.String(), time.Since(sentAt))
 	copyHeader(w.Header(), a.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	c.wroteHeader = true
 	c.recordChunk(time.Now())
+	// The upstream is done, however slowly the caller reads.
+	c.reportedDone = true
+	g.step(dispatch.Done{ID: c.key, Attempt: e.Attempt})
 	w.WriteHeader(a.Status)
-	if _, err := w.Write(body); err != nil {
-		logs.Info("caller-write", "Gateway: writing the answer to the caller failed.", "id", c.caller.ID, "err", err)
+	for _, part := range body {
+		if _, err := w.Write(part); err != nil {
+			logs.Info("caller-write", "Gateway: writing the answer to the caller failed.", "id", c.caller.ID, "err", err)
+			break
+		}
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/exchange"
+	"github.com/jujubeford/jujubeford/internal/holding"
 	"github.com/jujubeford/jujubeford/internal/logs"
 	"github.com/jujubeford/jujubeford/internal/mirror"
 	"github.com/jujubeford/jujubeford/internal/routing"
@@ -53,6 +54,8 @@
 	// lag is used by runTicks only.
 	lag   schedLag
 	conns *conns
+	// room is the account of the memory that is held for callers.
+	room *room
 	// offloader is nil if there are no peers to offload connections to.
 	offloader *offloader
 	// offloadPort is the port at which connections of other routers are taken, 0 if they
@@ -82,6 +85,9 @@
 	if g.metrics, err = newMetrics(g); err != nil {
 		return nil, err
 	}
+	g.room = &room{state: holding.New(o.Memory), metrics: g.metrics}
+	g.conns.room, g.conns.metrics = g.room, g.metrics
+	g.client.OnHeld(g.room.note)
 	g.peers = newPeers(g)
 	g.offloader = newOffloader(g)
 	return g, nil
@@ -220,6 +226,9 @@
 		klog.InfoS("Gateway: connections were cut off at the end of the grace period.", "running", g.running())
 	}
 	g.offloader.wait(ctx)
+	for g.room.held(holding.Ahead) > 0 && ctx.Err() == nil {
+		time.Sleep(readPoll) // slow callers have the end of their streams to come
+	}
 }
 
 func (g *Gateway) running() int {
@@ -306,6 +315,7 @@
 			g.samplePressure(now)
 			g.client.CloseExpired(now)
 			if t := g.table.Load(); t != nil {
+				g.room.tick(now, bodyStall(t.Limits))
 				g.conns.sweep(now, t.Limits.IdleTimeout)
 			}
 		}
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -42,9 +42,11 @@
 }
 
 // listenForCallers listens without keep-alive probes: enabling them takes four of the
-// system calls of a refusal, so only connections that will be served get them.
+// system calls of a refusal, so only connections that will be served get them. Connections
+// inherit the sizes of the listener's buffers.
 func listenForCallers(ctx context.Context, addr string) (*net.TCPListener, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: false}, KeepAlive: -1}
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: false}, KeepAlive: -1,
+		Control: sockets.Buffers(receiveBuffer, sendBuffer)}
 	ln, err := config.Listen(ctx, "tcp4", addr)
 	if err != nil {
 		return nil, err
@@ -96,6 +98,13 @@
 			c.Close()
 			continue
 		}
+		if !l.g.conns.makeRoom() {
+			// The request has not been read, so its caller may come again.
+			logs.Info("accept-full", "Gateway: too many connections, a new one was closed.")
+			l.g.metrics.recordShed("left")
+			c.Close()
+			continue
+		}
 		// Charged here, since many connections may be accepted before the first is
 		// served.
 		now := time.Now()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
+	"github.com/jujubeford/jujubeford/internal/holding"
 )
 
 // MetricsPath is the path at which the metrics are served.
@@ -42,7 +43,7 @@
 type metrics struct {
 	registry *prometheus.Registry
 
-	requests, placements, storeCalls, offloads            metric.Int64Counter
+	requests, placements, storeCalls, offloads, gaveWay   metric.Int64Counter
 	waitTime, firstByteTime, maxGap, duration, retryAfter metric.Float64Histogram
 
 	// storeAnsweredAt is when the store last answered, in Unix nanoseconds; 0 if never.
@@ -73,6 +74,7 @@
 		{&m.requests, "requests", "Ended requests by kind, outcome and reason."},
 		{&m.placements, "placements", "Attempts by kind and by what decided where they went."},
 		{&m.storeCalls, "store", "Calls on the store by call and result."},
+		{&m.gaveWay, "gaveway", "Requests and connections ended for the memory that they held, by kind and reason."},
 		{&m.offloads, "offloads", "Connections offloaded to other routers, by outcome."},
 	} {
 		if *c.target, err = meter.Int64Counter(metricPrefix+c.name, metric.WithDescription(c.description)); err != nil {
@@ -107,6 +109,9 @@
 			return float64(read())
 		}
 	}
+	held := func(k holding.Kind) func() float64 {
+		return func() float64 { return float64(g.room.held(k)) }
+	}
 	for _, gauge := range []struct {
 		name, unit, description string
 		read                    func() float64
@@ -123,6 +128,13 @@
 		{"connections", "", "Open connections of callers.", func() float64 { return float64(g.conns.count()) }},
 		{"spare", "", "Processor time that this router can spend on connections of others, in cores.", g.spareCores},
 		{"bodies", "By", "Size of the bodies of all requests under way.", func() float64 { return float64(g.bodies.Load()) }},
+		{"held.heads", "By", "Memory of long heads that are being read.", held(holding.Heads)},
+		{"held.small", "By", "Memory of bodies of more than 4 KiB and at most 64 KiB.", held(holding.SmallBodies)},
+		{"held.large", "By", "Memory of larger bodies.", held(holding.LargeBodies)},
+		{"held.unread", "By", "Memory of bodies that wait for room, as far as the kernel receives them.", held(holding.Unread)},
+		{"held.ahead", "By", "Memory of parts of streams that their callers have not read.", held(holding.Ahead)},
+		{"held.answers", "By", "Memory of answers that are read whole.", held(holding.Answers)},
+		{"bodies.waiting", "", "Bodies that wait for room.", func() float64 { return float64(g.room.waiting()) }},
 		{"store.age", "s", "Time since the store last answered this router.", m.storeAge},
 		{"peers.age", "s", "Time since the last report of the live router that was heard longest ago.", func() float64 { return g.peers.oldestReportAge(time.Now()).Seconds() }},
 	} {
@@ -156,6 +168,11 @@
 	m.offloads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// recordGaveWay counts what was ended for the memory that it held.
+func (m *metrics) recordGaveWay(kind, reason string) {
+	m.gaveWay.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("reason", reason)))
+}
+
 // shedLabels are built once: building a label set takes as long as the refusal itself.
 var shedLabels = map[string]metric.MeasurementOption{
 	"refused": metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", ""), attribute.String("outcome", "refused"), attribute.String("reason", reasonOverloaded))),
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -31,6 +31,7 @@
 	m.recordAttempt("stream", dispatch.Send{Attempt: 1, Waited: time.Second})
 	m.recordRetryAfter("overloaded", time.Second)
 	m.recordOffload(string(offloadAnswered))
+	m.recordGaveWay("ahead", "slow")
 	m.recordStoreCall(callList, nil)
 	m.recordStoreCall(callWatch, errors.New("reset"))
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -87,8 +87,8 @@
 	// idleTimeout is how long a caller's connection may stay unused. It exceeds the
 	// limits that operators configure, since callers reuse connections up to these.
 	idleTimeout = 5 * time.Minute
-	// bodyShare is the share of the memory that the bodies of all requests in progress
-	// may use. The same share applies to the bodies of their non-streaming answers.
+	// bodyShare is the share of the memory that the bodies of all non-streaming answers
+	// may use.
 	bodyShare = 0.25
 	// headerBytes bounds a caller's header before the configuration is known.
 	headerBytes = 64 << 10
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -10,18 +10,21 @@
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/exchange"
+	"github.com/jujubeford/jujubeford/internal/holding"
 	"github.com/jujubeford/jujubeford/internal/logs"
 )
 
 // fingerprint returns a number that repetitions of a request by its organisation share:
 // a hash of organisation, method, host, path and body.
-func fingerprint(org string, r *http.Request, body []byte) uint64 {
+func fingerprint(org string, r *http.Request, body holding.Body) uint64 {
 	h := sha256.New()
 	for _, field := range []string{org, r.Method, r.Host, r.RequestURI} {
 		h.Write([]byte(field))
 		h.Write([]byte{0})
 	}
-	h.Write(body)
+	for _, part := range body {
+		h.Write(part)
+	}
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -109,6 +109,8 @@
 // the server.
 func (l *shedListener) refuse(u unadmitted) {
 	c, served := u.conn, false
+	l.g.conns.refusing.Add(1)
+	defer l.g.conns.refusing.Add(-1)
 	defer func() {
 		if !served {
 			c.Close()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,6 +38,7 @@
 // event is not forwarded, so that another upstream can continue after the last complete
 // one.
 func (g *Gateway) forwardStream(w http.ResponseWriter, c *call, e dispatch.Send, a *exchange.Response, sentAt time.Time) *exchange.Failure {
+	c.conn.keepAhead()
 	var pending []byte
 	buf := make([]byte, streamBuffer)
 	first := true
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -28,6 +28,23 @@
 	}
 }
 
+// Buffers returns a control function that sets the sizes of a socket's buffers, in bytes.
+// Connections accepted by a listener inherit them.
+func Buffers(receive, send int) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var callErr error
+		err := raw.Control(func(fd uintptr) {
+			if callErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receive); callErr == nil {
+				callErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, send)
+			}
+		})
+		if err != nil {
+			return err
+		}
+		return callErr
+	}
+}
+
 // ClosedByPeer reports whether the peer has closed or reset a connection, without
 // reading from it. A close is not detected while there is unread data before it.
 func ClosedByPeer(c net.Conn) bool {
