--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -6,6 +6,9 @@
 type Options struct {
 	// Domain is the failure domain of this router.
 	Domain string
+	// Region is the region of this router, and Regions that of each failure domain.
+	Region  string
+	Regions map[string]string
 	// PrefillRate is the number of prompt tokens that an engine reads per second
 	// while it also runs the decode steps of its streams.
 	PrefillRate float64
@@ -21,9 +24,16 @@
 	// its budget, and RetryBurst the number that the whole fleet may accumulate.
 	RetryRatio float64
 	RetryBurst float64
+	// ColdOverage and ColdSlack bound the requests in any second to a cold upstream:
+	// ColdOverage times what it tolerates, and ColdSlack more. An overage below 1 counts
+	// as 1.
+	ColdOverage, ColdSlack float64
 	// IgnorePeers makes the router ignore the reports of peers. It is the baseline
 	// against which sharing the load reports is measured.
 	IgnorePeers bool
+	// IgnoreSpeeds makes the router take all upstreams for equally fast. It is the
+	// baseline against which learning their speeds is measured.
+	IgnoreSpeeds bool
 }
 
 // DefaultOptions returns the options for the engines described by the users.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"github.com/jujubeford/jujubeford/internal/coldstart"
 )
 
 // Load is what one router, or all of them, have in flight at an upstream.
@@ -43,6 +45,7 @@
 type upstream struct {
 	Instance
 	key    uint32
+	runKey uint64
 	local  Load
 	remote Load
 	cache  prefixCache
@@ -57,19 +60,35 @@
 	replaced bool
 	// leaving means that the instance announced that it is about to stop.
 	leaving bool
+	// departedUntil is until when the entry counts as that of an instance that has left,
+	// because a peer knows it to come from an older copy of the directory.
+	departedUntil time.Time
 	// leftAt is when this router learnt that the instance is leaving or gone, zero if it
 	// is neither.
 	leftAt time.Time
+	// evacuatedAt is when this router learnt that the upstream's domain is evacuated, zero if
+	// it is not.
+	evacuatedAt time.Time
 	// unavailableUntil is until when the upstream gets no work, because it refused a
 	// connection or asked for a hold-off.
 	unavailableUntil time.Time
+	// run identifies this run of the instance among what is learnt of speeds, and speed is
+	// its speed as a multiple of the mean of its service.
+	run   uint32
+	speed float64
+	// slow and fast say that its speed is below or above the others'; see updateSpeeds.
+	slow, fast bool
 	// limit bounds the requests that the upstream gets.
 	limit rateLimit
+	// cold is the upstream's temperature. countedCold means that ColdChanged has told that
+	// it is cold.
+	cold        coldstart.Upstream
+	countedCold bool
 }
 
 // acceptsWork reports whether the upstream may get work at all.
 func (u *upstream) acceptsWork(now time.Time) bool {
-	return !u.replaced && !u.leaving && !now.Before(u.unavailableUntil)
+	return !u.replaced && !u.isLeaving(now) && !now.Before(u.unavailableUntil)
 }
 
 // markLeft records that the instance is leaving or gone.
@@ -81,7 +100,7 @@
 
 // mayContinue reports whether requests that are bound to the upstream may still be sent.
 func (u *upstream) mayContinue(now time.Time) bool {
-	return u.leftAt.IsZero() || now.Sub(u.leftAt) < maxSendAfterLeaving
+	return (u.leftAt.IsZero() || now.Sub(u.leftAt) < maxSendAfterLeaving) && u.maySendEvacuated(now)
 }
 
 // Key returns the short identifier of an instance, an organisation or a service in
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -120,15 +120,25 @@
 	if failure == nil {
 		failure = g.forwardAnswer(w, c, e, a, sentAt)
 	}
-	if failure == nil {
-		c.abandonHandover()
+	moved := handoverResult{notStopped: true}
+	if failure != nil || c.request.Route.Kind.Streaming() {
+		moved = c.awaitHandover()
+	}
+	if failure == nil && moved.notStopped {
+		if pause := c.pace.meanPause(); pause > 0 {
+			g.step(dispatch.Paced{ID: c.key, Attempt: e.Attempt, Pause: pause})
+		}
 		if !c.reportedDone {
 			g.step(dispatch.Done{ID: c.key, Attempt: e.Attempt})
 		}
 		g.logEnd(c, "complete", "", a.Status)
 		return true
 	}
-	if moved := c.awaitHandover(); moved.handle != "" {
+	if failure == nil {
+		// Its upstream may have closed the stream since this router stopped it.
+		failure = &exchange.Failure{Kind: core.FailTruncated, Sent: true, Err: errStopped}
+	}
+	if moved.handle != "" {
 		g.step(dispatch.Moved{
 			ID: c.key, Attempt: e.Attempt, Handle: moved.handle, AtSource: !moved.copied, LastEventID: c.lastEventID,
 		})
@@ -176,7 +186,7 @@
 // header: that it is leaving, wants no requests for some time, or only so many a second.
 func (g *Gateway) reportAdvice(c *call, e dispatch.Send, info AnswerInfo) {
 	avoid := info.Leaving || info.HoldOff > 0
-	if info.Replaced || !avoid && info.Limit == 0 && !info.LimitUnknown && !e.Limited {
+	if info.Replaced || !avoid && info.Limit == 0 && !info.LimitUnknown && !e.Limited && info.Cold == 0 && !info.ColdUnknown {
 		return
 	}
 	upstream := e.Upstream
@@ -187,8 +197,12 @@
 	if info.LimitUnknown {
 		logs.Info("limit-unreadable", "Gateway: upstream's limit is not a number, the one before holds.", "id", c.caller.ID, "upstream", upstream.ID)
 	}
+	if info.ColdUnknown {
+		g.metrics.recordUnreadable(unreadableAnswer)
+		logs.Info("cold-unreadable", "Gateway: upstream's temperature is not a time, ignored.", "id", c.caller.ID, "upstream", upstream.ID)
+	}
 	g.step(dispatch.InstanceReported{
-		Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff, Limit: info.Limit, LimitUnknown: info.LimitUnknown,
+		Instance: upstream, Leaving: info.Leaving, HoldOff: info.HoldOff, Limit: info.Limit, LimitUnknown: info.LimitUnknown, Cold: info.Cold,
 	})
 }
 
@@ -207,7 +221,7 @@
 	if failure != nil {
 		return failure
 	}
-	g.step(dispatch.FirstByteReceived{ID: c.key, Attempt: e.Attempt})
+	g.step(dispatch.ErrorReceived{ID: c.key, Attempt: e.Attempt})
 	if a.Status >= http.StatusMultipleChoices {
 		c.lastFailure = &upstreamFailure{status: a.Status, header: a.Header, body: body.Bytes()}
 	}
--- a/internal/holding/state_test.go
+++ b/internal/holding/state_test.go
@@ -18,7 +18,6 @@
 type upload struct {
 	Holder
 	size, got, rate int64
-	arrivedAt       time.Time
 	outcome         Outcome
 	gone, whole     bool
 }
