--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -116,6 +116,8 @@
 // the server.
 func (l *shedListener) refuse(u unadmitted) {
 	c, served := u.conn, false
+	l.g.conns.refusing.Add(1)
+	defer l.g.conns.refusing.Add(-1)
 	defer func() {
 		if !served {
 			c.Close()
