--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/evacuation"
 	"github.com/jujubeford/jujubeford/internal/exchange"
+	"github.com/jujubeford/jujubeford/internal/holding"
 	"github.com/jujubeford/jujubeford/internal/logs"
 	"github.com/jujubeford/jujubeford/internal/mirror"
 	"github.com/jujubeford/jujubeford/internal/routing"
@@ -55,6 +56,8 @@
 	// lag is used by runTicks only.
 	lag   schedLag
 	conns *conns
+	// room is the account of the memory that is held for callers.
+	room *room
 	// offloader is nil if there are no peers to offload connections to.
 	offloader *offloader
 	// offloadPort is the port at which connections of other routers are taken, 0 if they
@@ -85,6 +88,9 @@
 	if g.metrics, err = newMetrics(g); err != nil {
 		return nil, err
 	}
+	g.room = &room{state: holding.New(o.Memory), metrics: g.metrics}
+	g.conns.room, g.conns.metrics = g.room, g.metrics
+	g.client.OnHeld(g.room.note)
 	g.peers = newPeers(g)
 	g.offloader = newOffloader(g)
 	return g, nil
@@ -223,6 +229,13 @@
 		klog.InfoS("Gateway: connections were cut off at the end of the grace period.", "running", g.running())
 	}
 	g.offloader.wait(ctx)
+	// Those that no peer takes any more are refused.
+	if err := g.conns.awaitRefused(ctx); err != nil {
+		klog.InfoS("Gateway: refusals were cut off at the end of the grace period.", "err", err)
+	}
+	for g.room.held(holding.Ahead) > 0 && ctx.Err() == nil {
+		time.Sleep(readPoll) // slow callers have the end of their streams to come
+	}
 }
 
 func (g *Gateway) running() int {
@@ -260,6 +273,9 @@
 			logs.Info("limit", "Gateway: limit of an upstream changed.", "upstream", e.Upstream.ID, "perSecond", e.PerSecond,
 				"before", e.Before, "part", e.Part, "age", e.Age, "routers", e.Routers)
 			continue
+		case dispatch.SpeedChanged:
+			logs.Info("speed", "Gateway: speed of an upstream changed.", "upstream", e.Upstream.ID, "speed", e.Speed, "slow", e.Slow, "fast", e.Fast)
+			continue
 		case dispatch.DomainEmptied:
 			klog.InfoS("Evacuation: nothing runs in the domain any more.", "domain", e.Domain, "after", e.After)
 			continue
@@ -318,6 +334,7 @@
 			g.samplePressure(now)
 			g.client.CloseExpired(now)
 			if t := g.table.Load(); t != nil {
+				g.room.tick(now, bodyStall(t.Limits))
 				g.conns.sweep(now, t.Limits.IdleTimeout)
 			}
 		}
