--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -64,11 +64,6 @@
 	// Started is the start time of the instance in Unix milliseconds, 0 if not
 	// known. It distinguishes restarts under the same id.
 	Started int64
-	// Entry identifies the version of the directory's entry among all of the instance; 0 if
-	// not known. Departed means that the instance had left before, and that the directory has
-	// this entry again only since it was restored from an older copy.
-	Entry    uint64
-	Departed bool
 	// Cold is how long the instance stays cold, as its entry said when it was written.
 	// ColdStated means that the entry says so, and ColdUnknown that what it says could not
 	// be read.
@@ -76,6 +71,11 @@
 	ColdStated, ColdUnknown bool
 	// ColdUntil is the end of Cold, counted from when this router read the entry.
 	ColdUntil time.Time
+	// Entry identifies the version of the directory's entry among all of the instance; 0 if
+	// not known. Departed means that the instance had left before, and that the directory has
+	// this entry again only since it was restored from an older copy.
+	Entry    uint64
+	Departed bool
 }
 
 // Event is an input of State.Step.
@@ -97,9 +97,9 @@
 		ID      string
 		Attempt int
 	}
-	// Paced reports the mean pause between the events of an attempt's stream. It comes
+	// PauseMeasured reports the mean pause between the events of an attempt's stream. It comes
 	// before Done.
-	Paced struct {
+	PauseMeasured struct {
 		ID      string
 		Attempt int
 		Pause   time.Duration
@@ -127,6 +127,8 @@
 		// Local means that this router lacked file descriptors or memory for the
 		// attempt.
 		Local bool
+		// Withheld means that the request was not sent because MayReach did not allow it.
+		Withheld bool
 		// MayHaveRun means that the upstream may have run the request.
 		MayHaveRun bool
 		// ResponseStarted means that part of the answer has been delivered to the caller.
@@ -216,7 +218,7 @@
 func (Arrive) isEvent()            {}
 func (FirstByteReceived) isEvent() {}
 func (ErrorReceived) isEvent()     {}
-func (Paced) isEvent()             {}
+func (PauseMeasured) isEvent()     {}
 func (AbortDeclined) isEvent()     {}
 func (Done) isEvent()              {}
 func (Failed) isEvent()            {}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/speed"
 )
@@ -33,6 +34,8 @@
 	// Cold holds the upstreams that the router itself has seen to be cold, with the time
 	// left.
 	Cold map[uint32]time.Duration
+	// Pace holds what the router itself saw of upstreams that have started or failed.
+	Pace map[uint32]pace.Report
 	// Leaving lists the runs of upstreams, by runKey, that have stated in an answer that
 	// they are leaving. An answer that is passed on by one router may come from another
 	// one's upstream, so that a router alone would not know. It also lists the entries, by
@@ -75,6 +78,7 @@
 // Report returns this router's load, and the placements and news of crashes since the
 // last call.
 func (s *State) Report(now time.Time) Report {
+	s.assumeRead(now)
 	s.unreportedTokens = 0
 	r := NewReport()
 	for _, u := range s.upstreams {
@@ -104,7 +108,7 @@
 	}
 	r.Placements = append(r.Placements, s.unreportedPlacements...)
 	s.unreportedPlacements = s.unreportedPlacements[:0]
-	r.Cold = s.reportCold(now)
+	r.Cold, r.Pace = s.reportCold(now), s.reportPace(now)
 	r.Crashes, s.newsCounted = s.poison.News(now), false
 	r.Speeds = s.speeds.Report(now)
 	return r
@@ -126,6 +130,7 @@
 		}
 	}
 	s.learnCold(now, r.Cold)
+	s.learnPace(now, peer, r.Pace)
 	s.learnLeaving(now, r.Leaving)
 	for _, p := range r.Placements {
 		if u := s.byKey[p.Upstream]; u != nil {
@@ -181,6 +186,7 @@
 	delete(s.peers, peer)
 	s.shares.setPeer(peer, nil)
 	s.speeds.DropPeer(peer)
+	s.learnPace(now, peer, nil)
 	s.drainAllQueues(now)
 }
 
@@ -207,6 +213,7 @@
 		}
 	}
 	r.addCold(o)
+	r.addPace(o)
 	for key, l := range o.Limits {
 		if known, ok := r.Limits[key]; !ok || l.Age < known.Age {
 			r.Limits[key] = l
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -88,7 +88,7 @@
 		score = staleDomainPenalty
 	}
 	if s.engine(r.Service) != nil {
-		score += milliseconds(s.options.FirstToken)
+		score += milliseconds(s.firstToken(r.Service))
 	}
 	return score
 }
@@ -113,7 +113,7 @@
 	if r.overShare {
 		limit = idleBacklog
 	}
-	return u.prefill() == 0 || s.prefillTimeAt(u, u.prefill()) < limit
+	return (u.prefill() == 0 || s.prefillTimeAt(u, u.prefill()) < limit) && s.memoryAllows(r, u)
 }
 
 // evaluate predicts the effects of sending a request to an upstream, and scores them.
@@ -150,7 +150,7 @@
 	c.cachedTokens, c.prefillTokens = cached, max(0, r.Prompt.Tokens-cached)
 	c.backlog = s.prefillTimeAt(u, u.prefill())
 	prefill := s.prefillTimeAt(u, c.prefillTokens)
-	c.firstByte = s.options.FirstToken + c.backlog + prefill + copyTime
+	c.firstByte = s.firstToken(r.Service) + c.backlog + prefill + copyTime
 	otherStreams := max(0, u.running())
 	expectedEvents := float64(r.Prompt.ExpectedOutput()) / float64(max(1, s.engine(r.Service).EventTokens))
 	c.score = milliseconds(c.firstByte) + streamDelayWeight*milliseconds(prefill)*float64(otherStreams) + interferenceWeight*expectedEvents*u.prefillBusy
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -73,13 +73,15 @@
 func (s *State) handleError(now time.Time, e ErrorReceived) {
 	if r := s.activeRequest(e.ID, e.Attempt); r != nil {
 		r.expectedWork = 0
+		// Its failure follows, and counts for the upstream's pace.
+		r.endUnanswered()
 		s.handleFirstByte(now, FirstByteReceived(e))
 	}
 }
 
-// handlePace counts the mean pause between the events of a stream that has ended well.
+// handlePause counts the mean pause between the events of a stream that has ended well.
 // Streams beside as many others, on an upstream that reads as much, pause alike.
-func (s *State) handlePace(now time.Time, e Paced) {
+func (s *State) handlePause(now time.Time, e PauseMeasured) {
 	r := s.activeRequest(e.ID, e.Attempt)
 	if r == nil || s.engine(r.Service) == nil || !s.tellsOfSpeed(now, r.upstream) {
 		return
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -8,6 +8,7 @@
 	"github.com/jujubeford/jujubeford/internal/coldstart"
 	"github.com/jujubeford/jujubeford/internal/core"
 	"github.com/jujubeford/jujubeford/internal/health"
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/poison"
 	"github.com/jujubeford/jujubeford/internal/routing"
 	"github.com/jujubeford/jujubeford/internal/speed"
@@ -44,14 +45,25 @@
 	// the first list of upstreams has been applied.
 	fleet  coldstart.Fleet
 	listed bool
+	// answers knows how the upstreams of each service answer, and paceTold what each peer
+	// tells of upstreams that have started or failed. held counts the upstreams passed over.
+	answers  map[string]*pace.Peers
+	paceTold map[string]map[uint32]pace.Evidence
+	held     int
+	// unpaced has the services whose upstreams have no pace while they are up.
+	unpaced map[string]bool
 	// meanPrompt is the moving average of the prompt tokens that engines read per request.
 	meanPrompt float64
 	// aggregatedByDomain means that the loads of other failure domains arrive
 	// aggregated per domain, and late.
 	aggregatedByDomain bool
-	shares             shareTracker
-	health             *health.State
-	speeds             *speed.State
+	// shortOfMemory is set when an upstream lacks memory for a request that it otherwise has
+	// room for, and reservations counts the requests that memory is reserved for, by service.
+	shortOfMemory bool
+	reservations  map[string]int
+	shares        shareTracker
+	health        *health.State
+	speeds        *speed.State
 	// speedsUpdatedAt is when the speeds of a service's upstreams were last computed.
 	speedsUpdatedAt map[string]time.Time
 	// unreportedTokens is the change of this router's load since the last Report,
@@ -90,6 +102,20 @@
 	// expectedWork is the time that the attempt takes to its first byte at the speed 1,
 	// apart from its setup; 0 if it does not tell of the upstream's speed.
 	expectedWork time.Duration
+	// unanswered means that the attempt is counted as one without an answer, which was
+	// predicted to begin after a time, 0 if not known.
+	unanswered bool
+	predicted  time.Duration
+	// sentCold means that the attempt was counted as one to a cold upstream.
+	sentCold bool
+	// readBy is when the upstream should have read the prompt, and assumedRead the tokens
+	// that count as read although no first byte has arrived.
+	readBy      time.Time
+	assumedRead int
+	// reserved is where reservedMemory is kept for the request while it waits, and
+	// beyondExpected what it may have generated beyond the expectation.
+	reserved                       *upstream
+	reservedMemory, beyondExpected int
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -141,6 +167,10 @@
 		speeds:     speed.New(),
 
 		speedsUpdatedAt: make(map[string]time.Time),
+		answers:         make(map[string]*pace.Peers),
+		unpaced:         make(map[string]bool),
+		paceTold:        make(map[string]map[uint32]pace.Evidence),
+		reservations:    make(map[string]int),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -157,8 +187,8 @@
 		s.handleFirstByte(now, e)
 	case ErrorReceived:
 		s.handleError(now, e)
-	case Paced:
-		s.handlePace(now, e)
+	case PauseMeasured:
+		s.handlePause(now, e)
 	case AbortDeclined:
 		s.handleAbortDeclined(now, e)
 	case Done:
@@ -294,6 +324,7 @@
 	for _, r := range s.peers {
 		s.replaceLoads(Report{}, r)
 	}
+	s.findPeerless()
 	s.partitionUpstreams(now)
 	s.drainAllQueues(now)
 	s.refuseEvacuated(now)
@@ -357,13 +388,16 @@
 // handleTick samples the upstreams and partitions them when due, ends attempts that
 // have run out of time, aborts silent ones, and drains the queues.
 func (s *State) handleTick(now time.Time) {
+	s.assumeRead(now)
 	if now.Sub(s.sampledAt) >= tickIdle {
 		s.sampledAt = now
 		for _, u := range s.upstreams {
 			u.samplePrefill(now, s.options.PrefillRate*u.speed)
 		}
+		s.countGenerated(now)
 		s.recordSurvivors(now)
 		s.poison.Tick(now)
+		s.updatePaces(now)
 		s.endCold(now)
 	}
 	if now.Sub(s.partitionedAt) >= partitionInterval {
@@ -403,6 +437,7 @@
 		s.emit(Abort{ID: r.ID, Attempt: r.attempt})
 	case !r.silenceCounted && silent > nonRetryableSilence:
 		r.silenceCounted = true
+		s.recordSilence(now, r.upstream)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -78,12 +78,15 @@
 	speed float64
 	// slow and fast say that its speed is below or above the others'; see updateSpeeds.
 	slow, fast bool
+	// reservedFor is the waiting request that this router reserves memory for, nil for none.
+	reservedFor *request
 	// limit bounds the requests that the upstream gets.
 	limit rateLimit
 	// cold is the upstream's temperature. countedCold means that ColdChanged has told that
 	// it is cold.
 	cold        coldstart.Upstream
 	countedCold bool
+	pace        upstreamPace
 }
 
 // acceptsWork reports whether the upstream may get work at all.
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -183,7 +183,7 @@
 	for _, run := range r.Leaving {
 		section = binary.LittleEndian.AppendUint64(section, run)
 	}
-	b = appendCold(appendSection(b, fieldRunsLeaving, section), r.Cold)
+	b = appendCold(appendSection(b, fieldRunsLeaving, section), r)
 	return appendSpeeds(b, r.Speeds)
 }
 
@@ -373,11 +373,10 @@
 		r.Leaving = append(r.Leaving, in.id())
 	}
 	speeds, err := decodeSpeeds(e.speeds)
-	cold, ok := decodeCold(e.cold)
-	if failed || in.failed || err != nil || !ok {
+	if !decodeCold(e.cold, &r) || failed || in.failed || err != nil {
 		return dispatch.Report{}, errDatagram
 	}
-	r.Cold, r.Speeds = cold, speeds
+	r.Speeds = speeds
 	return r, nil
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -64,7 +64,7 @@
 			listed, backoff = true, storeBackoff
 			continue
 		case errors.Is(err, store.ErrCompacted):
-			logs.Info("compacted", "Store: changes are not available, listing all keys again.", "after", g.position())
+			logs.Info("compacted", "Store: changes are not available, listing all keys again.", "after", g.position(), "err", err)
 			listed = false
 			sleep(ctx, relistPause)
 			continue
@@ -239,10 +239,10 @@
 				// The restored store has an older entry, until the upstream writes it again.
 				in.Draining, in.Departed = true, true
 			}
-			in.Entry = entryNumber(at)
 			if err == nil {
 				g.readTemperature(&in, before, at)
 			}
+			in.Entry = entryNumber(at)
 			d = decodedInstance{at: at, instance: in, valid: err == nil}
 			if known && in.Draining && !before.Draining {
 				logs.Info("entry-draining", "Directory: upstream is leaving.", "upstream", in.ID, "addr", in.Addr, "position", at)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,7 +41,7 @@
 	var pending []byte
 	buf := make([]byte, streamBuffer)
 	first := true
-	c.pace = pace{}
+	c.pace = eventPace{}
 	// unnumbered is the number of bytes of events since the last id.
 	unnumbered := 0
 	for {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 package mirror
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -68,8 +69,8 @@
 	return &Mirror{
 		ephemeralPrefix: ephemeralPrefix,
 		entries:         make(map[string]store.Entry), removals: make(map[string]Removal),
-		departures: newDepartures(),
 		removed:    newRemovalLog(0),
+		departures: newDepartures(),
 	}
 }
 
@@ -241,7 +242,7 @@
 		}
 	}
 	changes = append(changes, m.removed.after(after.Revision)...)
-	sortChanges(changes)
+	slices.SortFunc(changes, store.CompareChanges)
 	return changes, true
 }
 
