--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -88,14 +88,14 @@
 		score = staleDomainPenalty
 	}
 	if s.engine(r.Service) != nil {
-		score += milliseconds(s.firstToken(r.Service))
+		score += milliseconds(s.options.FirstToken)
 	}
 	return score
 }
 
 // hasRoom reports whether an upstream can take a request now.
 func (s *State) hasRoom(now time.Time, r *request, u *upstream) bool {
-	if !u.limit.allows(now) || !s.paceAllows(now, u) {
+	if !u.limit.allows(now) || !s.paceAllows(now, r, u) {
 		return false
 	}
 	e := s.engine(r.Service)
@@ -105,7 +105,7 @@
 	if u.running() >= s.health.SlotLimit(u.ID, e.Slots, now) {
 		return false
 	}
-	if r.sends == 0 && r.class == classPrefill && u.class == classDecode {
+	if r.sends == 0 && r.class == classPrefill && u.class == classDecode && !s.hasSpareTime(r, u) {
 		return false
 	}
 	// An upstream without queued prefill work takes a prompt of any length.
@@ -150,7 +150,7 @@
 	c.cachedTokens, c.prefillTokens = cached, max(0, r.Prompt.Tokens-cached)
 	c.backlog = s.prefillTimeAt(u, u.prefill())
 	prefill := s.prefillTimeAt(u, c.prefillTokens)
-	c.firstByte = s.firstToken(r.Service) + c.backlog + prefill + copyTime
+	c.firstByte = s.options.FirstToken + c.backlog + prefill + copyTime
 	otherStreams := max(0, u.running())
 	expectedEvents := float64(r.Prompt.ExpectedOutput()) / float64(max(1, s.engine(r.Service).EventTokens))
 	c.score = milliseconds(c.firstByte) + streamDelayWeight*milliseconds(prefill)*float64(otherStreams) + interferenceWeight*expectedEvents*u.prefillBusy
