--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -248,4 +248,5 @@
 		}
 		r.Usage[key] = left
 	}
+	r.subPace(o)
 }
