--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -163,8 +163,10 @@
 				s.reserveMemory(now, r)
 			case s.trySend(now, r):
 			case s.shortOfMemory:
-				tooLarge = memoryNeed(r, 0)
 				s.reserveMemory(now, r)
+				if !r.regions.Restricted {
+					tooLarge = memoryNeed(r, 0)
+				}
 			default:
 				// Others may have upstreams in more regions.
 				full = full || !r.regions.Restricted
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -102,16 +102,16 @@
 	// expectedWork is the time that the attempt takes to its first byte at the speed 1,
 	// apart from its setup; 0 if it does not tell of the upstream's speed.
 	expectedWork time.Duration
-	// reserved is where reservedMemory is kept for the request while it waits, and
-	// beyondExpected what it may have generated beyond the expectation.
-	reserved                       *upstream
-	reservedMemory, beyondExpected int
 	// unanswered means that the attempt is counted as one without an answer, which was
 	// predicted to begin after a time, 0 if not known.
 	unanswered bool
 	predicted  time.Duration
 	// sentCold means that the attempt was counted as one to a cold upstream.
 	sentCold bool
+	// reserved is where reservedMemory is kept for the request while it waits, and
+	// beyondExpected what it may have generated beyond the expectation.
+	reserved                       *upstream
+	reservedMemory, beyondExpected int
 	// firstByteAt is when the first bytes of the attempt arrived. survived means that it
 	// has run for survivalTime since then.
 	firstByteAt time.Time
@@ -163,10 +163,10 @@
 		speeds:     speed.New(),
 
 		speedsUpdatedAt: make(map[string]time.Time),
-		reservations:    make(map[string]int),
 		answers:         make(map[string]*pace.Peers),
 		unpaced:         make(map[string]bool),
 		paceTold:        make(map[string]map[uint32]pace.Evidence),
+		reservations:    make(map[string]int),
 	}
 	s.setRetryBudget(1)
 	return s
@@ -432,7 +432,7 @@
 		s.emit(Abort{ID: r.ID, Attempt: r.attempt})
 	case !r.silenceCounted && silent > nonRetryableSilence:
 		r.silenceCounted = true
-		s.recordSilence(now, r.upstream)
+		s.recordSilence(now, r)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 }
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -32,6 +32,7 @@
 	m.recordAttempt("stream", dispatch.Send{Attempt: 1, Waited: time.Second})
 	m.recordRetryAfter("overloaded", time.Second)
 	m.recordOffload(string(offloadAnswered))
+	m.recordGaveWay("ahead", "slow")
 	m.recordUnreadable(unreadableEntry)
 	m.recordStoreCall(callList, nil)
 	m.recordEvacuation("began")
