dispatch: tests that slow upstreams take streams first, and trouble is not nature

Cause: which engines take streams was chosen by reading, and nothing showed that errors and trouble teach nothing.

Before and after: no change of behaviour.

Conclusion: slow ones first stays.

--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/core"
 )
 
 // speed returns how fast an engine reads at a time, as a multiple of readRate.
@@ -164,3 +166,34 @@
 	inTimeBefore, lateBefore, refusedBefore := play(true)
 	g.Expect([]int{inTime, late, refused}).To(Equal([]int{inTimeBefore, lateBefore, refusedBefore}))
 }
+
+// Slow upstreams take streams before the others, fast ones after them.
+func TestSlowUpstreamsTakeStreamsFirst(t *testing.T) {
+	f := newFixture(t, 4)
+	f.upstreams["m02"].slow, f.upstreams["m00"].fast = true, true
+	for size, want := range [][]string{{}, {"m02"}, {"m01", "m02"}, {"m01", "m02", "m03"}} {
+		f.assignClasses(f.now, f.services[model], size)
+		var streams []string
+		for id, u := range f.upstreams {
+			if u.Service == model && u.class == classDecode {
+				streams = append(streams, id)
+			}
+		}
+		f.g.Expect(streams).To(ConsistOf(want))
+	}
+}
+
+// What an upstream in trouble answers tells nothing of its nature, nor does an error.
+func TestTroubleIsNotNature(t *testing.T) {
+	f := newFixture(t, 1)
+	send := f.lastSend(f.arrive(draft, model, 12_000))
+	r := f.requests[send.ID]
+	f.g.Expect(r.expectedWork).To(BeNumerically(">", 0))
+	f.g.Expect(f.tellsOfSpeed(f.now, r.upstream)).To(BeTrue())
+	f.step(ErrorReceived{ID: send.ID, Attempt: send.Attempt})
+	f.g.Expect(r.expectedWork).To(BeZero())
+	for range 20 {
+		f.health.RecordFailure(send.Upstream.ID, model, f.now, core.FailStatus)
+	}
+	f.g.Expect(f.tellsOfSpeed(f.now, r.upstream)).To(BeFalse())
+}
