--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -43,9 +43,8 @@
 
 // memoryAllows reports whether an upstream's memory has room for a request. An idle one takes
 // any. What is reserved for others has no room for it.
-func (s *State) memoryAllows(r *request, u *upstream) bool {
-	e := s.engine(r.Service)
-	if e == nil || e.CacheTokens <= 0 {
+func (s *State) memoryAllows(e *routing.Engine, r *request, u *upstream) bool {
+	if e.CacheTokens <= 0 {
 		return true
 	}
 	held := u.memory()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -105,7 +105,7 @@
 	if u.running() >= s.health.SlotLimit(u.ID, e.Slots, now) {
 		return false
 	}
-	if r.sends == 0 && r.class == classPrefill && u.class == classDecode && !s.hasSpareTime(r, u) {
+	if r.sends == 0 && r.class == classPrefill && u.class == classDecode && !s.hasSpareTime(e, r, u) {
 		return false
 	}
 	// An upstream without queued prefill work takes a prompt of any length.
@@ -113,7 +113,7 @@
 	if r.overShare {
 		limit = idleBacklog
 	}
-	return (u.prefill() == 0 || s.prefillTimeAt(u, u.prefill()) < limit) && s.memoryAllows(r, u)
+	return (u.prefill() == 0 || s.prefillTimeAt(u, u.prefill()) < limit) && s.memoryAllows(e, r, u)
 }
 
 // evaluate predicts the effects of sending a request to an upstream, and scores them.
--- a/internal/dispatch/spare.go
+++ b/internal/dispatch/spare.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/jujubeford/jujubeford/internal/routing"
+)
 
 // Upstreams of classDecode spend most of their time on steps of their streams and have slots to
 // spare, since they are as many as streams need at a peak. While upstreams of classPrefill
@@ -19,8 +23,7 @@
 )
 
 // hasSpareTime reports whether an upstream of classDecode may read the prompt of another class.
-func (s *State) hasSpareTime(r *request, u *upstream) bool {
-	e := s.engine(r.Service)
+func (s *State) hasSpareTime(e *routing.Engine, r *request, u *upstream) bool {
 	if u.prefill() > 0 || u.prefillBusy > spareBusy || float64(u.running()) >= spareSlots*float64(e.Slots) {
 		return false
 	}
