gateway: a store that answers, but to no watch in time, is listed

Cause: TestWithdrawnKeyAfterAnAbsence, under the race detector beside other work, failed where all routers were away: the first watch after an outage has 0.75 s, a store that needs longer for an answer of 19 MB gives none, and the router asked for the same again for 15 s.

Ruled out: more time for the first watch after an outage (the end of the outage must not be taken for that of the next change); a list after each outage (it tells less about when entries were removed).

Before and after: a late watch is told from other failures (store.ErrLate). Before the next one the router makes a call with an empty answer; if the store answers that, and the watch is late once more, the keys are listed.

Conclusion: a router no longer depends on the store's speed with old changes.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,19 +41,21 @@
 	// allKeys is the prefix of all keys. Watching everything takes one call where
 	// watching each prefix would take three.
 	allKeys = ""
+	// noKeys is a prefix that no key has.
+	noKeys = "jujubeford/none/"
 )
 
 // followStore keeps the mirror of the store's keys up to date until ctx ends.
 func (g *Gateway) followStore(ctx context.Context) {
 	backoff := storeBackoff
-	listed := false
+	listed, late := false, false
 	for ctx.Err() == nil {
 		var err error
 		switch {
 		case !listed:
 			err = g.listKeys(ctx)
 		case g.peers.mustWatch():
-			err = g.watchKeys(ctx)
+			late, err = g.watchInTime(ctx, late)
 		default:
 			// Peers of this failure domain watch the store and pass changes on.
 			sleep(ctx, watchCheckInterval)
@@ -113,6 +115,34 @@
 	return changed
 }
 
+// watchInTime is watchKeys, with a small call before it if the last watch was late. If the
+// store answers that one and the watch is late again, its answer is taken for too large, and
+// ErrCompacted returned.
+func (g *Gateway) watchInTime(ctx context.Context, late bool) (lateAgain bool, err error) {
+	if late {
+		if err := g.probeStore(ctx); err != nil {
+			return true, err
+		}
+	}
+	err = g.watchKeys(ctx)
+	if !errors.Is(err, store.ErrLate) {
+		return false, err
+	}
+	if late {
+		return false, errors.WithMessage(store.ErrCompacted, "the store answers, but not to a watch")
+	}
+	return true, err
+}
+
+// probeStore makes a call that the store answers with no keys.
+func (g *Gateway) probeStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, regainWait+watchSlack)
+	defer cancel()
+	_, _, err := g.options.Feed.Range(ctx, noKeys)
+	g.metrics.recordStoreCall(callList, err)
+	return err
+}
+
 // watchKeys waits for the next changes and applies them to the mirror.
 func (g *Gateway) watchKeys(ctx context.Context) error {
 	wait := watchDuration
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -431,3 +432,67 @@
 		}
 	}
 }
+
+// lateFeed is a store that answers no watch in time while it is late, and all other calls.
+type lateFeed struct {
+	*fakeFeed
+	late  atomic.Bool
+	lists atomic.Int64
+}
+
+func (f *lateFeed) Changes(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
+	if f.late.Load() && after.Revision < f.revision() {
+		return nil, store.Position{}, store.ErrLate
+	}
+	return f.fakeFeed.Changes(ctx, prefix, after, wait)
+}
+
+func (f *lateFeed) Range(ctx context.Context, prefix string) ([]store.Entry, store.Position, error) {
+	if prefix == allKeys {
+		f.lists.Add(1)
+	}
+	return f.fakeFeed.Range(ctx, prefix)
+}
+
+func (f *fakeFeed) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at.Revision
+}
+
+// A store that answers, but to no watch from so long ago, is listed. One watch that is late may
+// be due to the connection.
+func TestStoreIsListedIfWatchesAreLate(t *testing.T) {
+	g := NewWithT(t)
+	feed := &lateFeed{fakeFeed: newFakeFeed()}
+	feed.put("config", "1")
+	gw := newFollower(t, feed.fakeFeed)
+	gw.options.Feed = feed
+	g.Expect(gw.listKeys(t.Context())).To(Succeed())
+	feed.put("config", "2")
+	late, err := gw.watchInTime(t.Context(), false)
+	g.Expect(late).To(BeFalse())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(gw.configVersion()).To(BeEquivalentTo(2))
+
+	feed.late.Store(true)
+	feed.put("config", "3")
+	late, err = gw.watchInTime(t.Context(), false)
+	g.Expect(late).To(BeTrue())
+	g.Expect(err).To(MatchError(store.ErrLate))
+	feed.setAway(true)
+	late, err = gw.watchInTime(t.Context(), true)
+	g.Expect(late).To(BeTrue(), "the store is away")
+	g.Expect(err).To(MatchError(store.ErrUnavailable))
+	feed.setAway(false)
+	late, err = gw.watchInTime(t.Context(), true)
+	g.Expect(late).To(BeFalse())
+	g.Expect(err).To(MatchError(store.ErrCompacted))
+
+	feed.late.Store(false)
+	lists := feed.lists.Load()
+	_, err = gw.watchInTime(t.Context(), true)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(gw.configVersion()).To(BeEquivalentTo(3))
+	g.Expect(feed.lists.Load()).To(Equal(lists), "changes that arrive need no list")
+}
--- a/store/feed.go
+++ b/store/feed.go
@@ -14,6 +14,10 @@
 // to list all keys again.
 var ErrCompacted = errors.New("history compacted")
 
+// ErrLate means that the store did not answer in time. It may be away, or the answer may take
+// too long.
+var ErrLate = errors.New("no answer in time")
+
 // Position is a place in the history of a store. A store that is restored from an older copy
 // loses the end of its history, begins the next era, and gives the lost revisions out again.
 // The zero Position is before all others.
@@ -49,7 +53,8 @@
 	// Changes waits for changes under a prefix after a position and returns them, at least
 	// the last one of each key, with the position to continue from, which is of the same era.
 	// It returns no changes if there are none within wait, and ErrCompacted if the store does
-	// not have the changes after the given position, or too many to be returned.
+	// not have the changes after the given position, or too many to be returned, and ErrLate
+	// if there is no answer in time.
 	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) (changes []Change, at Position, err error)
 }
 
