--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,7 +12,6 @@
 
 // handleArrival admits a new request: it is sent, waits, or is refused immediately.
 func (s *State) handleArrival(now time.Time, req *Request) {
-	s.assumeRead(now)
 	r := &request{Request: req, class: classify(req.Prompt), traits: traitsOf(req), arrivedAt: now, expiresAt: req.Deadline, lastEventID: req.ResumeAfter}
 	if t := req.Route.Timeout; t > 0 && now.Add(t).Before(r.expiresAt) {
 		r.expiresAt = now.Add(t)
@@ -185,13 +184,12 @@
 	}
 	r.expectedWork = s.expectedWork(r, choice)
 	r.beyondExpected = 0
-	r.readBy, r.assumedRead = now.Add(choice.firstByte-s.firstToken(r.Service)), 0
 	choice.upstream.local.add(r.load)
 	choice.upstream.limit.take(now)
 	r.sentCold = s.isCold(now, choice.upstream)
 	choice.upstream.cold.Take(now)
 	r.beginUnanswered(choice.firstByte)
-	s.recordPrompt(choice.prefillTokens)
+	s.recordPrompt(r.Service, choice.prefillTokens)
 	s.unreportedTokens += r.load.Prefill + slotChangeTokens
 	s.shares.recordStart(now, r.Organisation, s.shareCost(r))
 	s.queueFor(r).drainRate.add(now, float64(s.prefillTime(r.Prompt.Tokens)))
@@ -258,6 +256,7 @@
 		return
 	}
 	s.health.RecordSuccess(r.upstream.ID, r.Service, now)
+	s.recordComplete(now, r.upstream)
 	s.poison.Succeeded(now, r.traits)
 	s.releaseAttempt(r)
 	delete(s.requests, r.ID)
@@ -419,7 +418,7 @@
 // fail ends a request that may have run.
 func (s *State) fail(now time.Time, r *request, e Fail) {
 	if r.upstream != nil && !r.firstByteReceived {
-		s.recordSilence(now, r.upstream)
+		s.recordSilence(now, r)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 	s.releaseAttempt(r)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -108,10 +108,6 @@
 	predicted  time.Duration
 	// sentCold means that the attempt was counted as one to a cold upstream.
 	sentCold bool
-	// readBy is when the upstream should have read the prompt, and assumedRead the tokens
-	// that count as read although no first byte has arrived.
-	readBy      time.Time
-	assumedRead int
 	// reserved is where reservedMemory is kept for the request while it waits, and
 	// beyondExpected what it may have generated beyond the expectation.
 	reserved                       *upstream
@@ -388,7 +384,6 @@
 // handleTick samples the upstreams and partitions them when due, ends attempts that
 // have run out of time, aborts silent ones, and drains the queues.
 func (s *State) handleTick(now time.Time) {
-	s.assumeRead(now)
 	if now.Sub(s.sampledAt) >= tickIdle {
 		s.sampledAt = now
 		for _, u := range s.upstreams {
@@ -437,7 +432,7 @@
 		s.emit(Abort{ID: r.ID, Attempt: r.attempt})
 	case !r.silenceCounted && silent > nonRetryableSilence:
 		r.silenceCounted = true
-		s.recordSilence(now, r.upstream)
+		s.recordSilence(now, r)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 }
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -21,6 +21,8 @@
 	crowdedShare = 0.4
 	fullShare    = 0.7
 	evictShare   = 0.8
+	// acceptShare is the share above which a new connection is closed unless an idle one can be.
+	acceptShare = 0.9
 	// connBytes is the memory of a caller's connection with its goroutine and buffers
 	// (net/http: two buffers of 4 KiB, a stack of 8 KiB, the rest). connMemory is the
 	// share of the process's memory that all callers' connections may take.
@@ -38,6 +40,11 @@
 	// max is the number of connections that descriptors and memory allow; 0 if there is
 	// no known limit.
 	max int
+	// room and metrics are those of the gateway.
+	room    *room
+	metrics *metrics
+	// refusing is the number of connections that are being refused without a server.
+	refusing atomic.Int64
 
 	mu sync.Mutex
 	// open is the number of callers' connections, in which offloaded ones count twice,
@@ -45,9 +52,11 @@
 	open, offloaded int
 	// idle maps connections without a request to the time at which they became idle.
 	idle map[net.Conn]time.Time
-	// pendingReads counts the connections from which part of a request has been read
-	// whose handler does not run yet.
+	// pendingReads counts the connections from which part of a request has been read, or
+	// that were taken of another router, and whose handler does not run yet.
 	pendingReads atomic.Int64
+	// refusals counts the connections that are being refused or offloaded.
+	refusals atomic.Int64
 	// charges holds what admission control has charged for the next request of a
 	// connection.
 	charges map[net.Conn]charge
@@ -109,9 +118,35 @@
 		c.open--
 		delete(c.charges, conn)
 		clearReadPending(conn)
+		if caller, ok := conn.(*callerConn); ok {
+			caller.releaseHead()
+		}
 	}
 }
 
+// makeRoom reports whether there is room for one more connection. If there is none, it closes
+// the one that has been idle for longest, unless that has an unread request.
+func (c *conns) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Offloaded connections are among those being refused.
+	if taken := c.open - c.offloaded + int(c.refusing.Load()); c.max == 0 || float64(taken) < acceptShare*float64(c.max) {
+		return true
+	}
+	var longest net.Conn
+	for conn, since := range c.idle {
+		if longest == nil || since.Before(c.idle[longest]) {
+			longest = conn
+		}
+	}
+	if longest == nil || sockets.HasUnread(longest) {
+		return false
+	}
+	delete(c.idle, longest)
+	go longest.Close()
+	return true
+}
+
 // beginOffload counts a connection that is going to be offloaded. It reports false if too
 // many are.
 func (c *conns) beginOffload() bool {
@@ -196,6 +231,18 @@
 	return nil
 }
 
+// awaitRefused waits until no connection is being refused or offloaded.
+func (c *conns) awaitRefused(ctx context.Context) error {
+	for c.refusals.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readPoll):
+		}
+	}
+	return nil
+}
+
 func (c *conns) hasUnread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
