gateway: a head's room ends with the head

Cause: what net/http reads beyond a head in its first read, the beginning of a body, was counted as lines of the head. Bodies in chunks of 1 to 3 bytes so took the room for heads, and connections with such bodies were closed (the log of that crowd, "kind=heads").

Ruled out: counting bytes only; heads of short lines hold eight times their bytes. A head that has arrived whole no longer gives way.

Conclusion: bodies are accounted as bodies only.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -227,7 +227,7 @@
 	if r.ContentLength < 0 || r.ContentLength > inlineBody {
 		w.Header().Set("Connection", "close")
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalLinger)); err != nil {
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalLinger)); err != nil && !errors.Is(err, net.ErrClosed) {
 		logs.Info("refusal-deadline", "Gateway: bounding the rest of a refused request failed.", "err", err)
 	}
 }
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -57,6 +57,9 @@
 	// belongs to the writer.
 	head                int
 	headHold, aheadHold *hold
+	// headEnded means that the head has been read whole; headTail are its last bytes before.
+	headEnded bool
+	headTail  []byte
 }
 
 // wrap returns a caller's connection from which the given bytes have been read already.
@@ -91,8 +94,13 @@
 	return n, err
 }
 
-// takeHead takes room for a part of a request's head. It reports false if there is none.
+// takeHead takes room for a part of a request's head; what follows the head is not counted. It
+// reports false if there is none.
 func (c *callerConn) takeHead(part []byte) bool {
+	if c.headEnded {
+		return true
+	}
+	part = c.untilHeadEnd(part)
 	before := max(c.head, connHead)
 	c.head += len(part) + headLine*bytes.Count(part, []byte{'\n'})
 	if c.head <= connHead {
@@ -104,9 +112,28 @@
 	return c.room.grow(c.headHold, holding.Heads, c.head-before)
 }
 
+// untilHeadEnd returns a part of a head up to the empty line, which may have begun in the part
+// before, and records whether there is one.
+func (c *callerConn) untilHeadEnd(part []byte) []byte {
+	around := append(c.headTail, part[:min(len(part), len(endOfHeader)-1)]...)
+	if i := bytes.Index(around, endOfHeader); i >= 0 {
+		c.headEnded = true
+		return part[:i+len(endOfHeader)-len(c.headTail)]
+	}
+	if i := bytes.Index(part, endOfHeader); i >= 0 {
+		c.headEnded = true
+		return part[:i+len(endOfHeader)]
+	}
+	if len(part) >= len(endOfHeader) {
+		around = part
+	}
+	c.headTail = append(c.headTail[:0], around[max(0, len(around)-len(endOfHeader)+1):]...)
+	return part
+}
+
 // releaseHead gives back the room of a head.
 func (c *callerConn) releaseHead() {
-	c.head = 0
+	c.head, c.headEnded, c.headTail = 0, false, c.headTail[:0]
 	if c.headHold != nil {
 		c.room.release(c.headHold)
 		c.headHold = nil
@@ -216,6 +243,9 @@
 	c.inHandler.Store(true)
 	c.clearReadPending()
 	c.backlog = nil
+	if c.headHold != nil {
+		c.room.settle(c.headHold, c.head)
+	}
 	return func() {
 		c.inHandler.Store(false)
 		c.releaseHead()
--- /dev/null
+++ b/internal/gateway/callerconn_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jujubeford/jujubeford/internal/holding"
+	"github.com/jujubeford/jujubeford/internal/porttest"
+)
+
+// TestHeadsTakeRoom: the room that a head takes is that of its text and its lines, however it is
+// cut into reads, without the body that follows; it is given back with the request.
+func TestHeadsTakeRoom(t *testing.T) {
+	short := "POST / HTTP/1.1\r\nHost: h\r\n\r\n"
+	long := "POST / HTTP/1.1\r\n" + strings.Repeat("a: b\r\n", 200) + "\r\n"
+	longHeld := len(long) + headLine*strings.Count(long, "\n") - connHead
+	for _, c := range []struct {
+		head string
+		want int
+	}{{short, 0}, {long, longHeld}} {
+		text := []byte(c.head + strings.Repeat("1\r\nx\r\n", 2000))
+		for _, size := range []int{1, 2, 3, 5, 1000, 4096, len(text)} {
+			g := NewWithT(t)
+			near, _ := porttest.ConnPair(t)
+			tracked := newConns(10)
+			tracked.room = &room{state: holding.New(112 << 20)}
+			conn := tracked.wrap(near.(*net.TCPConn), bytes.Clone(text))
+			for read := 0; read < len(text); read += size {
+				_, err := io.ReadFull(conn, make([]byte, min(size, len(text)-read)))
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			g.Expect(tracked.room.held(holding.Heads)).To(BeEquivalentTo(c.want), "reads of %d bytes", size)
+			conn.enterHandler()()
+			g.Expect(tracked.room.held(holding.Heads)).To(BeZero())
+		}
+	}
+}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -92,8 +92,11 @@
 	r.state.Moved(now, &h.Holder, int64(n))
 }
 
-// settle records that a body has arrived whole.
+// settle records that a body or a head has arrived whole.
 func (r *room) settle(h *hold, n int) {
+	if r == nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.grant(r.state.Settle(time.Now(), &h.Holder, int64(n)))
--- a/internal/holding/state.go
+++ b/internal/holding/state.go
@@ -147,12 +147,12 @@
 func (s *State) Note(k Kind, n int64) { s.add(k, n) }
 
 // Grow takes n more bytes for a holder that cannot wait. The holders of the kind that hold most
-// give way until there is room, and are returned; h itself may be among them.
+// and are not settled give way until there is room, and are returned; h itself may be among them.
 func (s *State) Grow(h *Holder, k Kind, n int64) (gaveWay []*Holder) {
 	for !s.fits(k, n) {
 		victim, most := h, h.held+n
 		for other := range s.holders {
-			if other != h && other.kind == k && other.held > most {
+			if other != h && other.kind == k && !other.settled && other.held > most {
 				victim, most = other, other.held
 			}
 		}
@@ -226,8 +226,8 @@
 	}
 }
 
-// Settle records that a body has arrived whole with n bytes: the rest of its room is free, and
-// it gives way no more. It returns the holders that have got room.
+// Settle records that a body or a head has arrived whole with n bytes: the rest of its room is
+// free, and it gives way no more. It returns the holders that have got room.
 func (s *State) Settle(now time.Time, h *Holder, n int64) (granted []*Holder) {
 	h.settled = true
 	if n < h.held {
