--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -131,9 +131,14 @@
 	return part
 }
 
+// beginHead begins the next request's head.
+func (c *callerConn) beginHead() {
+	c.releaseHead()
+	c.head, c.headEnded, c.headTail = 0, false, c.headTail[:0]
+}
+
 // releaseHead gives back the room of a head.
 func (c *callerConn) releaseHead() {
-	c.head, c.headEnded, c.headTail = 0, false, c.headTail[:0]
 	if c.headHold != nil {
 		c.room.release(c.headHold)
 		c.headHold = nil
@@ -247,7 +252,9 @@
 		c.room.settle(c.headHold, c.head)
 	}
 	return func() {
-		c.inHandler.Store(false)
+		// The server may read the rest of a refused request before the next head.
+		c.headEnded = true
 		c.releaseHead()
+		c.inHandler.Store(false)
 	}
 }
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -37,6 +38,11 @@
 			g.Expect(tracked.room.held(holding.Heads)).To(BeEquivalentTo(c.want), "reads of %d bytes", size)
 			conn.enterHandler()()
 			g.Expect(tracked.room.held(holding.Heads)).To(BeZero())
+			g.Expect(conn.takeHead(text)).To(BeTrue())
+			g.Expect(tracked.room.held(holding.Heads)).To(BeZero(), "the rest of a request")
+			tracked.onConnState(conn, http.StateIdle)
+			g.Expect(conn.takeHead(text)).To(BeTrue())
+			g.Expect(tracked.room.held(holding.Heads)).To(BeEquivalentTo(c.want), "the next head")
 		}
 	}
 }
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -112,6 +112,9 @@
 		c.idle[conn] = time.Now()
 		// Bytes read since the handler returned were the rest of its request.
 		clearReadPending(conn)
+		if caller, ok := conn.(*callerConn); ok {
+			caller.beginHead()
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 		delete(c.charges, conn)
