check-config: the memory of bodies is asked of the account that routers keep

Cause: after the merge the memory of callers' bodies is bounded by package holding; the check still named the share that is left for answers.

Ruled out: a share of its own in the check.

Conclusion: there is one rule again.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/jujubeford/jujubeford/internal/configcheck"
+	"github.com/jujubeford/jujubeford/internal/holding"
 	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
@@ -22,8 +23,8 @@
 	if l.IdleTimeout > idleTimeout {
 		add(configcheck.IdleTimeout, "routers close connections that are unused for %v", idleTimeout)
 	}
-	if bodies := int64(bodyShare * float64(memory)); memory > 0 && l.BodyBytes > bodies {
-		add(configcheck.BodyBytes, "the bodies of all requests in progress may have %d bytes together, a share of %g of the instance's memory", bodies, bodyShare)
+	if bodies := holding.New(memory).Limit(holding.LargeBodies); memory > 0 && l.BodyBytes > bodies {
+		add(configcheck.BodyBytes, "a router holds %d bytes of large bodies together, of larger ones one at a time", bodies)
 	}
 	return contradicted
 }
--- a/internal/holding/state.go
+++ b/internal/holding/state.go
@@ -110,6 +110,9 @@
 	return s
 }
 
+// Limit is the number of bytes that may be held of a kind, 0 if that is not bounded.
+func (s *State) Limit(k Kind) int64 { return s.limits[k] }
+
 // Held is the number of bytes that are held of a kind.
 func (s *State) Held(k Kind) int64 { return s.held[k] }
 
