dispatch: a waiting request rules out those with no other choice, and no more

Cause: once a request found no room, drainQueue passed over all after it, as having the same choice. Since short prompts may use the time that upstreams of streams have to spare, that is no longer so: they waited behind the long ones that keep the others busy, which is just when there is time to spare. And a request that is allowed in some regions only ruled out none: on a route with regions each waiting request was tried at each upstream, at each Tick and each end of an answer.

Ruled out: trying all that wait. Only prompts shorter than each one that found no room are tried, a few of many, and those of other regions once.

Before and after: the two tests fail on the code before (a short prompt waits; 40 upstreams asked for 20 waiting requests in a Tick, 2 now). TestMemoryIsSharedBySizes passes before and after.

Conclusion: what a request without room means for the others is kept by the regions that it is allowed in, and by length.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sort"
 	"time"
@@ -142,34 +141,29 @@
 
 // drainQueue sends waiting requests of a queue, as far as there is room: those of the
 // organisation with the least charge first, and oldest first within an organisation.
-// Once a request finds no room, the rest are not tried, except those that failed on
-// an upstream: they may also use the upstreams of the other workload class. One that finds
-// no memory holds up those that need as much, and not the smaller ones.
+// Once a request finds no room, those are not tried that have no other choice (see heldBack).
 func (s *State) drainQueue(now time.Time, q *queue) {
 	if q.size == 0 {
 		return
 	}
-	full, tooLarge := false, math.MaxInt
+	var held heldBack
 	for _, org := range s.orgsByCharge(now, q) {
 		for _, r := range append([]*request(nil), q.byOrg[org]...) {
 			switch {
 			case !now.Before(r.queueDeadline):
 				s.dequeue(r)
 				s.refuse(now, r, ReasonWaited)
-			case full && len(r.failedUpstreams) == 0:
-				// An earlier request found no room, and this one has the same choice.
-			case memoryNeed(r, 0) >= tooLarge:
+			case held.noRoom(r):
+				// An earlier request found no room, and this one has no other choice.
+			case held.noMemory(r):
 				// An earlier one that needs no more found no memory.
 				s.reserveMemory(now, r)
 			case s.trySend(now, r):
 			case s.shortOfMemory:
 				s.reserveMemory(now, r)
-				if !r.regions.Restricted {
-					tooLarge = memoryNeed(r, 0)
-				}
+				held.addMemory(r)
 			default:
-				// Others may have upstreams in more regions.
-				full = full || !r.regions.Restricted
+				held.addRoom(r, s.engine(r.Service) != nil)
 			}
 		}
 	}
