dispatch: memory that is reserved for a request is used by it

Cause: a request that finds no memory holds up those that need as much, also the one that an upstream keeps memory for. If the first is of an organisation with less charge, what is reserved stays unused until either of them is refused: the first may not take it, and the second isn't tried.

Ruled out: keeping two reservations at a time.

Conclusion: one reservation a service and router, which is used. It also halves what all routers together keep free.

--- a/internal/dispatch/heldback.go
+++ b/internal/dispatch/heldback.go
@@ -30,9 +30,10 @@
 	return len(r.failedUpstreams) == 0 && slices.ContainsFunc(h, func(in heldIn) bool { return in.covers(r) && r.Prompt.Tokens >= in.tokens })
 }
 
-// noMemory reports whether an earlier request that needs no more found no memory.
+// noMemory reports whether an earlier request that needs no more found no memory. It says
+// nothing of memory that is kept for this one.
 func (h heldBack) noMemory(r *request) bool {
-	return slices.ContainsFunc(h, func(in heldIn) bool { return in.covers(r) && memoryNeed(r, 0) >= in.memory })
+	return r.reserved == nil && slices.ContainsFunc(h, func(in heldIn) bool { return in.covers(r) && memoryNeed(r, 0) >= in.memory })
 }
 
 // addRoom adds a request that found no room. Shorter prompts may be read in time to spare.
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -23,7 +23,7 @@
 
 // maxReservations is the number of requests that a router reserves memory of a service for at a
 // time: others take less of it the more wait.
-const maxReservations = 2
+const maxReservations = 1
 
 // largeFraction is the fraction of an engine's memory from which on memory is reserved: less
 // becomes free whenever a few requests end.
