dispatch: memory is reserved where it is short, and not at upstreams that left

Cause: a reservation stayed at its upstream when that was forgotten, left, crashed or was evacuated: until the request was refused, it had none where it could be sent, nobody else had one, and an evacuated domain's load told of it. It was made where the least memory is in use: at an upstream with room that is cold, has a pace or is limited, where memory is not what the request waits for. And routers with the same view of the loads all chose the same upstream, where together they could keep more than it has: then none of them may send, however little runs there.

Ruled out: that a request may be sent where nothing runs, whatever is reserved: all routers that wait for it would send at once, and an engine that holds more than it has may crash.

Before and after: TestReservationEndsWithItsUpstream (gone, leaving, evacuated) and TestMemoryIsReservedWhereItIsShort fail on the code before, and pass now. TestRoutersReserveMemoryApart: 24 routers with the same view keep no more than its memory at any of 12 engines. TestMemoryIsSharedBySizes passes.

Conclusion: a reservation is released with its upstream, chosen anew, made only where memory is short, and spread as placements are.

--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jujubeford/jujubeford/internal/routing"
@@ -25,6 +26,10 @@
 // time: others take less of it the more wait.
 const maxReservations = 1
 
+// reservationSpread separates upstreams with nearly as much memory in use, as a fraction of it, so
+// that routers with the same view of the loads do not reserve more of one than it has.
+const reservationSpread = 0.25
+
 // largeFraction is the fraction of an engine's memory from which on memory is reserved: less
 // becomes free whenever a few requests end.
 const largeFraction = 16
@@ -66,15 +71,27 @@
 // that smaller ones don't take it again and again. The reservation is part of this
 // router's reported load.
 func (s *State) reserveMemory(now time.Time, r *request) {
+	if r.reserved != nil {
+		if slices.Contains(s.services[r.Service], r.reserved) && s.mayReserve(now, r, r.reserved) {
+			return
+		}
+		s.releaseReservation(r)
+	}
 	need := memoryNeed(r, 0)
-	if r.reserved != nil || s.reservations[r.Service] >= maxReservations || largeFraction*need < s.engine(r.Service).CacheTokens {
+	e := s.engine(r.Service)
+	if s.reservations[r.Service] >= maxReservations || largeFraction*need < e.CacheTokens {
 		return
 	}
 	var best *upstream
+	least := 0.0
 	for _, u := range s.services[r.Service] {
-		if u.reservedFor == nil && s.mayReach(r, u) && u.acceptsWork(now) && s.health.Available(u.ID, now) && !(r.class == classPrefill && u.class == classDecode) &&
-			(best == nil || u.memory() < best.memory()) {
-			best = u
+		if u.reservedFor != nil || u.memory()+need <= memoryLimit(e) || !s.mayReserve(now, r, u) {
+			// One that has the memory is kept from the request by something else.
+			continue
+		}
+		memory := float64(u.memory()) + reservationSpread*float64(e.CacheTokens)*hashFraction(r.ID, u.key)
+		if best == nil || memory < least {
+			best, least = u, memory
 		}
 	}
 	if best == nil {
@@ -86,6 +103,12 @@
 	s.reservations[r.Service]++
 }
 
+// mayReserve reports whether a request is sent to an upstream of its service once there is
+// memory.
+func (s *State) mayReserve(now time.Time, r *request, u *upstream) bool {
+	return s.mayReach(r, u) && u.acceptsWork(now) && s.health.Available(u.ID, now) && !(r.class == classPrefill && u.class == classDecode)
+}
+
 // releaseReservation ends the reservation of a request that is sent or waits no longer.
 func (s *State) releaseReservation(r *request) {
 	if r.reserved == nil {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -334,6 +334,9 @@
 		return
 	}
 	s.rememberAdvice(now, u)
+	if u.reservedFor != nil {
+		s.releaseReservation(u.reservedFor)
+	}
 	// Its entry has been retained after its removal: it left long ago.
 	u.markLeft(now.Add(-maxSendAfterLeaving))
 	delete(s.upstreams, id)
