coldstart: places in the order of senders are kept while the routers are the same

Cause: each change of the directory brings the list of registered routers, and each list made a new version of the fleet, for which the place of this router is computed anew for each cold or paced upstream, from a hash of each router. When a domain of upstreams comes back, its entries bring such lists one after the other, while all these upstreams are cold.

Ruled out: keeping the order by upstream; it would be 600 lists of 300 routers.

Before and after: TestVersionChangesWithTheView fails on the code before and passes now.

Conclusion: the version changes with the view, as its comment says.

--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -166,3 +166,23 @@
 	f.Set(start.Add(time.Second+routerMemory), "a", []string{"a", "c"}, nil)
 	g.Expect(f.Routers()).To(Equal([]string{"a", "c"}))
 }
+
+// Lists of routers come with each change of the directory; what follows from them is computed
+// anew only if they differ.
+func TestVersionChangesWithTheView(t *testing.T) {
+	g := NewWithT(t)
+	var f Fleet
+	set := func(now time.Time, self string, domains map[string]string, registered ...string) (changed bool) {
+		before := f.Version()
+		f.Set(now, self, registered, domains)
+		return f.Version() != before
+	}
+	now, a := time.Unix(1000, 0), map[string]string{"r1": "a", "r2": "a"}
+	g.Expect(set(now, "r1", a, "r1", "r2")).To(BeTrue())
+	g.Expect(set(now, "r1", a, "r2", "r1")).To(BeFalse())
+	g.Expect(set(now, "r1", map[string]string{"r1": "a", "r2": "b"}, "r1", "r2")).To(BeTrue())
+	g.Expect(set(now, "r2", a, "r1", "r2")).To(BeTrue())
+	g.Expect(set(now, "r2", a, "r2")).To(BeTrue(), "lapsed")
+	g.Expect(set(now.Add(time.Second), "r2", a, "r2")).To(BeFalse())
+	g.Expect(set(now.Add(time.Minute), "r2", a, "r2")).To(BeTrue(), "forgotten")
+}
--- a/internal/coldstart/fleet.go
+++ b/internal/coldstart/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 )
@@ -29,7 +30,7 @@
 
 // Set replaces the registered routers, given with their failure domains.
 func (f *Fleet) Set(now time.Time, self string, registered []string, domains map[string]string) {
-	before := f.routers
+	before, selfBefore := f.routers, f.self
 	f.self, f.routers = self, make(map[string]member, len(registered))
 	for _, name := range registered {
 		f.routers[name] = member{domain: domains[name]}
@@ -48,7 +49,10 @@
 			f.routers[name] = m
 		}
 	}
-	f.version++
+	if self != selfBefore || !maps.Equal(f.routers, before) {
+		// Parts and places are computed anew, of many upstreams from many routers.
+		f.version++
+	}
 }
 
 // Version changes with each change of the view.
