dispatch: the same events have the same effects in the same order again

Cause: the ends of cold times, changes of pace and of speed were emitted in the order of a map's iteration. A replay of the same events then differed once two upstreams became warm, fell or rose in one Tick.

Ruled out: sorting all upstreams at each Tick; those of which something has to be told are few, and none as a rule.

Before and after: TestReplayOfStartsIsDeterministic (eight engines start, fall and become warm together) fails on the code before and passes now.

Conclusion: upstreams that something is told of are listed by id.

--- a/internal/dispatch/class.go
+++ b/internal/dispatch/class.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 )
@@ -67,7 +69,8 @@
 // routers compute this from the same list and nearly the same load, so they need not
 // agree on it.
 func (s *State) partitionUpstreams(now time.Time) {
-	for service, list := range s.services {
+	for _, service := range slices.Sorted(maps.Keys(s.services)) {
+		list := s.services[service]
 		s.updateSpeeds(now, service, list)
 		engine := s.engine(service)
 		if engine == nil {
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -182,11 +182,9 @@
 
 // endCold emits the ends of cold times.
 func (s *State) endCold(now time.Time) {
-	for _, u := range s.upstreams {
-		if u.countedCold && !s.isCold(now, u) {
-			u.countedCold = false
-			s.emit(ColdChanged{Upstream: u.Instance})
-		}
+	for _, u := range s.upstreamsWhere(func(u *upstream) bool { return u.countedCold && !s.isCold(now, u) }) {
+		u.countedCold = false
+		s.emit(ColdChanged{Upstream: u.Instance})
 	}
 }
 
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -99,10 +99,10 @@
 
 // updatePaces brings the pace of all upstreams up to date.
 func (s *State) updatePaces(now time.Time) {
-	for _, u := range s.upstreams {
-		if u.pace.Paced() || u.pace.own.Failures+u.pace.told.Failures > 0 {
-			s.updatePace(now, u)
-		}
+	for _, u := range s.upstreamsWhere(func(u *upstream) bool {
+		return u.pace.Paced() || u.pace.own.Failures+u.pace.told.Failures > 0
+	}) {
+		s.updatePace(now, u)
 	}
 	s.findPeerless()
 }
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/jujubeford/jujubeford/internal/core"
+	"github.com/jujubeford/jujubeford/internal/pace"
 	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
@@ -53,3 +54,30 @@
 	f.advance(5 * time.Second)
 	return f.all
 }
+
+// That holds too for upstreams that start, fall and become warm together.
+func TestReplayOfStartsIsDeterministic(t *testing.T) {
+	first := runStarts(t)
+	for range 5 {
+		NewWithT(t).Expect(runStarts(t)).To(Equal(first))
+	}
+}
+
+// runStarts restarts all upstreams at once, lets those of the peers fail, and returns all effects.
+func runStarts(t *testing.T) []Effect {
+	f := newFixture(t, 8)
+	f.step(TableChanged{Table: routing.NewTable(2, routing.Limits{}, nil, []routing.Service{coldService, {Name: plain}}, nil)})
+	list := instances(8)
+	for i := range list {
+		list[i].Started = 7
+	}
+	f.step(InstancesChanged{Instances: list})
+	failures := make(map[uint32]pace.Report)
+	for _, in := range list {
+		failures[Key(in.ID)] = pace.Report{Failures: 9, FirstAge: 2 * time.Second, GoodAge: pace.Never}
+	}
+	f.advance(3 * time.Second)
+	f.step(PeerReported{Peer: "a", Report: Report{Pace: failures}})
+	f.advance(5 * time.Second)
+	return f.all
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -273,6 +273,18 @@
 // has the fewest.
 func (s *State) RetriesLeft() int { return s.health.RetriesLeft() }
 
+// upstreamsWhere lists the upstreams of which something holds, in the order of their ids: the
+// same events have the same effects in the same order.
+func (s *State) upstreamsWhere(holds func(u *upstream) bool) (list []*upstream) {
+	for _, u := range s.upstreams {
+		if holds(u) {
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
 // Peers returns the number of routers whose reports are in use.
 func (s *State) Peers() int { return len(s.peers) }
 
