dispatch: a request that may run once doesn't hold up one that finds out

Cause: an upstream that is down gets only requests that may be repeated, one at a time, which find out when it is back. One that may run only once and waits for it counted as having the same choice as all after it, so that those weren't tried while it waited: with all upstreams of a service down, nobody found out until the window had grown with time alone.

Ruled out: letting such a request find out; it can't be sent elsewhere after.

Before and after: TestWaitingRequestDoesNotHoldUpOneThatFindsOut fails on the code before and passes now.

Conclusion: what a request without room means for others is kept by whether it may be repeated, too.

--- a/internal/dispatch/heldback.go
+++ b/internal/dispatch/heldback.go
@@ -8,19 +8,24 @@
 )
 
 // heldBack is what the requests of a queue that found no room mean for those after them, by
-// the regions that they are allowed in.
+// the regions that they are allowed in and by whether they may be repeated: an upstream that is
+// down gets only those that may.
 type heldBack []heldIn
 
-// heldIn is what those allowed in the same regions found.
+// heldIn is what those with the same choice found.
 type heldIn struct {
-	regions routing.Regions
+	regions    routing.Regions
+	repeatable bool
 	// tokens is the length of the prompt from which on there is no room, and memory the need
 	// from which on there is no memory.
 	tokens, memory int
 }
 
-// covers reports whether a request has no choice beyond the regions.
+// covers reports whether a request has no choice beyond that.
 func (h *heldIn) covers(r *request) bool {
+	if r.Route.Kind.Repeatable() && !h.repeatable {
+		return false
+	}
 	return !h.regions.Restricted || r.regions.Restricted && slices.Equal(h.regions.Names, r.regions.Names)
 }
 
@@ -38,7 +43,7 @@
 
 // addRoom adds a request that found no room. Shorter prompts may be read in time to spare.
 func (h *heldBack) addRoom(r *request, engine bool) {
-	in := h.in(r.regions)
+	in := h.in(r)
 	in.tokens = 0
 	if engine && r.class == classPrefill && r.sends == 0 {
 		in.tokens = r.Prompt.Tokens
@@ -47,16 +52,18 @@
 
 // addMemory adds a request that found no memory.
 func (h *heldBack) addMemory(r *request) {
-	in := h.in(r.regions)
+	in := h.in(r)
 	in.memory = min(in.memory, memoryNeed(r, 0))
 }
 
-func (h *heldBack) in(regions routing.Regions) *heldIn {
+func (h *heldBack) in(r *request) *heldIn {
+	repeatable := r.Route.Kind.Repeatable()
 	for i := range *h {
-		if in := &(*h)[i]; in.regions.Restricted == regions.Restricted && slices.Equal(in.regions.Names, regions.Names) {
+		in := &(*h)[i]
+		if in.repeatable == repeatable && in.regions.Restricted == r.regions.Restricted && slices.Equal(in.regions.Names, r.regions.Names) {
 			return in
 		}
 	}
-	*h = append(*h, heldIn{regions: regions, tokens: math.MaxInt, memory: math.MaxInt})
+	*h = append(*h, heldIn{regions: r.regions, repeatable: repeatable, tokens: math.MaxInt, memory: math.MaxInt})
 	return &(*h)[len(*h)-1]
 }
--- a/internal/dispatch/heldback_test.go
+++ b/internal/dispatch/heldback_test.go
@@ -48,3 +48,14 @@
 	f.step(Tick{})
 	f.g.Expect(f.Held() - before).To(BeNumerically("<=", len(list)))
 }
+
+// A request that may run only once waits until an upstream is known to be back, and does not hold
+// up one that finds out.
+func TestWaitingRequestDoesNotHoldUpOneThatFindsOut(t *testing.T) {
+	f := newFixture(t, 1)
+	f.recordEnd(f.now, f.upstreams["p00"])
+	f.arriveFor("a", booking, plain, 0)
+	found := f.arriveFor("b", lookup, plain, 0)
+	f.g.Expect(f.Waiting()).To(Equal(1))
+	f.g.Expect(f.last[found]).To(BeAssignableToTypeOf(Send{}))
+}
