dispatch: the pace is switched on by a flag, and goes by starts and refused connections

Before and after: silence and broken answers count only against an upstream that has a pace; the feature is off unless jujubeford gateway gets -pace.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -55,6 +55,7 @@
 	flags        *settings.Set
 	settingsPath string
 	policy       string
+	pace         bool
 	metricsPort  int
 }
 
@@ -74,10 +75,11 @@
 
 // SetFlags registers the flags.
 func (c *gatewayCommand) SetFlags(fs *flag.FlagSet) {
-	c.policy, c.metricsPort = policyShared, 0
+	c.policy, c.metricsPort, c.pace = policyShared, 0, false
 	s := settings.New(fs)
 	s.String(&c.settingsPath, "settings", "`file` with the platform's settings")
 	s.String(&c.policy, "policy", "`policy` of placement: shared, or alone to measure against", oneOf(policyShared, policyAlone))
+	s.Bool(&c.pace, "pace", "find how much an upstream gets after a start or a failure from how it answers")
 	s.Int(&c.metricsPort, "metrics-port", "`port` for metrics; 0 serves none")
 	c.flags = s
 }
@@ -117,6 +119,7 @@
 		return nil, err
 	}
 	o.Dispatch.IgnorePeers = c.policy == policyAlone
+	o.Dispatch.Pace = c.pace
 	if c.metricsPort > 0 {
 		host, _, err := net.SplitHostPort(o.Listen)
 		if err != nil {
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -52,7 +52,6 @@
 		// Half of the ratio that the users allow, since the reports of peers lag.
 		RetryRatio: 0.1,
 		RetryBurst: 40,
-		Pace:       true,
 	}
 }
 
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -194,22 +194,14 @@
 		return
 	case e.Kind == core.FailRefused || e.Kind == core.FailStatus || r.firstByteReceived:
 		u.pace.own.Bad(now)
-	case e.Kind == core.FailIdle || e.Kind == core.FailCancelled && r.aborting:
-		u.pace.own.Failed(r.sentAt)
-	case e.Kind != core.FailCancelled:
-		u.pace.own.Failed(now)
+	case u.pace.Paced() && e.Kind != core.FailCancelled:
+		// No sign of an end by itself: a path that is cut, or an answer that is lost on the
+		// way, looks the same.
+		u.pace.own.Bad(now)
 	}
 	s.updatePace(now, u)
 }
 
-// recordSilence records an attempt that has got no answer for too long.
-func (s *State) recordSilence(now time.Time, r *request) {
-	if s.options.Pace {
-		r.upstream.pace.own.Failed(r.sentAt)
-		s.updatePace(now, r.upstream)
-	}
-}
-
 // reportPace returns the evidence of this router that matters to others: on upstreams that
 // are paced or have not answered. What peers told is not passed on.
 func (s *State) reportPace(now time.Time) map[uint32]pace.Report {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -418,7 +418,6 @@
 // fail ends a request that may have run.
 func (s *State) fail(now time.Time, r *request, e Fail) {
 	if r.upstream != nil && !r.firstByteReceived {
-		s.recordSilence(now, r)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 	s.releaseAttempt(r)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -447,7 +447,6 @@
 		s.emit(Abort{ID: r.ID, Attempt: r.attempt})
 	case !r.silenceCounted && silent > nonRetryableSilence:
 		r.silenceCounted = true
-		s.recordSilence(now, r)
 		s.health.RecordFailure(r.upstream.ID, r.Service, now, core.FailIdle)
 	}
 }
