mirror: a copy that lacks changes below its newest one is behind

Cause: the entries of a list that is read in pages or pieces may be newer than its position, and a copy of changes may end between two of one revision. The last change that a mirror told of was that of its newest entry, so a removal between the position and that entry was missed while both routers told of the same last change: no copy was due until any key changed again. A withdrawn evacuation, or an upstream that had left, could stay in force at routers that don't watch the store.

Ruled out: the piece that is taken next; from the position on it has the removal. Only nobody asked for it. The property test always asks.

Before and after: both new tests found the copy up to date; now it is due in both.

Conclusion: a mirror's last change is never after its position.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -79,9 +79,10 @@
 func (m *Mirror) Position() store.Position { return m.at }
 
 // LastChange returns the position of the last change of a mirrored key. Unlike
-// Position it does not advance while only other keys of the store change.
+// Position it does not advance while only other keys of the store change. It is not after
+// Position: changes from there on, which the mirror may have some of, are still to come.
 func (m *Mirror) LastChange() store.Position {
-	return store.Position{Era: m.at.Era, Revision: m.lastChange}
+	return store.Position{Era: m.at.Era, Revision: min(m.lastChange, m.at.Revision)}
 }
 
 // AdoptLastChange raises LastChange to that of a copy whose changes have been applied. Copies
--- a/internal/mirror/piece_test.go
+++ b/internal/mirror/piece_test.go
@@ -106,3 +106,37 @@
 		g.Expect(err).To(HaveOccurred())
 	}
 }
+
+// A key is removed while the later pieces of a list are read: the copy lacks the removal, which
+// its last change tells, so that it is taken next.
+func TestListReadDuringChangesIsNotUpToDate(t *testing.T) {
+	g, peer, m := NewWithT(t), New(instancePrefix), New(instancePrefix)
+	a, b := store.Entry{Key: "a", Index: 2}, store.Entry{Key: "b", Index: 3}
+	peer.Replace(epoch, []store.Entry{a, b}, at(3))
+	reader := NewReader(m.Position())
+	_, complete, err := reader.Take(peer.Piece(reader.Cursor(), 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(complete).To(BeFalse())
+	b.Index = 5
+	peer.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "a", Index: 4}, Deleted: true}, {Entry: b}}, at(5))
+	p, complete, err := reader.Take(peer.Piece(reader.Cursor(), 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(complete).To(BeTrue())
+	m.Replace(epoch, p.Entries, p.At)
+	m.AdoptLastChange(peer.LastChange())
+	g.Expect(m.EntriesInStore()).To(HaveLen(2))
+	g.Expect(m.LastChange().Before(peer.LastChange())).To(BeTrue(), "a copy is due")
+}
+
+// A copy ends between two changes of one revision, the last: the rest is taken next.
+func TestHalfARevisionIsNotUpToDate(t *testing.T) {
+	g, peer, m := NewWithT(t), New(instancePrefix), New(instancePrefix)
+	b := store.Entry{Key: "b", Index: 1}
+	peer.Replace(epoch, []store.Entry{b}, at(1))
+	m.Replace(epoch, []store.Entry{b}, at(1))
+	peer.Apply(epoch, []store.Change{{Entry: store.Entry{Key: "a", Index: 2}}, {Entry: store.Entry{Key: "b", Index: 2}, Deleted: true}}, at(2))
+	p := peer.Piece(Cursor{At: m.Position()}, 1)
+	g.Expect(p.More).To(BeTrue())
+	m.Apply(epoch, p.Changes, p.At)
+	g.Expect(m.LastChange().Before(peer.LastChange())).To(BeTrue(), "a copy is due")
+}
