evacuation: a second restore begins the wait for the operator anew

Cause: an evacuation that the restored store lacks is retained for 5 s from the first later era that lacks it. If the store is restored once more in that time, what the operator had written again is lost too, but the 5 s went on.

Ruled out: that the request written in between is always seen, which would confirm it; a router may learn of the second era only.

Before and after: in the test the evacuation ended 1 s after the second restore; now it is retained for 5 s from then.

Conclusion: the grace is counted from the latest era that lacks the request; it still ends by itself.

--- a/internal/evacuation/state.go
+++ b/internal/evacuation/state.go
@@ -44,9 +44,10 @@
 	since time.Time
 	// era is the era of the store that had the request last.
 	era uint64
-	// missingSince is when a store of a later era was first found to lack the request, zero
-	// if the store has it.
+	// missingSince is when the store of a later era, missingEra, was first found to lack the
+	// request, zero if the store has it.
 	missingSince time.Time
+	missingEra   uint64
 }
 
 // State holds the evacuations in force. It is not safe for concurrent use.
@@ -78,10 +79,13 @@
 		case e.era == era:
 			delete(s.domains, domain)
 			changes = append(changes, Change{domain, Ended, e.since})
-		case e.missingSince.IsZero():
-			e.missingSince = now
+		case e.missingSince.IsZero() || e.missingEra != era:
+			// A store that is restored again has lost what was written since.
+			if e.missingSince.IsZero() {
+				changes = append(changes, Change{domain, Retained, e.since})
+			}
+			e.missingSince, e.missingEra = now, era
 			s.domains[domain] = e
-			changes = append(changes, Change{domain, Retained, e.since})
 		}
 	}
 	sortByDomain(changes)
--- a/internal/evacuation/state_test.go
+++ b/internal/evacuation/state_test.go
@@ -75,3 +75,15 @@
 		})
 	})
 }
+
+// A store that is restored again loses what the operator has written in between, also what this
+// router has not read.
+func TestEvacuationOutlivesASecondRestore(t *testing.T) {
+	g, s := NewWithT(t), New()
+	s.Update(epoch, 1, []string{"a"})
+	s.Update(epoch, 2, nil)
+	again := epoch.Add(RestoreGrace - time.Second)
+	g.Expect(s.Update(again, 3, nil)).To(BeEmpty())
+	g.Expect(s.Expire(epoch.Add(RestoreGrace))).To(BeEmpty())
+	g.Expect(outcomes(s.Expire(again.Add(RestoreGrace)))).To(Equal([]string{"a ended"}))
+}
