gateway: a copy of an earlier build that is too large becomes a list

Cause: routers of earlier builds know no pieces and send each value that a key has had since a position, from a log of 512 values of any size. An answer above 8 MiB was given up and asked for again from the same position, every 50 ms, without progress: in a fleet that is being updated, a router that the store turns away could keep a withdrawn key.

Ruled out: a larger bound; the log of an earlier build has none in bytes, and memory is what the bound is for.

Before and after: the test's copy failed with "request body too large"; now a list from position 0 follows, which holds the newest values, and is taken.

Conclusion: changes that don't fit become a list, as for the store's. A list of an earlier build above 8 MiB still fails.

--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -137,3 +138,27 @@
 	peer.applyMirror()
 	g.Expect(peer.keysSince(store.Position{}, 3).Config).NotTo(BeEmpty())
 }
+
+// Earlier builds know no pieces, and send each value that a key had since the position. If that
+// is too large, what they have now is listed.
+func TestLargeCopiesOfEarlierBuildsAreListed(t *testing.T) {
+	g, now := NewWithT(t), time.Now()
+	gw := newFollower(t, newFakeFeed())
+	gw.replaceMirror(now, []store.Entry{{Key: "config", Value: []byte("1"), Index: 1}}, store.Position{Era: 1, Revision: 1})
+	entry := store.Entry{Key: "config", Value: []byte("9"), Index: 9}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		k := keyUpdate{Era: 1, Revision: 9, LastChange: 9, Whole: true, Entries: []store.Entry{entry}}
+		if r.URL.Query().Get("after") != "0" {
+			k.Whole, k.Entries = false, nil
+			for i := uint64(2); i < 9; i++ {
+				k.Changes = append(k.Changes, store.Change{Entry: store.Entry{Key: "config", Value: make([]byte, store.MaxValue), Index: i}})
+			}
+			k.Changes = append(k.Changes, store.Change{Entry: entry})
+		}
+		_ = json.NewEncoder(w).Encode(k) // The reader may have left.
+	}))
+	defer server.Close()
+	g.Expect(gw.peers.copyKeys(strings.TrimPrefix(server.URL, "http://"))).To(Succeed())
+	g.Expect(gw.position()).To(Equal(store.Position{Era: 1, Revision: 9}))
+	g.Expect(gw.mirror.EntriesInStore()).To(Equal([]store.Entry{entry}))
+}
--- a/internal/gateway/copying.go
+++ b/internal/gateway/copying.go
@@ -57,7 +57,14 @@
 func (p *peers) copyKeys(addr string) error {
 	reader := mirror.NewReader(p.g.position())
 	for range maxPieces {
-		k, err := p.getPiece(addr, reader.Cursor())
+		c := reader.Cursor()
+		k, err := p.getPiece(addr, c)
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) && !c.List && c.At.Revision > 0 {
+			// Earlier builds send each value that a key has had, but a list from position 0.
+			reader = mirror.NewReader(store.Position{Era: c.At.Era})
+			continue
+		}
 		if err != nil {
 			return err
 		}
