check-config: what was not compared has no differences

Cause: the text tells of the differences whenever -against is given. A configuration that cannot be decoded is not compared with anything, and the text said "0 differences from version 0".

Ruled out: a version in force of 0; such a one is an error before.

Before and after: the new case of the test printed that line after the error; now it doesn't.

Conclusion: the line is printed only if a version in force was read.

--- a/internal/cli/check_config.go
+++ b/internal/cli/check_config.go
@@ -250,7 +250,7 @@
 	if r.Omitted > 0 {
 		fmt.Fprintf(c.out, "%d more are not shown\n", r.Omitted)
 	}
-	if c.against != "" {
+	if r.InForce > 0 {
 		fmt.Fprintf(c.out, "%d differences from version %d\n", len(r.Differences), r.InForce)
 	}
 	for _, d := range r.Differences {
--- a/internal/cli/check_config_test.go
+++ b/internal/cli/check_config_test.go
@@ -70,6 +70,7 @@
 		{"warning", nil, strings.NewReader("unused"), 0, `standard input:2:3: warning: p: no route leads to service "idle"`},
 		{"strict", []string{"-strict"}, strings.NewReader("unused"), 1, "1 warnings"},
 		{"broken", nil, strings.NewReader("broken"), 1, "standard input:1:1: error: not JSON"},
+		{"broken, nothing to compare", []string{"-against", file("sound")}, strings.NewReader("broken"), 1, "error: not JSON\nversion 0"},
 		{"older", []string{"-against", file("sound")}, strings.NewReader("older"), 1, "routers keep the version in force, 7"},
 		{"store", []string{"-against", "127.0.0.1:80"}, strings.NewReader("sound"), 0, "0 differences from version 6"},
 		{"store away", []string{"-against", "127.0.0.1:81"}, strings.NewReader("sound"), 2, "version in force: away"},
