gateway: a configuration that only an earlier era has is taken from a list

Cause: since a copy holds the configuration once, a peer leaves it out if an entry of its list is the same. A peer that has not heard of the restored store answers with a list of an earlier era, which changes nothing at the receiver; the newer configuration was dropped with it. A router that had started on the restored store kept the older version and copied the same list again every 50 ms.

Ruled out: that the peer can tell; the cursor of the last piece names the era of the list, not that of the receiver.

Before and after: in the test version 6 stayed in force beside a peer with 7; now 7 is taken, and the entries stay those of the later era.

Conclusion: the receiver looks into a list that it otherwise ignores; a version of it counts only if it is higher.

--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -162,3 +162,21 @@
 	g.Expect(gw.position()).To(Equal(store.Position{Era: 1, Revision: 9}))
 	g.Expect(gw.mirror.EntriesInStore()).To(Equal([]store.Entry{entry}))
 }
+
+// A peer that has not heard of the restored store has a newer configuration than the store. Its
+// list is of an earlier era and changes nothing else.
+func TestConfigurationOfAnEarlierEraIsTaken(t *testing.T) {
+	g, now := NewWithT(t), time.Now()
+	peer, gw := newFollower(t, newFakeFeed()), newFollower(t, newFakeFeed())
+	list := func(version string) []store.Entry {
+		return []store.Entry{{Key: "config", Value: []byte(version), Index: 2}}
+	}
+	peer.replaceMirror(now, list("7"), store.Position{Era: 1, Revision: 5})
+	peer.applyMirror()
+	gw.replaceMirror(now, list("6"), store.Position{Era: 2, Revision: 2})
+	gw.applyMirror()
+	gw.applyPeerKeys("peer", peer.keysSince(gw.position(), gw.configVersion()))
+	g.Expect(gw.configVersion()).To(BeEquivalentTo(7))
+	g.Expect(gw.position()).To(Equal(store.Position{Era: 2, Revision: 2}))
+	g.Expect(gw.mirror.EntriesInStore()).To(Equal(list("6")))
+}
--- a/internal/gateway/copying.go
+++ b/internal/gateway/copying.go
@@ -117,6 +117,16 @@
 	return p
 }
 
+// entry returns an entry of a list.
+func (k keyUpdate) entry(key string) (store.Entry, bool) {
+	for _, e := range k.Entries {
+		if e.Key == key {
+			return e, true
+		}
+	}
+	return store.Entry{}, false
+}
+
 // applyPeerKeys applies what is newer in a peer's copy.
 func (g *Gateway) applyPeerKeys(from string, k keyUpdate) {
 	now := time.Now()
@@ -134,6 +144,12 @@
 	}
 	if len(k.Config) > 0 {
 		g.applyTable(k.Config, store.Position{Era: p.At.Era})
+	} else if p.At.Before(g.mirror.Position()) {
+		// The list changes nothing, but the store may have lost the configuration in it. Without
+		// an era only a higher version counts.
+		if e, ok := k.entry(g.options.Directory.ConfigKey()); ok {
+			g.applyTable(e.Value, store.Position{})
+		}
 	}
 	after := g.mirror.LastChange()
 	g.mirrorMu.Unlock()
