gateway: the test of large copies has time to read them

Cause: the test of a copy of an earlier build reads 10 MB with the time limit of a copy, 1 s. Under the race detector on a busy machine this took longer, and the copy ended for its time, not its size.

Ruled out: the product's limit; a copy that is too slow fails and the next peer is asked, as before.

Before and after: it failed once, at 1.14 s, beside a load of 30 to 36 on 7 cores; with a client that has a minute it passed three times of three under the same load.

Conclusion: what the test expects is unchanged.

--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -144,6 +144,7 @@
 func TestLargeCopiesOfEarlierBuildsAreListed(t *testing.T) {
 	g, now := NewWithT(t), time.Now()
 	gw := newFollower(t, newFakeFeed())
+	gw.peers.client.Timeout = time.Minute // The size is the matter, not the time.
 	gw.replaceMirror(now, []store.Entry{{Key: "config", Value: []byte("1"), Index: 1}}, store.Position{Era: 1, Revision: 1})
 	entry := store.Entry{Key: "config", Value: []byte("9"), Index: 9}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
