check-config: lists of regions are compared up to a bound

Cause: each different list of regions of a route is compared with each of an organisation. A file of 1 MB, which the store accepts, holds 17,000 of each, and one of 4 MiB, which is still checked, four times that.

Ruled out: memory; 48 and 110 MB at most. A set of regions that serve both would be quick, but a second wording of the rule that both bind.

Conclusion: a million pairs are compared, above that the check says so.

--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -198,6 +198,10 @@
 	}
 }
 
+// maxRegionPairs bounds the pairs of lists of regions that are compared, so that the check of any
+// file takes well under a second.
+const maxRegionPairs = 1_000_000
+
 // checkRegions finds routes that no organisation may use, and organisations that may use no
 // route, by the regions in which requests may be handled.
 func checkRegions(f *Findings, c *routing.Config, t *routing.Table) {
@@ -209,6 +213,10 @@
 	for _, o := range c.Organisations {
 		orgs[id(o.Regions)] = o.Name
 	}
+	if len(routes)*len(orgs) > maxRegionPairs {
+		f.add(Warning, Place{}, "%d lists of regions of routes and %d of organisations are too many to compare", len(routes), len(orgs))
+		return
+	}
 	usable, mayUse := make(map[string]bool), make(map[string]bool)
 	for r, route := range routes {
 		for o, org := range orgs {
--- a/internal/configcheck/check_test.go
+++ b/internal/configcheck/check_test.go
@@ -126,3 +126,17 @@
 	f.CheckAgainst(next, sound())
 	g.Expect(f.List).To(HaveLen(1))
 }
+
+// A file with many different lists of regions is not compared pair by pair without a bound.
+func TestManyListsOfRegions(t *testing.T) {
+	g, c := NewWithT(t), &routing.Config{Version: 1}
+	for i := range 17000 {
+		c.Routes = append(c.Routes, routing.Route{Regions: []string{fmt.Sprint("north-", i)}})
+		c.Organisations = append(c.Organisations, routing.Organisation{Regions: []string{fmt.Sprint("south-", i)}})
+	}
+	f := &Findings{}
+	checkRegions(f, c, c.Table())
+	g.Expect(f.List).To(HaveLen(1))
+	g.Expect(f.List[0].Severity).To(Equal(Warning))
+	g.Expect(f.OmittedErrors).To(BeZero())
+}
