gateway: an answer that is cut off does not look complete

Cause: a caller that closes its sending side cancels the context of its request. executeEffects then returned in the middle of a stream, and net/http ended the answer with its last chunk: the part of the stream that the caller went on to read looked whole. A caller of HTTP/1.0 sees only the end of the connection, so that there also a stream that was broken off or not read looked whole. Besides, a connection that was closed because its caller does not read left up to two send buffers in the kernel. A reset in all cases: a caller of HTTP/1.1 whose upstream broke off still gets what was sent. The test of the writer now asks for the reset in place of a plain end: as strict, since it still asks that the connection ends, and says how. Conclusion: the handler aborts when the caller has left after the header was written; writers reset peers that do not read.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -54,6 +54,9 @@
 	metrics *metrics
 	// writer is nil if the connection does not expose its socket.
 	writer *sockets.Writer
+	// unframed means that an answer without a length ends with the connection (HTTP/1.0). It
+	// is set before the request is dispatched.
+	unframed bool
 	// backlog is not nil while the answer is a stream. It belongs to the server's goroutine.
 	backlog *sockets.Backlog
 	// head is what the head of the request being read takes, in bytes, and headHold the room
@@ -169,7 +172,7 @@
 // GrowBacklog implements sockets.Account.
 func (c *callerConn) GrowBacklog(n int) bool {
 	if c.aheadHold == nil {
-		c.aheadHold = newHold("", c.abort)
+		c.aheadHold = newHold("", c.writer.Reset)
 		// What the kernel keeps counts too.
 		n += 2 * sendBuffer
 	}
@@ -190,10 +193,13 @@
 	c.metrics.recordGaveWay(k.Name(), "slow")
 }
 
-// abort closes the connection and drops what has not been written; c may be nil.
+// abort closes the connection and drops what has not been written, in a way that does not
+// complete the answer; c may be nil.
 func (c *callerConn) abort() {
 	switch {
 	case c == nil:
+	case c.writer != nil && c.unframed:
+		c.writer.Reset()
 	case c.writer != nil:
 		c.writer.Abort()
 	default:
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -38,6 +38,7 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if conn, ok := connOf(r).(*callerConn); ok {
 		defer conn.enterHandler()()
+		conn.unframed = !r.ProtoAtLeast(1, 1)
 	}
 	if g.draining.Load() || g.pressure.isHigh() || g.conns.crowded() || len(r.TransferEncoding) > 0 || offloadedFrom(r) != "" {
 		// An offloaded connection takes processor time of two routers. Nothing is read after a chunked body: if an intermediary computes the body's
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -24,14 +24,14 @@
 	for {
 		select {
 		case <-r.Context().Done():
-			g.logEnd(c, "left", "", 0)
+			g.endLeft(c)
 			return
 		case e := <-c.effects:
 			switch e := e.(type) {
 			case dispatch.Send:
 				if callerDisconnected(r) {
 					g.step(dispatch.CallerLeft{ID: c.key})
-					g.logEnd(c, "left", "", 0)
+					g.endLeft(c)
 					return
 				}
 				if g.attempt(w, c, e) {
@@ -51,6 +51,21 @@
 	}
 }
 
+// endLeft ends a call whose caller has left. Its sending side may be all that it has closed.
+func (g *Gateway) endLeft(c *call) {
+	g.logEnd(c, "left", "", 0)
+	if c.wroteHeader {
+		c.cutOff()
+	}
+}
+
+// cutOff ends an answer whose beginning has been written. Closing the connection is the only
+// way to signal that it is incomplete; a handler that returns completes it.
+func (c *call) cutOff() {
+	c.conn.abort()
+	panic(http.ErrAbortHandler)
+}
+
 // refusalStatus returns the status of a refusal: 429 tells an organisation that it asks
 // for more than its share, 503 that the service has no room.
 func refusalStatus(reason dispatch.Reason) int {
@@ -68,10 +83,7 @@
 	}
 	if c.wroteHeader {
 		g.logEnd(c, "broken-off", string(e.Reason), 0)
-		// Closing the connection is the only way to signal that the answer is
-		// incomplete.
-		c.conn.abort()
-		panic(http.ErrAbortHandler)
+		c.cutOff()
 	}
 	if c.lastFailure != nil && !e.Timeout {
 		g.logEnd(c, "failed", string(e.Reason), c.lastFailure.status)
--- a/internal/sockets/ahead.go
+++ b/internal/sockets/ahead.go
@@ -165,10 +165,11 @@
 	return true
 }
 
-// end closes the connection because its peer did not read. The caller holds mu.
+// end resets the connection because its peer did not read. The caller holds mu.
 func (w *Writer) end(err error) {
 	w.failed = err
 	w.kept = nil
+	w.resetOnClose()
 	w.conn.Close()
 	w.change.Broadcast()
 	w.account.EndedUnread(err)
@@ -247,6 +248,7 @@
 	w.mu.Lock()
 	if err != nil {
 		w.failed = stalled(err)
+		w.resetOnClose()
 		return n, w.failed
 	}
 	return n, w.conn.SetWriteDeadline(time.Time{})
@@ -274,10 +276,24 @@
 	return w.conn.CloseWrite()
 }
 
+// resetOnClose makes Close reset the connection: the kernel keeps nothing for a peer that does
+// not read, and the end does not look like that of an answer that ends with its connection.
+func (w *Writer) resetOnClose() {
+	_ = w.conn.SetLinger(0) // fails only on a closed connection
+}
+
+// Reset is Abort, and drops what the kernel has not sent.
+func (w *Writer) Reset() { w.abort(true) }
+
 // Abort closes the connection and drops the backlog: what the peer has got is not all.
-func (w *Writer) Abort() {
+func (w *Writer) Abort() { w.abort(false) }
+
+func (w *Writer) abort(reset bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if reset {
+		w.resetOnClose()
+	}
 	if w.failed == nil {
 		w.failed = net.ErrClosed
 	}
--- a/internal/sockets/ahead_test.go
+++ b/internal/sockets/ahead_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,7 +70,8 @@
 	g.Expect(a.most.Load()).To(BeNumerically("<=", b.Limit))
 }
 
-// A peer that reads nothing ends its own connection: by the bound of the backlog, by lack of
+// A peer that reads nothing ends its own connection, which is reset so that the kernel keeps
+// nothing for it: by the bound of the backlog, by lack of
 // memory, and by the stall time, with a backlog and without.
 func TestWriterEndsWithoutReader(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -104,7 +107,7 @@
 			}
 			w.Abort()
 			_, err = io.Copy(io.Discard, far)
-			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
 		})
 	}
 }
