gateway: no handler begins on a connection that is being closed

Cause: a connection that was chosen as unused was closed later, for a new connection even by a goroutine of its own. A request that was read in between was passed on and lost its answer. The same held for one that came while the backlog of a stream was still written before the close. Ruled out: to check for unread bytes once more before the close; a request that has been read by then leaves none. Before and after: TestClosedIdleConnectionRunsNothing failed (the answer of a running handler hit a closed connection) and passes. Conclusion: either the handler sees that the connection is being closed and aborts before anything is passed on, or the close sees the handler and leaves the connection alone.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -49,6 +49,9 @@
 	// run yet, also from when a connection of another router is taken; inHandler while a
 	// handler runs.
 	readPending, inHandler atomic.Bool
+	// closed means that the connection is being closed: no handler may begin, since its answer
+	// would be lost.
+	closed atomic.Bool
 
 	room    *room
 	metrics *metrics
@@ -222,8 +225,20 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// markClosed marks that the connection is being closed. It reports false if a handler runs.
+func (c *callerConn) markClosed() bool {
+	c.closed.Store(true)
+	// A handler that begins now sees closed.
+	if c.inHandler.Load() {
+		c.closed.Store(false)
+		return false
+	}
+	return true
+}
+
+// Close implements net.Conn. A backlog is written before, and a request may arrive meanwhile.
 func (c *callerConn) Close() error {
+	c.closed.Store(true)
 	if c.writer == nil {
 		return c.TCPConn.Close()
 	}
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -14,6 +16,32 @@
 	"github.com/jujubeford/jujubeford/internal/porttest"
 )
 
+// TestClosedIdleConnectionRunsNothing: a connection is closed as unused, or a handler runs for
+// it, but not both: a request that has been passed on gets its answer.
+func TestClosedIdleConnectionRunsNothing(t *testing.T) {
+	g := NewWithT(t)
+	near, far := porttest.ConnPair(t)
+	tracked := newConns(1)
+	conn := tracked.wrap(near.(*net.TCPConn), nil)
+	tracked.onConnState(conn, http.StateNew)
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r = r.WithContext(withConn(r.Context(), conn))
+
+	evicted := tracked.evictIdle(time.Now().Add(time.Hour), time.Minute)
+	g.Expect(evicted).To(ConsistOf(conn))
+	leave := conn.enterHandler()
+	closeIdle(conn)
+	_, err := conn.Write([]byte("answer"))
+	g.Expect(err).NotTo(HaveOccurred(), "a handler runs")
+	leave()
+
+	closeIdle(conn)
+	_, err = io.ReadFull(far, make([]byte, len("answer")))
+	g.Expect(err).NotTo(HaveOccurred())
+	gw := &Gateway{pressure: pressure{admission: newAdmission(0)}, conns: tracked}
+	g.Expect(func() { gw.serveCaller(httptest.NewRecorder(), r) }).To(PanicWith(http.ErrAbortHandler))
+}
+
 // TestHeadsTakeRoom: the room that a head takes is that of its text and its lines, however it is
 // cut into reads, without the body that follows; it is given back with the request.
 func TestHeadsTakeRoom(t *testing.T) {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -38,6 +38,9 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if conn, ok := connOf(r).(*callerConn); ok {
 		defer conn.enterHandler()()
+		if conn.closed.Load() {
+			panic(http.ErrAbortHandler)
+		}
 		conn.unframed = !r.ProtoAtLeast(1, 1)
 	}
 	if g.draining.Load() || g.pressure.isHigh() || g.conns.crowded() || len(r.TransferEncoding) > 0 || offloadedFrom(r) != "" {
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -146,7 +146,7 @@
 		return false
 	}
 	delete(c.idle, longest)
-	go longest.Close()
+	go closeIdle(longest)
 	return true
 }
 
@@ -175,10 +175,19 @@
 // unread request stay open.
 func (c *conns) sweep(now time.Time, limit time.Duration) {
 	for _, conn := range c.evictIdle(now, limit) {
-		conn.Close()
+		closeIdle(conn)
 	}
 }
 
+// closeIdle closes a connection that was found without a request, unless a handler runs for it
+// by now.
+func closeIdle(conn net.Conn) {
+	if caller, ok := conn.(*callerConn); ok && !caller.markClosed() {
+		return
+	}
+	conn.Close()
+}
+
 // evictIdle removes the connections that sweep has to close from the idle ones and
 // returns them.
 func (c *conns) evictIdle(now time.Time, limit time.Duration) (list []net.Conn) {
