gateway: silent connections are bounded without processor time too

Cause: with no processor time left, connections are accepted without the check for room. One whose request has not arrived then takes a descriptor, a goroutine and a buffer for two seconds, and nothing bounds how many do: a few thousand a second exceed the descriptors and the memory. Ruled out: the check before every accept; a request that has arrived is answered and closed at once and needs no room. Before and after: TestSilentConnectionsAreBoundedInAFlood held 40 of 40 connections where 10 are allowed, and now holds no more than these. Conclusion: what is left to a goroutine passes the same check as elsewhere; it is counted when the goroutine starts, not once it runs.

--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -98,10 +98,7 @@
 			c.Close()
 			continue
 		}
-		if !l.g.conns.makeRoom() {
-			// The request has not been read, so its caller may come again.
-			logs.Info("accept-full", "Gateway: too many connections, a new one was closed.")
-			l.g.metrics.recordShed("left")
+		if !l.hasRoom() {
 			c.Close()
 			continue
 		}
@@ -123,6 +120,17 @@
 	}
 }
 
+// hasRoom reports whether there is room for a new connection. If there is none, it is to be
+// closed: its request has not been read, so its caller may come again.
+func (l *shedListener) hasRoom() bool {
+	if l.g.conns.makeRoom() {
+		return true
+	}
+	logs.Info("accept-full", "Gateway: too many connections, a new one was closed.")
+	l.g.metrics.recordShed("left")
+	return false
+}
+
 // isTemporary reports whether accepting can succeed again after an error: once
 // descriptors or memory are available, or with the next caller.
 func isTemporary(err error) bool {
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -52,6 +52,10 @@
 			return
 		}
 	}
+	if !l.hasRoom() {
+		_ = sockets.CloseUnpolled(fd) // the connection is gone in any case
+		return
+	}
 	c, err := sockets.Polled(fd)
 	if err != nil {
 		logs.Info("shed", "Gateway: a connection to refuse cannot be used, closed.", "err", err)
@@ -104,8 +108,10 @@
 // startRefusal runs refuse in a goroutine, which a stop waits for.
 func (l *shedListener) startRefusal(u unadmitted) {
 	l.g.conns.refusals.Add(1)
+	l.g.conns.refusing.Add(1)
 	go func() {
 		defer l.g.conns.refusals.Add(-1)
+		defer l.g.conns.refusing.Add(-1)
 		l.refuse(u)
 	}()
 }
@@ -116,8 +122,6 @@
 // the server.
 func (l *shedListener) refuse(u unadmitted) {
 	c, served := u.conn, false
-	l.g.conns.refusing.Add(1)
-	defer l.g.conns.refusing.Add(-1)
 	defer func() {
 		if !served {
 			c.Close()
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -308,6 +309,28 @@
 	g.Eventually(ended, 30*time.Second).Should(Receive(MatchError(http.ErrServerClosed)))
 }
 
+// TestSilentConnectionsAreBoundedInAFlood: with no processor time, connections that send nothing
+// take no more descriptors than there are.
+func TestSilentConnectionsAreBoundedInAFlood(t *testing.T) {
+	g := NewWithT(t)
+	const limit, silent = 10, 40
+	addr, _, gw := startPreparedShedListener(t, 1e-9, anonymous{}, func(gw *Gateway) { gw.conns = newConns(limit) })
+	var open []net.Conn
+	for range silent {
+		c, err := net.Dial("tcp4", addr)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		open = append(open, c)
+	}
+	var most int64
+	g.Eventually(func() []net.Conn {
+		most = max(most, gw.conns.refusals.Load())
+		open = slices.DeleteFunc(open, sockets.ClosedByPeer)
+		return open
+	}, 30*time.Second, time.Millisecond).Should(BeEmpty())
+	g.Expect(most).To(BeNumerically("<=", limit))
+}
+
 // BenchmarkFlood measures refusals of requests that have arrived by the time their
 // connections are accepted, without the callers' part: with a goroutine each and without.
 func BenchmarkFlood(b *testing.B) {
