gateway: a body or a head gives way or has arrived, never both

Cause: a hold that had to give way was marked only after the account's lock was free. A body that arrived in between was dispatched, and then the read deadline of giveWay ended its request, as if the caller had left. A head that gave way was handled all the same, on a connection that was about to be closed: what it passed on lost its answer. Ruled out: a check after settling alone; the mark could still come later. Conclusion: the mark is set by the step that drops the hold, under the lock, and settling reports it; such a body is refused as not run, and no handler begins for such a head.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -148,8 +148,8 @@
 	case err != nil && err != io.EOF:
 		return false, err
 	}
-	if b.hold != nil {
-		b.g.room.settle(b.hold, b.body.Len())
+	if b.hold != nil && !b.g.room.settle(b.hold, b.body.Len()) {
+		return false, errBodyStalled
 	}
 	return true, nil
 }
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -280,8 +280,8 @@
 	c.inHandler.Store(true)
 	c.clearReadPending()
 	c.backlog = nil
-	if c.headHold != nil {
-		c.room.settle(c.headHold, c.head)
+	if c.headHold != nil && !c.room.settle(c.headHold, c.head) {
+		c.closed.Store(true)
 	}
 	return func() {
 		// The server may read the rest of a refused request before the next head.
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -25,7 +25,8 @@
 	granted chan struct{}
 	// giveWay ends the request or the connection. It is called in a goroutine of its own.
 	giveWay func()
-	// gone is closed when the hold had to give way, and isGone set before.
+	// gone is closed when the hold had to give way, and isGone set before, both by the step of
+	// the account that drops it.
 	gone   chan struct{}
 	isGone atomic.Bool
 }
@@ -49,11 +50,12 @@
 	if r == nil {
 		return true
 	}
+	r.mu.Lock()
 	if h.isGone.Load() {
+		r.mu.Unlock()
 		return false
 	}
-	r.mu.Lock()
-	gaveWay := r.state.Grow(&h.Holder, k, int64(n))
+	gaveWay := r.mark(r.state.Grow(&h.Holder, k, int64(n)))
 	r.mu.Unlock()
 	r.end(gaveWay, k)
 	return !h.isGone.Load()
@@ -92,14 +94,19 @@
 	r.state.Moved(now, &h.Holder, int64(n))
 }
 
-// settle records that a body or a head has arrived whole.
-func (r *room) settle(h *hold, n int) {
+// settle records that a body or a head has arrived whole: it does not give way any more. It
+// reports false if it has had to already.
+func (r *room) settle(h *hold, n int) bool {
 	if r == nil {
-		return
+		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if h.isGone.Load() {
+		return false
+	}
 	r.grant(r.state.Settle(time.Now(), &h.Holder, int64(n)))
+	return true
 }
 
 // release frees what a hold has; h may be nil.
@@ -117,9 +124,10 @@
 	r.mu.Lock()
 	gaveWay, granted := r.state.Tick(now, stall)
 	r.grant(granted)
+	ended := r.mark(gaveWay)
 	r.mu.Unlock()
-	for _, h := range gaveWay {
-		r.end([]*holding.Holder{h}, h.Kind())
+	for _, h := range ended {
+		r.end([]*hold{h}, h.Kind())
 	}
 }
 
@@ -130,14 +138,21 @@
 	}
 }
 
-// end ends those that had to give way.
-func (r *room) end(gaveWay []*holding.Holder, k holding.Kind) {
+// mark marks those that had to give way as gone, and returns those that were not. The caller
+// holds mu.
+func (r *room) mark(gaveWay []*holding.Holder) (ended []*hold) {
 	for _, holder := range gaveWay {
-		h := holder.Owner.(*hold)
-		if !h.isGone.CompareAndSwap(false, true) {
-			continue
+		if h := holder.Owner.(*hold); h.isGone.CompareAndSwap(false, true) {
+			close(h.gone)
+			ended = append(ended, h)
 		}
-		close(h.gone)
+	}
+	return ended
+}
+
+// end ends those that are marked.
+func (r *room) end(ended []*hold, k holding.Kind) {
+	for _, h := range ended {
 		logs.Info("gave-way", "Gateway: memory held for a caller was needed for others.", "org", h.Caller, "kind", k.Name())
 		r.metrics.recordGaveWay(k.Name(), "room")
 		go h.giveWay()
