gateway: a body of HTTP/1.0 without a length is refused

Cause: net/http ignores Transfer-Encoding in a request of HTTP/1.0 and takes its body for an empty one, so that the request was passed on without it. Ruled out: to look for the field: net/http has removed it by then. Requests with a length and methods without a body are served as before. Conclusion: POST, PUT and PATCH of HTTP/1.0 need a length, as RFC 1945 has it; the refusal is counted as body-unreadable.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -218,6 +218,15 @@
 	}
 }
 
+// lacksLength reports whether the length of a request's body is unknown. HTTP/1.0 needs one for
+// these methods; net/http takes the body for an empty one, also if it comes in chunks.
+func lacksLength(r *http.Request) bool {
+	if r.ProtoAtLeast(1, 1) || r.Header.Get("Content-Length") != "" {
+		return false
+	}
+	return r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch
+}
+
 // boundRefusal bounds what is read of the rest of a request that is refused before its body has
 // been read: net/http reads on for up to 256 KiB.
 func boundRefusal(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -107,6 +107,9 @@
 	if n := table.Limits.HeaderBytes; n > 0 && headerSize(r) > n {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header-too-large"}
 	}
+	if lacksLength(r) {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "body-unreadable"}
+	}
 	charged := g.conns.takeCharge(connOf(r))
 	if g.pressure.shouldShed() {
 		return nil, overloadRefusal(w)
