gateway: a body is read no longer than its request may last

Cause: a body of which a little came at a time was read for up to 30 s, whatever its caller's deadline or its route's timeout, and again as long after each step of room. Its caller had no answer at the timeout, and its room was held for a request that could not run any more. Ruled out: a minimum rate for all bodies; slow callers are served while there is room and time. Before and after: TestBodyThatOutlastsItsRequestIsRefused got no answer in 10 s to a request of 500 ms, and gets 408 and no run. Conclusion: the read deadline of a body ends with its request.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -51,8 +51,9 @@
 	// limit is in bytes.
 	limit int64
 	stall time.Duration
-	// end is when the whole body must have arrived, and roomBy when there must be room for it.
-	end, roomBy time.Time
+	// deadline is when the request has to end, end when the whole body must have arrived, and
+	// roomBy when there must be room for it.
+	deadline, end, roomBy time.Time
 	// deadlineAt is when the read deadline was set.
 	deadlineAt time.Time
 	caller     string
@@ -63,7 +64,7 @@
 // readBody reads the whole body of a request. Only then does net/http notice that the
 // caller closes its connection while the request waits. The hold, which may be nil, is
 // released by the caller of readBody.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, caller string, roomBy time.Time) (holding.Body, *hold, *refusal) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, caller string, started time.Time, left time.Duration) (holding.Body, *hold, *refusal) {
 	limit := limits.BodyBytes
 	if limit <= 0 {
 		limit = answerBytes
@@ -75,7 +76,8 @@
 		return nil, nil, nil
 	}
 	b := &bodyReader{
-		g: g, r: r, conn: connOf(r), limit: limit, stall: bodyStall(limits), end: time.Now().Add(bodyTimeout), roomBy: roomBy, caller: caller,
+		g: g, r: r, conn: connOf(r), limit: limit, stall: bodyStall(limits), caller: caller,
+		deadline: started.Add(left), roomBy: started.Add(time.Duration(roomShare * float64(left))),
 	}
 	err := b.read()
 	b.setDeadline(time.Time{})
@@ -102,7 +104,7 @@
 // the rest. Room for a step is taken before it is read.
 func (b *bodyReader) read() error {
 	length := b.r.ContentLength
-	b.extend()
+	b.begin()
 	first := int64(inlineBody)
 	if length > 0 {
 		first = min(first, length)
@@ -171,11 +173,19 @@
 		}
 		return errNoRoom
 	}
-	b.end = time.Now().Add(bodyTimeout)
-	b.extend()
+	b.begin()
 	return nil
 }
 
+// begin gives the body its time from now. What arrives after the end of the request is of no
+// use.
+func (b *bodyReader) begin() {
+	if b.end = time.Now().Add(bodyTimeout); b.end.After(b.deadline) {
+		b.end = b.deadline
+	}
+	b.extend()
+}
+
 // Read implements io.Reader. The deadline moves on as long as something arrives.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	for {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -148,7 +148,7 @@
 		g.pressure.admission.recordRefusal()
 		return nil, overloadRefusal(w)
 	}
-	body, hold, refused := g.readBody(w, r, table.Limits, org, started.Add(time.Duration(roomShare*float64(timeout))))
+	body, hold, refused := g.readBody(w, r, table.Limits, org, started, boundedBy(route, timeout))
 	if refused != nil {
 		return nil, refused
 	}
@@ -169,6 +169,14 @@
 	return c, nil
 }
 
+// boundedBy is how long a request on a route may last whose caller waits for a time.
+func boundedBy(route *routing.Route, timeout time.Duration) time.Duration {
+	if route.Timeout > 0 {
+		return min(timeout, route.Timeout)
+	}
+	return timeout
+}
+
 // callerTimeout is how long a caller waits.
 func callerTimeout(c Caller) time.Duration {
 	if c.Timeout <= 0 {
@@ -184,10 +192,7 @@
 	if !g.draining.Load() || now.Sub(g.stopping) < rotationDelay {
 		return true
 	}
-	if route.Timeout > 0 {
-		timeout = min(timeout, route.Timeout)
-	}
-	return now.Add(timeout).Before(g.stopEnd.Add(-endMargin))
+	return now.Add(boundedBy(route, timeout)).Before(g.stopEnd.Add(-endMargin))
 }
 
 // overloadRefusal refuses a request for lack of processor time and asks the caller to
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -211,8 +211,8 @@
 	p.org = l.g.organisationOf(p.caller)
 	timeout := callerTimeout(p.caller)
 	if table := l.g.table.Load(); table != nil {
-		if route := table.Match(r.Host, r.URL.EscapedPath()); route != nil && route.Timeout > 0 {
-			timeout = min(timeout, route.Timeout)
+		if route := table.Match(r.Host, r.URL.EscapedPath()); route != nil {
+			timeout = boundedBy(route, timeout)
 		}
 	}
 	p.expiresAt = sentAt.Add(timeout)
