--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -49,11 +49,17 @@
 	// run yet, also from when a connection of another router is taken; inHandler while a
 	// handler runs.
 	readPending, inHandler atomic.Bool
+	// closed means that the connection is being closed: no handler may begin, since its answer
+	// would be lost.
+	closed atomic.Bool
 
 	room    *room
 	metrics *metrics
 	// writer is nil if the connection does not expose its socket.
 	writer *sockets.Writer
+	// unframed means that an answer without a length ends with the connection (HTTP/1.0). It
+	// is set before the request is dispatched.
+	unframed bool
 	// backlog is not nil while the answer is a stream. It belongs to the server's goroutine.
 	backlog *sockets.Backlog
 	// head is what the head of the request being read takes, in bytes, and headHold the room
@@ -169,7 +175,7 @@
 // GrowBacklog implements sockets.Account.
 func (c *callerConn) GrowBacklog(n int) bool {
 	if c.aheadHold == nil {
-		c.aheadHold = newHold("", c.abort)
+		c.aheadHold = newHold("", c.writer.Reset)
 		// What the kernel keeps counts too.
 		n += 2 * sendBuffer
 	}
@@ -190,10 +196,13 @@
 	c.metrics.recordGaveWay(k.Name(), "slow")
 }
 
-// abort closes the connection and drops what has not been written; c may be nil.
+// abort closes the connection and drops what has not been written, in a way that does not
+// complete the answer; c may be nil.
 func (c *callerConn) abort() {
 	switch {
 	case c == nil:
+	case c.writer != nil && c.unframed:
+		c.writer.Reset()
 	case c.writer != nil:
 		c.writer.Abort()
 	default:
@@ -216,8 +225,20 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// markClosed marks that the connection is being closed. It reports false if a handler runs.
+func (c *callerConn) markClosed() bool {
+	c.closed.Store(true)
+	// A handler that begins now sees closed.
+	if c.inHandler.Load() {
+		c.closed.Store(false)
+		return false
+	}
+	return true
+}
+
+// Close implements net.Conn. A backlog is written before, and a request may arrive meanwhile.
 func (c *callerConn) Close() error {
+	c.closed.Store(true)
 	if c.writer == nil {
 		return c.TCPConn.Close()
 	}
@@ -259,8 +280,8 @@
 	c.inHandler.Store(true)
 	c.clearReadPending()
 	c.backlog = nil
-	if c.headHold != nil {
-		c.room.settle(c.headHold, c.head)
+	if c.headHold != nil && !c.room.settle(c.headHold, c.head) {
+		c.closed.Store(true)
 	}
 	return func() {
 		// The server may read the rest of a refused request before the next head.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -38,6 +38,10 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	if conn, ok := connOf(r).(*callerConn); ok {
 		defer conn.enterHandler()()
+		if conn.closed.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		conn.unframed = !r.ProtoAtLeast(1, 1)
 	}
 	if g.draining.Load() || g.pressure.isHigh() || g.conns.crowded() || len(r.TransferEncoding) > 0 || offloadedFrom(r) != "" {
 		// An offloaded connection takes processor time of two routers. Nothing is read after a chunked body: if an intermediary computes the body's
@@ -103,6 +107,9 @@
 	if n := table.Limits.HeaderBytes; n > 0 && headerSize(r) > n {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header-too-large"}
 	}
+	if lacksLength(r) {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "body-unreadable"}
+	}
 	charged := g.conns.takeCharge(connOf(r))
 	if g.pressure.shouldShed() {
 		return nil, overloadRefusal(w)
@@ -141,7 +148,7 @@
 		g.pressure.admission.recordRefusal()
 		return nil, overloadRefusal(w)
 	}
-	body, hold, refused := g.readBody(w, r, table.Limits, org, started.Add(time.Duration(roomShare*float64(timeout))))
+	body, hold, refused := g.readBody(w, r, table.Limits, org, started, boundedBy(route, timeout))
 	if refused != nil {
 		return nil, refused
 	}
@@ -162,6 +169,14 @@
 	return c, nil
 }
 
+// boundedBy is how long a request on a route may last whose caller waits for a time.
+func boundedBy(route *routing.Route, timeout time.Duration) time.Duration {
+	if route.Timeout > 0 {
+		return min(timeout, route.Timeout)
+	}
+	return timeout
+}
+
 // callerTimeout is how long a caller waits.
 func callerTimeout(c Caller) time.Duration {
 	if c.Timeout <= 0 {
@@ -177,10 +192,7 @@
 	if !g.draining.Load() || now.Sub(g.stopping) < rotationDelay {
 		return true
 	}
-	if route.Timeout > 0 {
-		timeout = min(timeout, route.Timeout)
-	}
-	return now.Add(timeout).Before(g.stopEnd.Add(-endMargin))
+	return now.Add(boundedBy(route, timeout)).Before(g.stopEnd.Add(-endMargin))
 }
 
 // overloadRefusal refuses a request for lack of processor time and asks the caller to
--- a/internal/gateway/shed.go
+++ b/internal/gateway/shed.go
@@ -52,6 +52,10 @@
 			return
 		}
 	}
+	if !l.hasRoom() {
+		_ = sockets.CloseUnpolled(fd) // the connection is gone in any case
+		return
+	}
 	c, err := sockets.Polled(fd)
 	if err != nil {
 		logs.Info("shed", "Gateway: a connection to refuse cannot be used, closed.", "err", err)
@@ -104,8 +108,10 @@
 // startRefusal runs refuse in a goroutine, which a stop waits for.
 func (l *shedListener) startRefusal(u unadmitted) {
 	l.g.conns.refusals.Add(1)
+	l.g.conns.refusing.Add(1)
 	go func() {
 		defer l.g.conns.refusals.Add(-1)
+		defer l.g.conns.refusing.Add(-1)
 		l.refuse(u)
 	}()
 }
@@ -116,8 +122,6 @@
 // the server.
 func (l *shedListener) refuse(u unadmitted) {
 	c, served := u.conn, false
-	l.g.conns.refusing.Add(1)
-	defer l.g.conns.refusing.Add(-1)
 	defer func() {
 		if !served {
 			c.Close()
@@ -207,8 +211,8 @@
 	p.org = l.g.organisationOf(p.caller)
 	timeout := callerTimeout(p.caller)
 	if table := l.g.table.Load(); table != nil {
-		if route := table.Match(r.Host, r.URL.EscapedPath()); route != nil && route.Timeout > 0 {
-			timeout = min(timeout, route.Timeout)
+		if route := table.Match(r.Host, r.URL.EscapedPath()); route != nil {
+			timeout = boundedBy(route, timeout)
 		}
 	}
 	p.expiresAt = sentAt.Add(timeout)
