--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -97,12 +97,12 @@
 	}
 }
 
-// availableAt returns when the first upstream of a service takes work: now if one does
-// already, else the earliest end of the exclusions. ok is false if all upstreams are
+// availableTo returns when the first upstream that a request may reach takes work: now if one
+// does already, else the earliest end of the exclusions. ok is false if all of them are
 // leaving or replaced, or there are none.
-func (s *State) availableAt(now time.Time, service string) (at time.Time, ok bool) {
-	for _, u := range s.services[service] {
-		if u.replaced || u.isLeaving(now) {
+func (s *State) availableTo(now time.Time, r *request) (at time.Time, ok bool) {
+	for _, u := range s.services[r.Service] {
+		if !s.mayReach(r, u) || u.replaced || u.isLeaving(now) {
 			continue
 		}
 		back := laterOf(s.nextColdSend(now, u), u.unavailableUntil)
--- a/internal/dispatch/heldback_test.go
+++ b/internal/dispatch/heldback_test.go
@@ -53,6 +53,7 @@
 // up one that finds out.
 func TestWaitingRequestDoesNotHoldUpOneThatFindsOut(t *testing.T) {
 	f := newFixture(t, 1)
+	f.options.Pace = true
 	f.recordEnd(f.now, f.upstreams["p00"])
 	f.arriveFor("a", booking, plain, 0)
 	found := f.arriveFor("b", lookup, plain, 0)
