--- a/review/6/main.go
+++ b/review/6/main.go
@@ -23,10 +23,10 @@
 
 func main() { rig.Main("6", run) }
 
-func run(record *rig.Record, store *rig.Store, withTrouble bool) (*rig.Deployment, int, error) {
+func run(record *rig.Record, store *rig.Store, withTrouble bool) (int, error) {
 	d, err := rig.NewDeployment(record, store, "za", "zb", "zc")
 	if err != nil {
-		return d, rig.NotRun, err
+		return rig.NotRun, err
 	}
 	store.Put("op/config", rig.Config(1,
 		`{"name":"book","host":"h.example","prefix":"/book/","kind":"unsafe","timeoutMs":1500,"targetLatencyMs":300,"priority":1,"service":"app","maxAttempts":1,"public":false}`,
@@ -39,13 +39,13 @@
 			return http.StatusServiceUnavailable, inTrouble.Load() && rand.Float64() < failing
 		}
 		if err := p.Start(); err != nil {
-			return d, rig.NotRun, err
+			return rig.NotRun, err
 		}
 		store.Put(p.Key(), p.Entry("ready"))
 		replicas = append(replicas, p)
 	}
 	if err := d.Start(); err != nil {
-		return d, rig.NotRun, err
+		return rig.NotRun, err
 	}
 	record.Say("%d routers are ready", len(d.Routers))
 	// attempts holds the attempts of each booking.
@@ -128,8 +128,8 @@
 	record.Say("%d bookings; %d attempts were answered 503 though they had run, %d bookings were made twice", bookings, refusedAndRun, twice)
 	if refusedAndRun > 0 {
 		record.Say("REFUSED is broken")
-		return d, rig.Broken, nil
+		return rig.Broken, nil
 	}
 	record.Say("REFUSED held")
-	return d, rig.Held, nil
+	return rig.Held, nil
 }
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -26,14 +26,14 @@
 
 func main() { rig.Main("7", run) }
 
-func run(record *rig.Record, store *rig.Store, trouble bool) (*rig.Deployment, int, error) {
+func run(record *rig.Record, store *rig.Store, trouble bool) (int, error) {
 	var zones []string
 	for _, z := range []string{"za", "zb"} {
 		zones = append(zones, slices.Repeat([]string{z}, perZone)...)
 	}
 	d, err := rig.NewDeployment(record, store, zones...)
 	if err != nil {
-		return d, rig.NotRun, err
+		return rig.NotRun, err
 	}
 	store.Put("op/config", rig.Config(1,
 		`{"name":"book","host":"h.example","prefix":"/book/","kind":"unsafe","timeoutMs":1500,"targetLatencyMs":300,"priority":1,"service":"app","maxAttempts":1,"public":false}`,
@@ -42,14 +42,14 @@
 	for i, zone := range []string{"za", "za", "zb", "zb"} {
 		p := &rig.Replica{ID: fmt.Sprintf("i-%d", i+1), Service: "app", Zone: zone, Slots: 16, Queue: 24, Work: 100 * time.Millisecond, Record: record}
 		if err := p.Start(); err != nil {
-			return d, rig.NotRun, err
+			return rig.NotRun, err
 		}
 		store.Put(p.Key(), p.Entry("ready"))
 		replicas = append(replicas, p)
 	}
 	leaving := replicas[0]
 	if err := d.Start(); err != nil {
-		return d, rig.NotRun, err
+		return rig.NotRun, err
 	}
 	record.Say("%d routers are ready", len(d.Routers))
 
@@ -125,7 +125,7 @@
 	for _, r := range others {
 		if r.Ended() {
 			record.Say("%s has ended", r.Name)
-			return d, rig.NotRun, nil
+			return rig.NotRun, nil
 		}
 	}
 	byID := map[string]rig.Result{}
@@ -154,9 +154,9 @@
 	record.Say("consumers: %v", outcomes)
 	if late == 0 {
 		record.Say("DRAIN held: no request reached %s later than %v after its entry was removed", leaving.ID, drain)
-		return d, rig.Held, nil
+		return rig.Held, nil
 	}
 	record.Say("DRAIN is broken: %d requests reached %s later than %v after its entry was removed, the last %.3f s after; %d of them were lost as it exited",
 		late, leaving.ID, drain, last.Sub(gone).Seconds(), lost)
-	return d, rig.Broken, nil
+	return rig.Broken, nil
 }
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -41,21 +41,21 @@
 	services = `{"name":"app","healthPath":"/health","maxConns":96,"protocol":"h1","tls":false}`
 )
 
-func run(record *rig.Record, store *rig.Store, trouble bool) (*rig.Deployment, int, error) {
+func run(record *rig.Record, store *rig.Store, trouble bool) (int, error) {
 	d, err := rig.NewDeployment(record, store, "za", "za", "zb", "zb", "zc", "zc")
 	if err != nil {
-		return d, rig.NotRun, err
+		return rig.NotRun, err
 	}
 	store.Put("op/config", rig.Config(1, oldRoute, services))
 	for i, zone := range []string{"za", "zb", "zc"} {
 		p := &rig.Replica{ID: fmt.Sprintf("i-%d", i+1), Service: "app", Zone: zone, Slots: 6, Queue: 24, Work: 20 * time.Millisecond, Record: record}
 		if err := p.Start(); err != nil {
-			return d, rig.NotRun, err
+			return rig.NotRun, err
 		}
 		store.Put(p.Key(), p.Entry("ready"))
 	}
 	if err := d.Start(); err != nil {
-		return d, rig.NotRun, err
+		return rig.NotRun, err
 	}
 	record.Say("%d routers are ready", len(d.Routers))
 	stop := make(chan struct{})
@@ -139,12 +139,12 @@
 	count("on the new route", added, func(status int) bool { return status == http.StatusNotFound })
 	count("with the withdrawn key", withdrawn, func(status int) bool { return status == http.StatusOK })
 	if all == 0 {
-		return d, rig.NotRun, fmt.Errorf("nothing was sent after the change")
+		return rig.NotRun, fmt.Errorf("nothing was sent after the change")
 	}
 	if late > 0 {
 		record.Say("CONFIG is broken, the last request was sent %.1f s after the acknowledgement", last.Sub(acknowledged).Seconds())
-		return d, rig.Broken, nil
+		return rig.Broken, nil
 	}
 	record.Say("CONFIG held")
-	return d, rig.Held, nil
+	return rig.Held, nil
 }
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Exits 1 if CONFIG was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the entries.
+# Writes record.txt in this folder: what was sent, answered and run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/jujubeford ] && [ -x target/review/8 ] || { echo "build first: the deploy file's build line, review/build-2.sh"; exit 2; }
 exec target/review/8
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -37,7 +37,7 @@
 
 // Main runs a case that is in a folder of review/, with the disruption unless TROUBLE is 0, and
 // ends the process with the exit code.
-func Main(folder string, run func(record *Record, store *Store, trouble bool) (*Deployment, int, error)) {
+func Main(folder string, run func(record *Record, store *Store, trouble bool) (int, error)) {
 	code := NotRun
 	defer func() { os.Exit(code) }()
 	record, err := NewRecord(filepath.Join("review", folder, "record.txt"))
@@ -59,10 +59,10 @@
 		err  error
 	}
 	ended := make(chan end, 1)
-	var d *Deployment
+	defer closeAll()
 	go func() {
 		var e end
-		d, e.code, e.err = run(record, store, trouble)
+		e.code, e.err = run(record, store, trouble)
 		ended <- e
 	}()
 	stop := make(chan os.Signal, 1)
@@ -78,7 +78,4 @@
 	case <-time.After(115 * time.Second):
 		record.Say("the case takes too long")
 	}
-	if d != nil {
-		d.Close()
-	}
 }
--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -24,6 +24,25 @@
 	Store   *Store
 	Routers []*Router
 	Record  *Record
+
+	// mu guards closed, which keeps routers from being started while they are ended.
+	mu     sync.Mutex
+	closed bool
+}
+
+// opened are the deployments to close at the end.
+var (
+	openedMu sync.Mutex
+	opened   []*Deployment
+)
+
+// closeAll closes all deployments.
+func closeAll() {
+	openedMu.Lock()
+	defer openedMu.Unlock()
+	for _, d := range opened {
+		d.Close()
+	}
 }
 
 // Router is a router's process on a machine of its own.
@@ -107,11 +126,14 @@
 	if err != nil {
 		return nil, err
 	}
+	d := &Deployment{Dir: dir, Store: store, Record: record}
+	openedMu.Lock()
+	opened = append(opened, d)
+	openedMu.Unlock()
 	hosts, err := Hosts(len(zones))
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{Dir: dir, Store: store, Record: record}
 	var seeds, zoneLines []string
 	for i, h := range hosts {
 		if i < 3 {
@@ -156,6 +178,9 @@
 
 // Close ends all routers and removes the files. Logs are kept if KEEP_LOGS names a folder.
 func (d *Deployment) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
 	for _, r := range d.Routers {
 		r.Kill()
 	}
@@ -171,6 +196,11 @@
 
 // Start starts the process with the command of the deploy file, in the repository's root.
 func (r *Router) Start() error {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	if r.d.closed {
+		return fmt.Errorf("the run is over")
+	}
 	log, err := os.OpenFile(r.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
