Promise nothing when an upstream fails a request that it has run

Callers saw: bookings made twice.

Cause: fail() in internal/gateway forwards the last error answer of an upstream whatever its status, although the router knows that the request may have run.

Fix: for requests that must run at most once such an answer becomes a 502 without the upstream's seal and Retry-After. Requests that may be repeated keep the upstream's status, seal and Retry-After. The end of a request logs the upstream's status.

--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -10,6 +10,7 @@
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/exchange"
 	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/routing"
 )
 
 // executeEffects carries out the dispatcher's effects for one call until its final
@@ -75,6 +76,23 @@
 	return http.StatusServiceUnavailable
 }
 
+// promisesNotRun reports whether callers take a status for the promise that their request has
+// not run and never will, so that they repeat work that must run at most once.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// mayForward reports whether an upstream's error answer may be forwarded to the caller. One
+// whose status promises that the request has not run may not, if the request must run at most
+// once: the upstream has not said so itself.
+func (f *upstreamFailure) mayForward(kind routing.Kind) bool {
+	return f != nil && (kind.Repeatable() || !promisesNotRun(f.status))
+}
+
 // fail writes the final answer of a request that may have run.
 func (g *Gateway) fail(w http.ResponseWriter, c *call, e dispatch.Fail) {
 	status := http.StatusBadGateway
@@ -85,7 +103,7 @@
 		g.logEnd(c, "broken-off", string(e.Reason), 0)
 		c.cutOff()
 	}
-	if c.lastFailure != nil && !e.Timeout {
+	if c.lastFailure.mayForward(c.request.Route.Kind) && !e.Timeout {
 		g.logEnd(c, "failed", string(e.Reason), c.lastFailure.status)
 		copyHeader(w.Header(), c.lastFailure.header)
 		w.Header().Set("Content-Length", strconv.Itoa(len(c.lastFailure.body)))
@@ -95,7 +113,11 @@
 		}
 		return
 	}
-	g.logEnd(c, "failed", string(e.Reason), status)
+	var pairs []any
+	if c.lastFailure != nil {
+		pairs = []any{"upstreamStatus", c.lastFailure.status}
+	}
+	g.logEnd(c, "failed", string(e.Reason), status, pairs...)
 	writeStatus(w, status, 0)
 }
 
