Know of leaving upstreams in time when the routers that watch the store are gone

Callers saw: 6 of 7 late bookings lost.

Cause: times that are each within the bound add up. 1.35 to 1.39 s until a silent peer counts as lost and another router watches, and 0.84 to 0.85 s for which a removed entry is retained, counted from when the router heard of the removal. Shown by the logs of three routers. Ruled out: the start of the watch (4 ms), and copies from peers.

Fix: routers tell each other until when their copy of the store's keys is known to be current. One whose copy has not been confirmed for 1.4 s watches the store itself, in order of rank. What is retained after a removal, and what is bound to an upstream that begins to leave, counts from when that may have happened. Copies between peers carry these times.

Also mended by it: watchers whose connection to the store goes silent, and lapsed entries at routers that hear of them from a peer.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -189,6 +189,9 @@
 	// InstancesChanged replaces the list of upstreams and that of evacuated domains.
 	InstancesChanged struct {
 		Instances []Instance
+		// Since is the earliest time at which the last changes of the list may have been made,
+		// zero if that is not known.
+		Since time.Time
 		// Evacuated holds the evacuated failure domains, with the time at which this router
 		// learnt of each. Their upstreams get no new work.
 		Evacuated map[string]time.Time
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -88,9 +88,8 @@
 	// unreachableHold is how long an upstream gets no work after it refused a
 	// connection. Restarting takes an instance longer than that.
 	unreachableHold = 500 * time.Millisecond
-	// maxSendAfterLeaving is how long after this router has learnt that an upstream is
-	// leaving a request that is bound to it may still be sent. The upstream serves for two
-	// seconds, part of which has passed by then.
+	// maxSendAfterLeaving is how long after an upstream has left a request that is bound to
+	// it may still be sent. The upstream serves for two seconds.
 	maxSendAfterLeaving = 1300 * time.Millisecond
 	// queueTimeFraction is the fraction of the latency target after which a request
 	// that still waits can no longer be answered in time.
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -209,7 +209,7 @@
 		s.table = e.Table
 	case InstancesChanged:
 		s.setEvacuations(e.Evacuated)
-		s.setInstances(now, e.Instances)
+		s.setInstances(now, e.Instances, e.Since)
 	case PeerReported:
 		s.setPeer(now, e.Peer, e.Report)
 	case FleetChanged:
@@ -296,8 +296,11 @@
 }
 
 // setInstances replaces the list of upstreams and keeps the state of those that
-// remain.
-func (s *State) setInstances(now time.Time, list []Instance) {
+// remain. since is the earliest time at which an instance of which it is new may have left.
+func (s *State) setInstances(now time.Time, list []Instance, since time.Time) {
+	if since.IsZero() {
+		since = now
+	}
 	seen := make(map[string]bool, len(list))
 	for _, in := range list {
 		seen[in.ID] = true
@@ -314,9 +317,12 @@
 		u.Instance = in
 		u.evacuatedAt = s.evacuated.since[in.Domain]
 		s.applyColdEntry(now, u, isNew)
-		if in.Draining || in.Departed || u.leaving {
+		switch {
+		case in.Departed, u.leaving:
 			u.markLeft(now)
-		} else {
+		case in.Draining:
+			u.markLeft(since)
+		default:
 			u.leftAt = time.Time{}
 		}
 		u.cache.limit = s.cacheLimit(in.Service)
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -63,8 +63,8 @@
 	// departedUntil is until when the entry counts as that of an instance that has left,
 	// because a peer knows it to come from an older copy of the directory.
 	departedUntil time.Time
-	// leftAt is when this router learnt that the instance is leaving or gone, zero if it
-	// is neither.
+	// leftAt is the earliest time at which the instance may have left or announced that it
+	// will, zero if it has not.
 	leftAt time.Time
 	// evacuatedAt is when this router learnt that the upstream's domain is evacuated, zero if
 	// it is not.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -89,13 +89,14 @@
 func (p *peers) catchUp(now time.Time, d *datagram) {
 	own := copySituation{
 		domain: p.g.options.Domain, lastChange: p.g.lastChange(), config: p.g.configVersion(),
-		storeLost: p.g.isStoreLost(), watches: p.mustWatch(),
+		storeLost: p.g.isStoreLost(), watches: p.mustWatch(now),
 	}
 	lastChange := store.Position{Era: d.era, Revision: d.lastChange}
 	if d.era == 0 {
 		// Earlier builds name no era.
 		lastChange.Era = own.lastChange.Era
 	}
+	p.g.confirmCurrent(now, lastChange, d)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	from, due := p.copying.observe(now, own, keysReport{from: d.addr, domain: d.domain, lastChange: lastChange, config: d.config})
--- a/internal/gateway/copying.go
+++ b/internal/gateway/copying.go
@@ -51,6 +51,7 @@
 	Config []byte `json:",omitempty"`
 	// More means that further pieces follow.
 	More bool `json:",omitempty"`
+	ages
 }
 
 // copyKeys takes a copy of a peer's keys, piece by piece, and applies it.
@@ -133,14 +134,17 @@
 	g.mirrorMu.Lock()
 	before := g.mirror.LastChange()
 	p := k.piece(before.Era)
+	g.markCurrentBefore(now, k)
 	var changed bool
 	if p.List {
 		changed = g.replaceMirror(now, p.Entries, p.At)
 	} else {
 		changed = g.mirror.Apply(now, p.Changes, p.At)
 	}
+	g.mirror.Retain(now, k.retained())
 	if !p.More {
 		g.mirror.AdoptLastChange(store.Position{Era: p.At.Era, Revision: k.LastChange})
+		g.markCurrentAsOf(now, p.At.Era, k)
 	}
 	if len(k.Config) > 0 {
 		g.applyTable(k.Config, store.Position{Era: p.At.Era})
@@ -227,7 +231,7 @@
 	p := g.mirror.Piece(c, maxBytes)
 	k := keyUpdate{
 		Era: p.At.Era, Revision: p.At.Revision, LastChange: g.mirror.LastChange().Revision,
-		Changes: p.Changes, Whole: p.List, Entries: p.Entries, More: p.More,
+		Changes: p.Changes, Whole: p.List, Entries: p.Entries, More: p.More, ages: g.ages(time.Now()),
 	}
 	if p.More || g.configVersion() <= config {
 		return k
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -41,6 +41,9 @@
 	// storeLost means that the store does not answer the sender, and leaving that the
 	// sender is stopping.
 	storeLost, leaving bool
+	// staleness is the time since which the sender's copy of the store's keys is not known to
+	// be current, 0 if the sender does not say, as earlier builds.
+	staleness time.Duration
 	// spare is the processor time that the sender can spend on connections of other
 	// routers, in cores, and offloadPort the port at which it takes them; 0 if it takes
 	// none.
@@ -86,6 +89,7 @@
 	fieldSpare       protowire.Number = 25
 	fieldRunsLeaving protowire.Number = 27
 	fieldOffloadPort protowire.Number = 32
+	fieldStaleness   protowire.Number = 33
 )
 
 // chargeScale, limitScale and spareScale are the factors by which charges, limits and spare
@@ -130,6 +134,7 @@
 	b = appendNumber(b, fieldSpare, uint64(spareScale*d.spare))
 	b = appendNumber(b, fieldOffloadPort, uint64(d.offloadPort))
 	b = appendNumber(b, fieldMembers, uint64(d.members))
+	b = appendNumber(b, fieldStaleness, uint64(d.staleness.Milliseconds()))
 	return appendReport(b, r)
 }
 
@@ -266,6 +271,8 @@
 		if v <= math.MaxUint16 {
 			d.offloadPort = uint16(v)
 		}
+	case fieldStaleness:
+		d.staleness = fromMilliseconds(v)
 	case fieldApplied:
 		d.applied = v
 	case fieldWatch:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// watchDuration is how long the store may hold one watch open. It bounds for how
-	// long a connection that has gone silent hides changes.
-	watchDuration = 2 * time.Second
+	// watchDuration is how long the store may hold a watch open, and firstWatchDuration that
+	// of the first watching router of a failure domain, whose answers show the others that
+	// they are current. They bound for how long a connection that has gone silent hides
+	// changes.
+	watchDuration      = 2 * time.Second
+	firstWatchDuration = 900 * time.Millisecond
 	// regainWait is how long the store may hold the first watch after an outage open. The
 	// end of the outage must not be taken for that of the next change.
 	regainWait = 50 * time.Millisecond
@@ -48,13 +51,17 @@
 // followStore keeps the mirror of the store's keys up to date until ctx ends.
 func (g *Gateway) followStore(ctx context.Context) {
 	backoff := storeBackoff
-	listed, late := false, false
+	listed, late, watches := false, false, false
 	for ctx.Err() == nil {
 		var err error
+		if must := g.peers.mustWatch(time.Now()); listed && must != watches {
+			watches = must
+			logs.Info("watch-role", "Store: whether this router watches the store itself changed.", "watches", watches, "staleness", g.staleness(time.Now()))
+		}
 		switch {
 		case !listed:
 			err = g.listKeys(ctx)
-		case g.peers.mustWatch():
+		case watches:
 			late, err = g.watchInTime(ctx, late)
 		default:
 			// Peers of this failure domain watch the store and pass changes on.
@@ -89,6 +96,7 @@
 
 // listKeys replaces the mirror with a list of all keys.
 func (g *Gateway) listKeys(ctx context.Context) error {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, at, err := g.options.Feed.Range(ctx, allKeys)
@@ -100,6 +108,7 @@
 	g.mirrorMu.Lock()
 	g.markStoreFound(now)
 	g.replaceMirror(now, entries, at)
+	g.mirror.MarkCurrent(began)
 	g.mirrorMu.Unlock()
 	g.applyMirror()
 	return nil
@@ -146,11 +155,15 @@
 // watchKeys waits for the next changes and applies them to the mirror.
 func (g *Gateway) watchKeys(ctx context.Context) error {
 	wait := watchDuration
+	if g.peers.isFirstWatcher() {
+		wait = firstWatchDuration
+	}
 	if g.isStoreLost() {
 		wait = regainWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
+	began := time.Now()
 	changes, at, err := g.options.Feed.Changes(ctx, allKeys, g.position(), wait)
 	g.metrics.recordStoreCall(callWatch, err)
 	if err != nil {
@@ -159,7 +172,11 @@
 	now := time.Now()
 	g.mirrorMu.Lock()
 	g.markStoreFound(now)
+	if now.Sub(began) >= heldAnswer {
+		g.mirror.MarkCurrent(now)
+	}
 	changed := g.mirror.Apply(now, changes, at)
+	g.mirror.MarkCurrent(now)
 	g.mirrorMu.Unlock()
 	if changed {
 		g.applyMirror()
@@ -228,7 +245,8 @@
 		}
 	}
 	list := g.decodeInstances(g.mirror.Entries(directory.InstancePrefix()))
-	g.step(dispatch.InstancesChanged{Instances: list, Evacuated: g.updateEvacuations(time.Now(), list)})
+	since, _ := g.mirror.LastBatch()
+	g.step(dispatch.InstancesChanged{Instances: list, Since: since, Evacuated: g.updateEvacuations(time.Now(), list)})
 	g.peers.setRegistered(g.mirror.Entries(routerPrefix))
 	g.step(dispatch.FleetChanged{
 		Routers: g.peers.fleetSize(), AggregatedByDomain: g.peers.usesRelays(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 		pressure:    pressure{cores: o.Cores, admission: newAdmission(o.Cores)},
 		dispatcher:  dispatch.New(o.Dispatch),
 		calls:       make(map[string]*call),
-		mirror:      mirror.New(o.Directory.InstancePrefix()),
+		mirror:      mirror.New(o.Directory.InstancePrefix(), o.maxRetention()),
 		evacuations: evacuation.New(),
 		stop:        make(chan struct{}),
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -148,6 +148,7 @@
 		{"held.answers", "By", "Memory of answers that are read whole.", held(holding.Answers)},
 		{"bodies.waiting", "", "Bodies that wait for room.", func() float64 { return float64(g.room.waiting()) }},
 		{"store.age", "s", "Time since the store last answered this router.", m.storeAge},
+		{"store.staleness", "s", "Time since which the copy of the store's keys is not known to be current.", func() float64 { return g.staleness(time.Now()).Seconds() }},
 		{"peers.age", "s", "Time since the last report of the live router that was heard longest ago.", func() float64 { return g.peers.oldestReportAge(time.Now()).Seconds() }},
 	} {
 		_, err := meter.Float64ObservableGauge(metricPrefix+gauge.name, metric.WithUnit(gauge.unit), metric.WithDescription(gauge.description),
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -21,7 +21,7 @@
 func TestMetricsAreDocumented(t *testing.T) {
 	g := NewWithT(t)
 	gw := &Gateway{
-		dispatcher: dispatch.New(dispatch.DefaultOptions()), conns: newConns(0), mirror: mirror.New(""),
+		dispatcher: dispatch.New(dispatch.DefaultOptions()), conns: newConns(0), mirror: mirror.New("", time.Second),
 	}
 	gw.peers = newPeers(gw)
 	m, err := newMetrics(gw)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -35,6 +35,9 @@
 	Descriptors int
 	// Grace is how long stopping may take.
 	Grace time.Duration
+	// DrainTime is how long an upstream goes on serving after the store has accepted that it
+	// leaves; defaultDrainTime if it is 0.
+	DrainTime time.Duration
 
 	Protocol  Protocol
 	Directory Directory
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -250,23 +250,44 @@
 
 // mustWatch reports whether this router has to watch the store: a relay says so or, in a
 // small fleet, it is among the first routers of its failure domain, in order of address,
-// that are live and reach the store.
-func (p *peers) mustWatch() bool {
+// that are live and reach the store. Any other has to as well while those do not keep it
+// current.
+func (p *peers) mustWatch(now time.Time) bool {
+	staleness, storeLost := p.g.staleness(now), p.g.isStoreLost()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if time.Since(p.started) < watchStartDelay {
+	if now.Sub(p.started) < watchStartDelay {
 		return false
 	}
+	if !storeLost && p.mustTakeOver(staleness) {
+		return true
+	}
 	if len(p.known) > maxDirectPeers {
-		return p.relay.Watches(time.Now())
+		return p.relay.Watches(now)
 	}
-	earlier := 0
+	return p.earlierWatchers() < relay.WatchersPerDomain
+}
+
+// earlierWatchers returns the number of routers that have to watch the store before this one.
+// The caller holds mu.
+func (p *peers) earlierWatchers() (n int) {
 	for _, other := range p.known {
 		if other.live && other.domain == p.g.options.Domain && !other.leaving && !other.storeLost && other.addr < p.g.options.PeerListen {
-			earlier++
+			n++
 		}
 	}
-	return earlier < relay.WatchersPerDomain
+	return n
+}
+
+// isFirstWatcher reports whether this router is the first of its failure domain that watches
+// the store.
+func (p *peers) isFirstWatcher() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.known) > maxDirectPeers {
+		return p.relay.IsFirst()
+	}
+	return p.earlierWatchers() == 0
 }
 
 // expire marks peers that have been silent for longer than timeout as not live, and
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -123,11 +123,11 @@
 	p.serial++
 	serial := p.serial
 	p.mu.Unlock()
-	lastChange := p.g.lastChange()
+	lastChange, staleness := p.g.lastChange(), p.g.staleness(time.Now())
 	return datagram{
 		addr: p.g.options.PeerListen, incarnation: p.incarnation, serial: serial,
 		config: p.g.configVersion(), era: lastChange.Era, lastChange: lastChange.Revision, domain: p.g.options.Domain, scope: s,
-		storeLost: p.g.isStoreLost(), leaving: p.g.draining.Load(), spare: p.g.spareCores(), offloadPort: uint16(p.g.offloadPort.Load()),
+		storeLost: p.g.isStoreLost(), staleness: staleness, leaving: p.g.draining.Load(), spare: p.g.spareCores(), offloadPort: uint16(p.g.offloadPort.Load()),
 	}
 }
 
--- a/internal/mirror/departures_test.go
+++ b/internal/mirror/departures_test.go
@@ -18,7 +18,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		s := &simStore{at: store.Position{Era: 1, Revision: 1}, entries: make(map[string]store.Entry)}
-		mirrors := []*Mirror{New(instancePrefix), New(instancePrefix)}
+		mirrors := []*Mirror{New(instancePrefix, testRetention), New(instancePrefix, testRetention)}
 		now := epoch
 		keys := []string{instancePrefix + "0", instancePrefix + "1", instancePrefix + "2"}
 		key := rapid.SampledFrom(keys)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -42,7 +42,13 @@
 	// lastChange is the revision of the last change.
 	lastChange uint64
 	// removed contains the latest removals, for other copies that follow this mirror.
-	removed          removalLog
+	removed removalLog
+	// currentAt is until when the mirror is known to have had all changes of the store, zero if
+	// that is not known, and lastBatch is about the last answer that had changes.
+	currentAt time.Time
+	lastBatch batch
+	// maxRetention bounds for how long after its removal an entry may be retained.
+	maxRetention     time.Duration
 	storeUnavailable bool
 	// graceUntil is the end of the grace period after the last outage.
 	graceUntil time.Time
@@ -50,13 +56,24 @@
 	outageEnded bool
 }
 
+// batch is what is known of when a batch of changes was made.
+type batch struct {
+	// since is the earliest time at which they may have been made, zero if not known.
+	since time.Time
+	// after is the revision of the last change before them.
+	after uint64
+}
+
 // Removal is the removal of an ephemeral entry from the store.
 type Removal struct {
 	Key string
 	// Revision is that of the removal, or that of the list in which the entry was missing.
 	Revision uint64
-	// At is when the mirror learnt of the removal.
-	At time.Time
+	// At is when the mirror learnt of the removal, and Since the earliest time at which it may
+	// have happened.
+	At, Since time.Time
+	// Until is when the copy that told of the removal deletes the entry, zero if none did.
+	Until time.Time
 	// InOutage means that the removal may be as old as the last outage of the store.
 	InOutage bool
 	// Listed means that the entry was missing in a list: the removal may have happened any
@@ -64,11 +81,13 @@
 	Listed bool
 }
 
-// New returns an empty mirror. Keys with ephemeralPrefix are bound to leases.
-func New(ephemeralPrefix string) *Mirror {
+// New returns an empty mirror. Keys with ephemeralPrefix are bound to leases. An entry that has
+// been removed is retained for at most maxRetention from when it may have been removed, unless
+// its lease may have expired in an outage of the store.
+func New(ephemeralPrefix string, maxRetention time.Duration) *Mirror {
 	return &Mirror{
-		ephemeralPrefix: ephemeralPrefix,
-		entries:         make(map[string]store.Entry), removals: make(map[string]Removal),
+		ephemeralPrefix: ephemeralPrefix, maxRetention: maxRetention,
+		entries: make(map[string]store.Entry), removals: make(map[string]Removal),
 		removed:    newRemovalLog(0),
 		departures: newDepartures(),
 	}
@@ -93,6 +112,30 @@
 	}
 }
 
+// MarkCurrent records that the mirror had all changes that the store had at a time.
+func (m *Mirror) MarkCurrent(at time.Time) {
+	if at.After(m.currentAt) {
+		m.currentAt = at
+	}
+}
+
+// CurrentAt returns until when the mirror is known to have had all changes of the store, zero if
+// that is not known.
+func (m *Mirror) CurrentAt() time.Time { return m.currentAt }
+
+// LastBatch returns the earliest time at which the last changes may have been made, zero if that
+// is not known, and the revision of the last change before them.
+func (m *Mirror) LastBatch() (since time.Time, after uint64) {
+	return m.lastBatch.since, m.lastBatch.after
+}
+
+// noteBatch records when the changes after a revision may have been made, if there are any.
+func (m *Mirror) noteBatch(after uint64) {
+	if m.lastChange != after {
+		m.lastBatch = batch{m.currentAt, after}
+	}
+}
+
 // MarkStoreUnavailable records that the store is unavailable, and reports whether it
 // was available before.
 func (m *Mirror) MarkStoreUnavailable() bool {
@@ -120,6 +163,7 @@
 		m.outageEnded = false
 		return false
 	}
+	defer m.noteBatch(m.lastChange)
 	isNewEra := m.at != store.Position{} && at.Era != m.at.Era
 	if isNewEra {
 		m.beginEra(now)
@@ -170,6 +214,7 @@
 	if at.Era != m.at.Era {
 		return false
 	}
+	defer m.noteBatch(m.lastChange)
 	for _, c := range changes {
 		if c.Index <= m.at.Revision {
 			continue
@@ -221,7 +266,11 @@
 		delete(m.entries, key)
 		return true
 	}
-	m.removals[key] = Removal{Key: key, Revision: revision, At: now, InOutage: m.outageEnded, Listed: listed}
+	since := m.currentAt
+	if since.IsZero() {
+		since = now
+	}
+	m.removals[key] = Removal{Key: key, Revision: revision, At: now, Since: since, InOutage: m.outageEnded, Listed: listed}
 	return false
 }
 
@@ -255,16 +304,7 @@
 	}
 	isMassRemoval := m.isMassRemoval()
 	for key, r := range m.removals {
-		until := r.At.Add(removalGrace)
-		switch {
-		case r.InOutage:
-			until = m.graceUntil
-		case isMassRemoval || r.At.Before(m.graceUntil):
-			until = r.At.Add(massRemovalGrace)
-		case r.Listed:
-			until = r.At
-		}
-		if !now.Before(until) {
+		if !now.Before(m.retainedUntil(r, isMassRemoval)) {
 			delete(m.removals, key)
 			delete(m.entries, key)
 			m.departures.recordRemoved(now, key)
@@ -274,6 +314,50 @@
 	return expired
 }
 
+// retainedUntil returns when a retained entry is to be deleted.
+func (m *Mirror) retainedUntil(r Removal, isMassRemoval bool) time.Time {
+	until := r.At.Add(removalGrace)
+	switch {
+	case r.InOutage:
+		return m.graceUntil
+	case !r.Until.IsZero():
+		return r.Until
+	case isMassRemoval || r.At.Before(m.graceUntil):
+		until = r.At.Add(massRemovalGrace)
+	case r.Listed:
+		until = r.At
+	}
+	if latest := r.Since.Add(m.maxRetention); until.After(latest) {
+		return latest
+	}
+	return until
+}
+
+// Retained returns for how much longer each retained entry will be retained, so that copies of
+// this mirror retain them equally long.
+func (m *Mirror) Retained(now time.Time) map[string]time.Duration {
+	if len(m.removals) == 0 {
+		return nil
+	}
+	isMassRemoval := m.isMassRemoval()
+	left := make(map[string]time.Duration, len(m.removals))
+	for key, r := range m.removals {
+		left[key] = m.retainedUntil(r, isMassRemoval).Sub(now)
+	}
+	return left
+}
+
+// Retain makes the mirror retain removed entries for as long as the mirror that it was copied
+// from does.
+func (m *Mirror) Retain(now time.Time, left map[string]time.Duration) {
+	for key, d := range left {
+		if r, ok := m.removals[key]; ok {
+			r.Until = now.Add(d)
+			m.removals[key] = r
+		}
+	}
+}
+
 // isMassRemoval reports whether several entries, and more than a third of the
 // ephemeral ones, are marked as removed. This indicates that leases expired together
 // during an outage of the store.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -18,10 +18,13 @@
 // instancePrefix is the prefix of the keys that are bound to leases.
 const instancePrefix = "instances/"
 
+// testRetention is the longest time for which the mirrors of the tests retain what was removed.
+const testRetention = 1700 * time.Millisecond
+
 // newFilledMirror returns a mirror with n instances and one other key, at revision
 // 10.
 func newFilledMirror(n int) *Mirror {
-	m := New(instancePrefix)
+	m := New(instancePrefix, testRetention)
 	list := []store.Entry{{Key: "config", Index: 1}}
 	for i := range n {
 		list = append(list, store.Entry{Key: fmt.Sprint(instancePrefix, i), Index: 2})
@@ -42,7 +45,7 @@
 	g, m := NewWithT(t), newFilledMirror(10)
 	g.Expect(m.Apply(epoch, removals(11, 3), at(11))).To(BeFalse())
 	g.Expect(m.RemoveExpired(epoch.Add(removalGrace - 1))).To(BeEmpty())
-	g.Expect(m.RemoveExpired(epoch.Add(removalGrace))).To(ConsistOf(Removal{Key: instancePrefix + "3", Revision: 11, At: epoch}))
+	g.Expect(m.RemoveExpired(epoch.Add(removalGrace))).To(ConsistOf(Removal{Key: instancePrefix + "3", Revision: 11, At: epoch, Since: epoch}))
 	g.Expect(m.Entries(instancePrefix)).To(HaveLen(9))
 }
 
@@ -184,3 +187,34 @@
 	away.Apply(epoch, p.Changes, p.At)
 	g.Expect(away.EntriesInStore()).To(Equal(m.EntriesInStore()))
 }
+
+// A removal that may have happened long before it was heard of must not be retained as if it
+// had happened then: its instance would get requests after it has stopped.
+func TestRetentionCountsFromWhenTheMirrorWasCurrent(t *testing.T) {
+	for name, x := range map[string]struct {
+		removed int
+		age     time.Duration // of the mirror when it hears of the removals
+		want    time.Duration // how long they are retained
+	}{
+		"one, heard at once":         {1, 0, removalGrace},
+		"one, heard late":            {1, 1500 * time.Millisecond, testRetention - 1500*time.Millisecond},
+		"one, heard too late":        {1, time.Minute, 0},
+		"together, heard at once":    {3, 0, massRemovalGrace},
+		"together, heard a bit late": {3, 500 * time.Millisecond, testRetention - 500*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, m := NewWithT(t), newFilledMirror(4)
+			m.MarkCurrent(epoch)
+			heard := epoch.Add(x.age)
+			var changes []store.Change
+			for i := range x.removed {
+				changes = append(changes, store.Change{Entry: store.Entry{Key: fmt.Sprint(instancePrefix, i), Index: uint64(11 + i)}, Deleted: true})
+			}
+			m.Apply(heard, changes, at(20))
+			if x.want > 0 {
+				g.Expect(m.RemoveExpired(heard.Add(x.want - 1))).To(BeEmpty())
+			}
+			g.Expect(m.RemoveExpired(heard.Add(x.want))).To(HaveLen(x.removed))
+		})
+	}
+}
--- a/internal/mirror/piece_test.go
+++ b/internal/mirror/piece_test.go
@@ -20,7 +20,7 @@
 		g := NewWithT(t)
 		s := &simStore{at: store.Position{Era: 1, Revision: 1}, entries: make(map[string]store.Entry)}
 		s.latest = rapid.Bool().Draw(t, "only the latest changes")
-		peer, m := New(instancePrefix), New(instancePrefix)
+		peer, m := New(instancePrefix, testRetention), New(instancePrefix, testRetention)
 		reader := NewReader(m.Position())
 		key := rapid.Custom(func(t *rapid.T) string {
 			if n := rapid.IntRange(0, 8).Draw(t, "n"); n > 1 {
@@ -84,7 +84,7 @@
 			},
 			"follow":   func(*rapid.T) { s.follow(m).applyTo(m, epoch); reader = NewReader(m.Position()) },
 			"piece":    func(*rapid.T) { takePiece() },
-			"restart":  func(*rapid.T) { m, reader = New(instancePrefix), NewReader(store.Position{}) },
+			"restart":  func(*rapid.T) { m, reader = New(instancePrefix, testRetention), NewReader(store.Position{}) },
 			"give up":  func(*rapid.T) { reader = NewReader(m.Position()) },
 			"log ends": func(*rapid.T) { peer.removed.dropOldest(0) },
 		})
@@ -110,7 +110,7 @@
 // A key is removed while the later pieces of a list are read: the copy lacks the removal, which
 // its last change tells, so that it is taken next.
 func TestListReadDuringChangesIsNotUpToDate(t *testing.T) {
-	g, peer, m := NewWithT(t), New(instancePrefix), New(instancePrefix)
+	g, peer, m := NewWithT(t), New(instancePrefix, testRetention), New(instancePrefix, testRetention)
 	a, b := store.Entry{Key: "a", Index: 2}, store.Entry{Key: "b", Index: 3}
 	peer.Replace(epoch, []store.Entry{a, b}, at(3))
 	reader := NewReader(m.Position())
@@ -130,7 +130,7 @@
 
 // A copy ends between two changes of one revision, the last: the rest is taken next.
 func TestHalfARevisionIsNotUpToDate(t *testing.T) {
-	g, peer, m := NewWithT(t), New(instancePrefix), New(instancePrefix)
+	g, peer, m := NewWithT(t), New(instancePrefix, testRetention), New(instancePrefix, testRetention)
 	b := store.Entry{Key: "b", Index: 1}
 	peer.Replace(epoch, []store.Entry{b}, at(1))
 	m.Replace(epoch, []store.Entry{b}, at(1))
--- a/internal/mirror/restore_test.go
+++ b/internal/mirror/restore_test.go
@@ -140,7 +140,7 @@
 		s := &simStore{at: store.Position{Era: 1, Revision: 1}, entries: make(map[string]store.Entry), latest: rapid.Bool().Draw(t, "only the latest changes")}
 		mirrors := make([]*Mirror, 3)
 		for i := range mirrors {
-			mirrors[i] = New(instancePrefix)
+			mirrors[i] = New(instancePrefix, testRetention)
 		}
 		late := make([][]answer, len(mirrors))
 		now := epoch
@@ -210,7 +210,7 @@
 			},
 			"restart": func(t *rapid.T) {
 				i := router.Draw(t, "router")
-				mirrors[i], late[i] = New(instancePrefix), nil
+				mirrors[i], late[i] = New(instancePrefix, testRetention), nil
 			},
 			"time": func(*rapid.T) {
 				now = now.Add(500 * time.Millisecond)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -244,6 +244,13 @@
 	}
 }
 
+// IsFirst reports whether this router is the first relay of its failure domain.
+func (s *State) IsFirst() bool { return s.isFirst }
+
+// Rank returns the position of this router among those of its failure domain, in the order in
+// which they are preferred as relays and as those that watch the store.
+func (s *State) Rank() int { return s.rank(s.self.Domain, s.self.Addr) }
+
 // Watches reports whether this router has to watch the store: a relay says so, or no
 // relay has been heard for loadTimeout.
 func (s *State) Watches(now time.Time) bool {
