Follow the store also if its keys take longer to list than one call may last

Cause: a watch with too large an answer leads to a list of all keys, and a list of any number of pages had one time limit of 1.5 s. When it was over, the pages that had come were thrown away and the list began anew, at all routers together. Ruled out: entries that cannot be read as such (20 of them were listed in time).

Fix: lists are read page by page; the limit is one for a page and grows while the page is late, and pages are kept when one fails. What is new in a page is applied at once; the configuration and the evacuations are read again every 0.5 s while a list goes on. Large values that a router has no use for are not kept, nor passed on. Other routers don't take over from one that lists.

--- a/internal/gateway/copying.go
+++ b/internal/gateway/copying.go
@@ -134,6 +134,13 @@
 	g.mirrorMu.Lock()
 	before := g.mirror.LastChange()
 	p := k.piece(before.Era)
+	// Earlier builds keep all values.
+	for i := range p.Entries {
+		g.dropUnused(&p.Entries[i])
+	}
+	for i := range p.Changes {
+		g.dropUnused(&p.Changes[i].Entry)
+	}
 	g.markCurrentBefore(now, k)
 	var changed bool
 	if p.List {
--- a/internal/gateway/datagram.go
+++ b/internal/gateway/datagram.go
@@ -44,6 +44,9 @@
 	// staleness is the time since which the sender's copy of the store's keys is not known to
 	// be current, 0 if the sender does not say, as earlier builds.
 	staleness time.Duration
+	// listing means that the sender is listing the store's keys: its copy may be stale although
+	// the store answers.
+	listing bool
 	// spare is the processor time that the sender can spend on connections of other
 	// routers, in cores, and offloadPort the port at which it takes them; 0 if it takes
 	// none.
@@ -90,6 +93,7 @@
 	fieldRunsLeaving protowire.Number = 27
 	fieldOffloadPort protowire.Number = 32
 	fieldStaleness   protowire.Number = 33
+	fieldListing     protowire.Number = 34
 )
 
 // chargeScale, limitScale and spareScale are the factors by which charges, limits and spare
@@ -135,6 +139,7 @@
 	b = appendNumber(b, fieldOffloadPort, uint64(d.offloadPort))
 	b = appendNumber(b, fieldMembers, uint64(d.members))
 	b = appendNumber(b, fieldStaleness, uint64(d.staleness.Milliseconds()))
+	b = appendNumber(b, fieldListing, boolToUint(d.listing))
 	return appendReport(b, r)
 }
 
@@ -273,6 +278,8 @@
 		}
 	case fieldStaleness:
 		d.staleness = fromMilliseconds(v)
+	case fieldListing:
+		d.listing = v != 0
 	case fieldApplied:
 		d.applied = v
 	case fieldWatch:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -26,8 +26,13 @@
 	regainWait = 50 * time.Millisecond
 	// watchSlack is the additional time that the answer of a watch may take.
 	watchSlack = 700 * time.Millisecond
-	// listTimeout bounds one list call.
-	listTimeout = 1500 * time.Millisecond
+	// listTimeout bounds the call for a page of a list. It doubles each time that the page does
+	// not arrive in time, up to maxListTimeout.
+	listTimeout    = 1500 * time.Millisecond
+	maxListTimeout = 6 * time.Second
+	// refreshInterval is the time between two looks at what operators have written while a
+	// list goes on.
+	refreshInterval = 500 * time.Millisecond
 	// storeBackoff is the pause after the first failed call on the store. It doubles
 	// with each further failure, up to maxStoreBackoff.
 	storeBackoff    = 100 * time.Millisecond
@@ -94,26 +99,6 @@
 	}
 }
 
-// listKeys replaces the mirror with a list of all keys.
-func (g *Gateway) listKeys(ctx context.Context) error {
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	entries, at, err := g.options.Feed.Range(ctx, allKeys)
-	g.metrics.recordStoreCall(callList, err)
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	g.mirrorMu.Lock()
-	g.markStoreFound(now)
-	g.replaceMirror(now, entries, at)
-	g.mirror.MarkCurrent(began)
-	g.mirrorMu.Unlock()
-	g.applyMirror()
-	return nil
-}
-
 // replaceMirror replaces the mirror with a list of all keys. The caller holds mirrorMu.
 func (g *Gateway) replaceMirror(now time.Time, entries []store.Entry, at store.Position) (changed bool) {
 	before := g.mirror.Position()
@@ -147,7 +132,7 @@
 func (g *Gateway) probeStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, regainWait+watchSlack)
 	defer cancel()
-	_, _, err := g.options.Feed.Range(ctx, noKeys)
+	_, err := g.options.Feed.Page(ctx, noKeys, "")
 	g.metrics.recordStoreCall(callList, err)
 	return err
 }
@@ -175,6 +160,9 @@
 	if now.Sub(began) >= heldAnswer {
 		g.mirror.MarkCurrent(now)
 	}
+	for i := range changes {
+		g.dropUnused(&changes[i].Entry)
+	}
 	changed := g.mirror.Apply(now, changes, at)
 	g.mirror.MarkCurrent(now)
 	g.mirrorMu.Unlock()
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +31,8 @@
 	away    bool
 	changed chan struct{}
 	calls   int
+	// pageSize is the number of keys in a page, 0 if all are in one.
+	pageSize int
 }
 
 func newFakeFeed() *fakeFeed {
@@ -92,18 +97,25 @@
 	return f.calls
 }
 
-func (f *fakeFeed) Range(context.Context, string) ([]store.Entry, store.Position, error) {
+func (f *fakeFeed) Page(_ context.Context, prefix, after string) (store.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	if f.away {
-		return nil, store.Position{}, store.ErrUnavailable
+		return store.Page{}, store.ErrUnavailable
 	}
-	var list []store.Entry
-	for _, e := range f.entries {
-		list = append(list, e)
+	page := store.Page{At: f.at}
+	for _, key := range slices.Sorted(maps.Keys(f.entries)) {
+		if !strings.HasPrefix(key, prefix) || key <= after {
+			continue
+		}
+		if f.pageSize > 0 && len(page.Entries) == f.pageSize {
+			page.Next = page.Entries[f.pageSize-1].Key
+			break
+		}
+		page.Entries = append(page.Entries, f.entries[key])
 	}
-	return list, f.at, nil
+	return page, nil
 }
 
 func (f *fakeFeed) Changes(ctx context.Context, _ string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
@@ -447,11 +459,11 @@
 	return f.fakeFeed.Changes(ctx, prefix, after, wait)
 }
 
-func (f *lateFeed) Range(ctx context.Context, prefix string) ([]store.Entry, store.Position, error) {
+func (f *lateFeed) Page(ctx context.Context, prefix, after string) (store.Page, error) {
 	if prefix == allKeys {
 		f.lists.Add(1)
 	}
-	return f.fakeFeed.Range(ctx, prefix)
+	return f.fakeFeed.Page(ctx, prefix, after)
 }
 
 func (f *fakeFeed) revision() uint64 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,11 @@
 	// inForce is the entry of the configuration in force, which the store may have lost.
 	inForce tableEntry
 
+	// listing is the list of the store's keys that is being read, and isListing tells that
+	// there is one.
+	listing   listing
+	isListing atomic.Bool
+
 	table    atomic.Pointer[routing.Table]
 	listed   atomic.Bool
 	draining atomic.Bool
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,6 +47,8 @@
 	live                bool
 	incarnation, serial uint64
 	storeLost, leaving  bool
+	// listing means that it is listing the store's keys.
+	listing bool
 }
 
 // peers exchanges reports and copies of the store's keys with the other routers.
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -127,7 +127,7 @@
 	return datagram{
 		addr: p.g.options.PeerListen, incarnation: p.incarnation, serial: serial,
 		config: p.g.configVersion(), era: lastChange.Era, lastChange: lastChange.Revision, domain: p.g.options.Domain, scope: s,
-		storeLost: p.g.isStoreLost(), staleness: staleness, leaving: p.g.draining.Load(), spare: p.g.spareCores(), offloadPort: uint16(p.g.offloadPort.Load()),
+		storeLost: p.g.isStoreLost(), staleness: staleness, listing: p.g.isListing.Load(), leaving: p.g.draining.Load(), spare: p.g.spareCores(), offloadPort: uint16(p.g.offloadPort.Load()),
 	}
 }
 
@@ -172,7 +172,7 @@
 		logs.Info("peer-regained", "Peers: peer regained.", "peer", d.addr, "config", d.config, "era", d.era, "news", d.lastChange)
 	}
 	sender.reportedAt, sender.live, sender.domain = now, true, d.domain
-	sender.incarnation, sender.serial, sender.storeLost, sender.leaving = d.incarnation, d.serial, d.storeLost, d.leaving
+	sender.incarnation, sender.serial, sender.storeLost, sender.leaving, sender.listing = d.incarnation, d.serial, d.storeLost, d.leaving, d.listing
 	p.mu.Unlock()
 	p.g.offloader.handleReport(now, d)
 	var err error
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -59,7 +59,8 @@
 
 // mustTakeOver reports whether a router of the given staleness has to watch the store because
 // those that it relies on are silent. If they say that they don't reach the store, others are
-// chosen in order. The caller holds mu.
+// chosen in order; if they list its keys, this router would not be done sooner. The caller
+// holds mu.
 func (p *peers) mustTakeOver(staleness time.Duration) bool {
 	if staleness < maxStaleness {
 		return false
@@ -69,7 +70,7 @@
 		if other.domain != p.g.options.Domain {
 			continue
 		}
-		if other.live && other.storeLost {
+		if other.live && (other.storeLost || other.listing) {
 			return false
 		}
 		if other.addr < p.g.options.PeerListen {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -232,6 +232,22 @@
 	return changed
 }
 
+// ApplyListed applies the entries of a part of a list that are newer than the mirror's position,
+// and reports whether Entries changes. The position stays: changes from there on are still to
+// come. Entries of another era are skipped.
+func (m *Mirror) ApplyListed(entries []store.Entry, era uint64) (changed bool) {
+	if m.at == (store.Position{}) || era != m.at.Era {
+		return false
+	}
+	defer m.noteBatch(m.lastChange)
+	for _, e := range entries {
+		if e.Index > m.at.Revision {
+			changed = m.putEntry(e) || changed
+		}
+	}
+	return changed
+}
+
 // putEntry stores an entry unless the mirror has a newer one, and reports whether the
 // entry is new or changed.
 func (m *Mirror) putEntry(e store.Entry) bool {
--- a/store/feed.go
+++ b/store/feed.go
@@ -45,11 +45,22 @@
 	return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Key, b.Key))
 }
 
+// Page is a part of a list of keys.
+type Page struct {
+	Entries []Entry
+	// At is a position from before the page was read: the page contains every change of its
+	// keys up to it, and possibly later ones of the same era. That of the first page holds for
+	// the list of all pages.
+	At Position
+	// Next is the key after which the next page begins, empty for the last page.
+	Next string
+}
+
 // Feed reads a store that numbers the writes to all keys by a single revision.
 type Feed interface {
-	// Range lists all keys under a prefix. It also returns a position; the list
-	// contains every change up to it, and possibly later ones of the same era.
-	Range(ctx context.Context, prefix string) (entries []Entry, at Position, err error)
+	// Page lists the keys under a prefix that are after a key, as many as the store returns
+	// at once, in order.
+	Page(ctx context.Context, prefix, after string) (Page, error)
 	// Changes waits for changes under a prefix after a position and returns them, at least
 	// the last one of each key, with the position to continue from, which is of the same era.
 	// It returns no changes if there are none within wait, and ErrCompacted if the store does
