Take no answer for one whose status is none of HTTP's

Callers saw: answers with status 600 and 999, with the upstream's seal. Those with 000, 001 and 099 were skipped like informational responses: the answer that their body looks like was forwarded in their place, otherwise the caller waited until its time was over. On the product's interface a status under 200 or over 599 was taken for an answer, and an order so answered for one that was carried out; net/http panics when a status under 100 is written.

Cause: http.ReadResponse takes any three digits, and nothing looked at them.

Fix: a status outside 100 to 599, or an informational response that announces a body, fails the attempt, which may have run. Likewise outside 200 to 599 on the product's interface.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -328,6 +328,9 @@
 	return nil, errForeignResponse
 }
 
+// maxStatus is the highest status that a response may have.
+const maxStatus = 599
+
 // readFinalResponse reads the header of one response and skips informational (1xx)
 // ones.
 func (e *Exchange) readFinalResponse(c *conn) (*http.Response, error) {
@@ -339,8 +342,14 @@
 			}
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch status := resp.StatusCode; {
+		case status < http.StatusContinue || status > maxStatus:
+			return nil, errors.Wrapf(errMalformed, "status %03d", status)
+		case status >= http.StatusOK:
 			return resp, nil
+		case resp.Header.Get("Content-Length") != "" || resp.Header.Get("Transfer-Encoding") != "" || len(resp.TransferEncoding) > 0:
+			// What follows could be the body or the next response.
+			return nil, errors.Wrapf(errMalformed, "status %d with a body", status)
 		}
 	}
 }
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -22,6 +22,7 @@
 	errMemoryLimit     = errors.Wrap(syscall.ENOMEM, "response bodies in flight exceed their memory limit")
 	errBodyGaveWay     = errors.New("response body takes most of the memory for bodies in flight, and gave way")
 	errBodyTruncated   = errors.New("response body ended early")
+	errMalformed       = errors.New("not a response of HTTP")
 )
 
 // Failure describes why an exchange ended without a complete response.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -190,15 +190,21 @@
 	}
 }
 
+// maxStatus is the highest status that a response may have.
+const maxStatus = 599
+
 // failureFromHeader returns a Failure if the response is not an answer of the
-// service: the upstream did not run the request, an engine reported a server error,
-// or the stream cannot be continued. Otherwise it returns nil.
+// service: its status is none of a final answer, the upstream did not run the request,
+// an engine reported a server error, or the stream cannot be continued. Otherwise it
+// returns nil.
 func (a *Response) failureFromHeader(r *Request) *Failure {
 	f := &Failure{
 		Sent: true, Status: a.Status, Leaving: a.Leaving, RetryAfter: retryAfter(a.Header),
 		Err: errors.Errorf("upstream answered with status %d", a.Status),
 	}
 	switch {
+	case a.Status < http.StatusOK || a.Status > maxStatus:
+		f.Kind = core.FailStatus
 	case isNotRun(a.resp):
 		f.Kind, f.Sent = core.FailRefused, false
 	case r.Service == config.Model && a.Status >= http.StatusInternalServerError:
--- a/internal/upstream/order.go
+++ b/internal/upstream/order.go
@@ -123,10 +123,10 @@
 	switch {
 	case status == http.StatusConflict:
 		return core.OrderFenced
+	case status < http.StatusOK || status >= http.StatusInternalServerError:
+		return core.OrderUnknown
 	case status < http.StatusMultipleChoices:
 		return core.OrderApplied
-	case status >= http.StatusInternalServerError:
-		return core.OrderUnknown
 	default:
 		return core.OrderRefused
 	}
--- a/store/consul/call.go
+++ b/store/consul/call.go
@@ -137,7 +137,7 @@
 		return nil
 	case resp.status == http.StatusRequestEntityTooLarge:
 		return store.ErrTooLarge
-	case resp.status < http.StatusInternalServerError:
+	case resp.status >= http.StatusOK && resp.status < http.StatusInternalServerError:
 		return c.callError(kind, false, resp.errorText())
 	case strings.Contains(resp.errorText(), "invalid session"):
 		return store.ErrLeaseLost
--- a/store/consul/repeat_test.go
+++ b/store/consul/repeat_test.go
@@ -188,3 +188,29 @@
 	t.Cleanup(func() { _ = web.Close() })
 	return listener.Addr().String()
 }
+
+// TestStatusThatIsNoneTellsNothing guards against a write being taken for one that had no effect
+// because its response has a status that is none of HTTP's.
+func TestStatusThatIsNoneTellsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(conn, "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\ntrue")
+			}
+			conn.Close()
+		}
+	}()
+	client := consul.New(consul.Options{Addr: listener.Addr().String()})
+	defer client.Close()
+	_, err = client.CAS(context.Background(), "k", nil, 0)
+	g.Expect(err).To(gomega.MatchError(store.ErrUnknown))
+}
