Read what operators have written first when a list begins

Traced: the router of the test had just started. Within its first 1.2 s a router does not watch, then the reading of a watch of 4.25 MiB took 0.93 s with the race detector, and the list read pages for 0.5 s before it looked at the configuration.

--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -39,11 +39,20 @@
 // call could not finish.
 func (g *Gateway) listKeys(ctx context.Context) error {
 	l := &g.listing
+	g.isListing.Store(true)
 	if l.began.IsZero() {
-		l.began, l.refreshed = time.Now(), time.Now()
+		l.began = time.Now()
+		if g.position() == (store.Position{}) {
+			l.refreshed = l.began // nothing can be applied before the end of the first list
+		}
 	}
-	g.isListing.Store(true)
 	for {
+		if time.Since(l.refreshed) >= refreshInterval {
+			if err := g.refreshOperators(ctx); err != nil {
+				return err
+			}
+			l.refreshed = time.Now()
+		}
 		page, err := g.readPage(ctx, allKeys, l.next, l.timeout())
 		if err != nil {
 			if errors.Is(err, context.DeadlineExceeded) {
@@ -64,12 +73,6 @@
 			break
 		}
 		g.applyListed(page)
-		if time.Since(l.refreshed) >= refreshInterval {
-			l.refreshed = time.Now()
-			if err := g.refreshOperators(ctx); err != nil {
-				return err
-			}
-		}
 	}
 	now := time.Now()
 	g.mirrorMu.Lock()
