Spread takeovers of the watch over all routers of a large failure domain

Read while the change was reviewed, not seen: with a cap of 0.3 s all routers of a failure domain of a hundred would have watched a store that answers half a second late, and a router that starts and lists would have kept others from taking over. Takeovers are now spread without a cap (0.05 s for each two routers), and only a router that lists to bring an earlier copy up to date counts as one that lists.

In one of 100 routers whose first 16 are gone it would be later than 2 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,7 +45,7 @@
 	inForce tableEntry
 
 	// listing is the list of the store's keys that is being read, and isListing tells that
-	// there is one.
+	// there is one that brings an earlier copy up to date.
 	listing   listing
 	isListing atomic.Bool
 
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -39,11 +39,12 @@
 // call could not finish.
 func (g *Gateway) listKeys(ctx context.Context) error {
 	l := &g.listing
-	g.isListing.Store(true)
 	if l.began.IsZero() {
 		l.began = time.Now()
 		if g.position() == (store.Position{}) {
 			l.refreshed = l.began // nothing can be applied before the end of the first list
+		} else {
+			g.isListing.Store(true)
 		}
 	}
 	for {
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -17,10 +17,9 @@
 	// maxStaleness is the staleness from which a router watches the store itself. A report
 	// about the end of a watch of firstWatchDuration, begun after watchPause, arrives sooner.
 	maxStaleness = 1400 * time.Millisecond
-	// takeoverStep is how much later the next relay.WatchersPerDomain routers of a failure
-	// domain do, so that the first ones spare the others, and maxTakeoverDelay its maximum.
-	takeoverStep     = 50 * time.Millisecond
-	maxTakeoverDelay = 300 * time.Millisecond
+	// takeoverStep is how much later each next relay.WatchersPerDomain routers of a failure
+	// domain do: the first of them to get an answer spare the others.
+	takeoverStep = 50 * time.Millisecond
 	// heldAnswer is the time from which the answer to a watch was held back by the store until
 	// something changed: its changes are new.
 	heldAnswer = 200 * time.Millisecond
@@ -80,7 +79,7 @@
 	if len(p.known) > maxDirectPeers {
 		earlier = p.relay.Rank()
 	}
-	return staleness >= maxStaleness+min(maxTakeoverDelay, time.Duration(earlier/relay.WatchersPerDomain)*takeoverStep)
+	return staleness >= maxStaleness+time.Duration(earlier/relay.WatchersPerDomain)*takeoverStep
 }
 
 // confirmCurrent records that this router's copy is as current as that of a datagram's sender,
