Let a list go on if what operators have written cannot be read meanwhile

Found by reading the change: a failed look at the keys of operators was repeated before the next page, so that a list would have stood still for as long as the configuration does not arrive within its 1.5 s. The look is now due again after 0.5 s, whether it succeeded or not.

Before: TestListGoesOnWithoutTheOperatorsKeys failed (each call for the list ends with the failed look). After: it passes.

--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -12,7 +12,7 @@
 )
 
 // maxUnusedBytes is the size up to which the value of an entry is kept that this router has no
-// use for. Entries of replicas that are not valid yet are smaller.
+// use for, in bytes. Entries of upstreams have some 200.
 const maxUnusedBytes = 4 << 10
 
 // listing is a list of all keys that is being read page by page. What has been read is kept when
@@ -49,10 +49,11 @@
 	}
 	for {
 		if time.Since(l.refreshed) >= refreshInterval {
+			// Also if it fails: the list has to go on.
+			l.refreshed = time.Now()
 			if err := g.refreshOperators(ctx); err != nil {
 				return err
 			}
-			l.refreshed = time.Now()
 		}
 		page, err := g.readPage(ctx, allKeys, l.next, l.timeout())
 		if err != nil {
--- a/internal/gateway/listing_test.go
+++ b/internal/gateway/listing_test.go
@@ -114,6 +114,35 @@
 	g.Expect(inForceAt).To(BeNumerically("<", 11), "of %d pages", pages)
 }
 
+// A list goes on although what operators have written cannot be read again meanwhile.
+func TestListGoesOnWithoutTheOperatorsKeys(t *testing.T) {
+	g, inner := NewWithT(t), newFakeFeed()
+	inner.pageSize = 2
+	inner.put("config", "1")
+	gw := newFollower(t, inner)
+	g.Expect(gw.listKeys(t.Context())).To(Succeed())
+	for i := range 9 {
+		inner.put(fmt.Sprint("instances/", i), "")
+	}
+	gw.options.Feed = &prefixFeed{fakeFeed: inner, failing: "config"}
+	g.Expect(gw.listKeys(t.Context())).To(MatchError(store.ErrUnknown))
+	g.Expect(gw.listKeys(t.Context())).To(Succeed())
+	g.Expect(gw.upstreams()).To(Equal(9))
+}
+
+// prefixFeed is a store that does not answer calls for the keys under a prefix.
+type prefixFeed struct {
+	*fakeFeed
+	failing string
+}
+
+func (f *prefixFeed) Page(ctx context.Context, prefix, after string) (store.Page, error) {
+	if prefix == f.failing {
+		return store.Page{}, store.ErrUnknown
+	}
+	return f.fakeFeed.Page(ctx, prefix, after)
+}
+
 // unreadable is a directory in which entries of upstreams with a value of 0xff bytes are not valid.
 type unreadable struct{ fakeDirectory }
 
