Let a stream go on whose upstream refused to stop it for a move

Callers saw: a whole stream broken off at its end.

Cause: any failure of that call counted as one after which the stream may have been stopped. An upstream that has stopped a stream names the handle of its memory also with a 503.

Fix: a 503 without a handle has stopped nothing; the move has failed and the stream goes on. Without an answer it is not known, as before.

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -31,8 +31,8 @@
 type handoverResult struct {
 	handle string
 	copied bool
-	// notStopped means that no stream was stopped: none had to be, or the source did not run
-	// the request any more.
+	// notStopped means that no stream was stopped: none had to be, the source did not run
+	// the request any more, or it refused to stop it.
 	notStopped bool
 }
 
@@ -76,7 +76,12 @@
 	finalHandle, copied, err := g.copyMemory(c, e, finalCopyTimeout, true)
 	logs.Info("moved", "Gateway: stream stopped for a move.", "id", c.caller.ID, "from", e.From.ID, "to", e.To.ID,
 		"copied", copied, "copying", copiedAt.Sub(started), "stopping", time.Since(copiedAt), "err", err)
-	unwanted := c.endHandover(h, handoverResult{finalHandle, copied, errors.Is(err, ErrNotRunning)})
+	refused := errors.Is(err, ErrMoveRefused)
+	if refused {
+		g.step(dispatch.MoveFailed{ID: c.key, Attempt: e.Attempt})
+	}
+	notStopped := refused || errors.Is(err, ErrNotRunning)
+	unwanted := c.endHandover(h, handoverResult{finalHandle, copied, notStopped})
 	if unwanted || finalHandle == "" {
 		g.freeCopy(e.From.Addr, handle)
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -75,8 +75,12 @@
 	Answer(status int, h http.Header, instance string) AnswerInfo
 }
 
-// ErrNotRunning means that an upstream does not run the request that it was asked to move.
-var ErrNotRunning = errors.New("the upstream does not run the request")
+var (
+	// ErrNotRunning means that an upstream does not run the request that it was asked to move.
+	ErrNotRunning = errors.New("the upstream does not run the request")
+	// ErrMoveRefused means that an upstream refused to move a request, which goes on there.
+	ErrMoveRefused = errors.New("the upstream refused the move")
+)
 
 // Mover moves running streams between upstreams. It is safe for concurrent use.
 type Mover interface {
@@ -84,7 +88,7 @@
 	// the request is stopped first. The copy has to be continued from, or freed by its
 	// handle. If last is set, a handle may be returned although the copy failed: the
 	// memory is then still at the source. The error is ErrNotRunning if the source does not
-	// run the request (any more).
+	// run the request (any more), and ErrMoveRefused if it did not stop it either.
 	Copy(ctx context.Context, source, requestID, target string, last bool) (handle string, copied bool, err error)
 	// Free releases a copy.
 	Free(ctx context.Context, source, handle string) error
