Let few routers of a failure domain take over while the store is silent

Cause, by the code: in a failure domain that is cut off, all routers take over within 0.7 s, before the watching ones find the store lost (1.6 s after its last answer); each then finds it lost itself, and routers that have lost the store take no connections of others. Not shown by logs.

Fix: each next two routers take over 0.2 s later, in place of 0.05 s, so some six have begun by then. With the two that watch gone, news is known after 1.8 s at most.

Before: TestBudgetOfStoreNews with the bound of six would have allowed 22.

--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -18,8 +18,9 @@
 	// about the end of a watch of firstWatchDuration, begun after watchPause, arrives sooner.
 	maxStaleness = 1400 * time.Millisecond
 	// takeoverStep is how much later each next relay.WatchersPerDomain routers of a failure
-	// domain do: the first of them to get an answer spare the others.
-	takeoverStep = 50 * time.Millisecond
+	// domain do: the first of them to get an answer spare the others, and while the store is
+	// silent few have begun when the watching ones find it lost.
+	takeoverStep = 200 * time.Millisecond
 	// heldAnswer is the time from which the answer to a watch was held back by the store until
 	// something changed: its changes are new.
 	heldAnswer = 200 * time.Millisecond
