--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -240,6 +240,21 @@
 // Pid returns the id of the router's process.
 func (x *Router) Pid() int { return x.cmd.Process.Pid }
 
+// ProcessorTime is what the router's process has used, which the platform bills.
+func (x *Router) ProcessorTime() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", x.Pid()))
+	if err != nil {
+		return 0
+	}
+	var user, system int
+	fields := strings.Fields(string(text))
+	if len(fields) < 15 {
+		return 0
+	}
+	_, _ = fmt.Sscan(fields[13]+" "+fields[14], &user, &system) // numbers, in hundredths of a second
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
 // Signal sends a signal to the router's process.
 func (x *Router) Signal(s syscall.Signal) {
 	x.rig.Note("signal %v to %s", s, x.Name)
