--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -5,7 +5,6 @@
 package rig3
 
 import (
-	"bytes"
 	"fmt"
 	"log"
 	"net"
@@ -277,25 +276,6 @@
 	}
 }
 
-// Log returns what the router has logged.
-func (x *Router) Log() []byte {
-	text, err := os.ReadFile(x.path + ".log")
-	if err != nil {
-		return nil
-	}
-	return text
-}
-
-// Logged returns the log lines that contain a text.
-func (x *Router) Logged(text string) (lines []string) {
-	for line := range bytes.Lines(x.Log()) {
-		if bytes.Contains(line, []byte(text)) {
-			lines = append(lines, strings.TrimSpace(string(line)))
-		}
-	}
-	return lines
-}
-
 // IsReady reports whether the readiness check gets a 200.
 func (x *Router) IsReady() bool {
 	client := http.Client{Timeout: time.Second}
