--- a/review/13/main.go
+++ b/review/13/main.go
@@ -26,6 +26,8 @@
 	replicas = 6
 	// spoilEvery is which of their answers the faulty replicas spoil: 2 in 100.
 	spoilEvery = 50
+	// spoilFor is how long they do so from the first stream on.
+	spoilFor = 5500 * time.Millisecond
 	// events is the number of events of a stream, and spoiled the one that the faulty replica
 	// spoils.
 	events, spoiled = 8, 5
@@ -47,6 +49,7 @@
 		[]string{`{"name":"llm","healthPath":"/health","maxConns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":431646,"kvTokenBytes":163840,"linkMbps":260000.0,"moves":false,"backups":false,"stride":6}}`})
 	x := r.AddRouter("z0")
 	r.AwaitReady()
+	began.Store(time.Now().UnixNano())
 	var broken atomic.Int64
 	var all sync.WaitGroup
 	for worker := range workers {
@@ -68,6 +71,9 @@
 // answers counts the answers of the faulty replicas, and spoils those that they spoiled.
 var answers, spoils atomic.Int64
 
+// began is when the first stream was requested, in Unix nanoseconds.
+var began atomic.Int64
+
 // replica streams the events after the one named in Last-Event-Id. A faulty one spoils the id of
 // one event, which it writes together with the event before.
 func replica(r *rig3.Rig, id string, faulty bool, w http.ResponseWriter, q *http.Request) {
@@ -81,7 +87,8 @@
 	r.Note("%s runs %s after event %q", id, attempt, q.Header.Get("Last-Event-Id"))
 	w.Header().Set("Jujubeford-Response-Seal", "seal-"+id+"-"+attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
-	spoil := faulty && answers.Add(1)%spoilEvery == 0
+	inTime := time.Since(time.Unix(0, began.Load())) < spoilFor
+	spoil := faulty && inTime && answers.Add(1)%spoilEvery == 0
 	from, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err != nil {
 		from = 0
