Let a stream go on only after the last event that its caller has

Cause: nothing owned the position of a stream. checkEventOrder moved the call's last id on with every event that it had looked at, forwardStream dropped the whole read in which an event was wrong, and the last id seen was taken for the upstream's position whatever it was: one that jumps ahead, one that is no number, the one before an event without id, the one that the caller itself had named.

internal/resumption has one type, Position, without a network. It is told what is to be written, says how much of that may be, and whether and after which id another upstream may go on. Without a certain position the stream is broken off, which its caller can tell. A stream that was stopped for a move continues from its memory only from a certain position; otherwise the memory is freed. The line of a failed attempt has the position.

Conclusion: the three forms of the class (position ahead of, behind, and unrelated to what was written) are guarded at every way on: Failed, Moved, abandonMoved, a caller's own Last-Event-Id, and the first event of a continued run.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -270,3 +270,32 @@
 	}
 	f.g.Expect(f.last[f.arrive(chat, model, 1000)]).To(BeAssignableToTypeOf(Send{}))
 }
+
+// TestStreamWithoutAPositionIsNotResumed guards against a stream that goes on after the event that
+// its caller named, although the caller has got more since, at an uncertain position.
+func TestStreamWithoutAPositionIsNotResumed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		failed Failed
+		resume string
+	}{
+		{"nothing delivered", Failed{Kind: core.FailReset, MayHaveRun: true}, "4"},
+		{"more delivered", Failed{Kind: core.FailReset, MayHaveRun: true, ResponseStarted: true, LastEventID: "6"}, "6"},
+		{"no position", Failed{Kind: core.FailReset, MayHaveRun: true, ResponseStarted: true}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 3)
+			f.step(Arrive{&Request{
+				ID: "r", Organisation: "org", Route: chat, Service: model, Deadline: f.now.Add(15 * time.Second), ResumeAfter: "4",
+				Prompt: Prompt{Tokens: 600, MaxOutput: 300, Parts: []Part{{ID: 1 << 32, Tokens: 600}}},
+			}})
+			f.g.Expect(f.lastSend("r").ResumeAfter).To(Equal("4"))
+			f.fail("r", c.failed)
+			if c.resume == "" {
+				f.g.Expect(f.last["r"]).To(Equal(Fail{ID: "r", Reason: ReasonBroken}))
+				return
+			}
+			f.g.Expect(f.lastSend("r").ResumeAfter).To(Equal(c.resume))
+		})
+	}
+}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -133,7 +133,8 @@
 		MayHaveRun bool
 		// ResponseStarted means that part of the answer has been delivered to the caller.
 		ResponseStarted bool
-		// LastEventID is the id of the last event delivered to the caller.
+		// LastEventID is the id after which a stream that has started can be resumed, empty if
+		// it cannot.
 		LastEventID string
 	}
 	// InstanceReported reports what an instance stated about its own availability, along
@@ -169,7 +170,7 @@
 		// at the upstream where the stream ran, because the target could not take it.
 		Handle   string
 		AtSource bool
-		// LastEventID is the id of the last event delivered to the caller.
+		// LastEventID is the id after which the stream can be resumed.
 		LastEventID string
 	}
 	// MoveFailed reports that a move was not completed; the stream continues at
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -314,9 +314,8 @@
 		r.possibleRuns++
 		r.queueDeadline = s.queueDeadline(r)
 	}
-	r.responseStarted = r.responseStarted || e.ResponseStarted
-	if e.LastEventID != "" {
-		r.lastEventID = e.LastEventID
+	if e.ResponseStarted {
+		r.responseStarted, r.lastEventID = true, e.LastEventID
 	}
 	service := r.Service
 	s.retryOrEnd(now, r, e)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/exchange"
 	"github.com/jujubeford/jujubeford/internal/holding"
+	"github.com/jujubeford/jujubeford/internal/resumption"
 )
 
 // effectQueueSize is the capacity of a call's effect channel. A send, an abort and the
@@ -55,7 +56,8 @@
 	// answer is a stream.
 	streamStatus int
 	streamType   string
-	lastEventID  string
+	// position is what the caller has of its stream.
+	position resumption.Position
 	// firstAt and lastAt are when the first and the latest chunk of the answer were
 	// forwarded; maxGap is the longest pause between two chunks.
 	firstAt, lastAt time.Time
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -9,6 +9,7 @@
 
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/resumption"
 	"github.com/jujubeford/jujubeford/internal/routing"
 	"github.com/jujubeford/jujubeford/internal/sockets"
 )
@@ -154,7 +155,7 @@
 	}
 	c := &call{
 		key: caller.ID, caller: caller, header: r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
-		body: body, hold: hold, started: started, effects: make(chan dispatch.Effect, effectQueueSize), lastEventID: caller.ResumeAfter,
+		body: body, hold: hold, started: started, effects: make(chan dispatch.Effect, effectQueueSize), position: resumption.At(caller.ResumeAfter),
 		offloadedFrom: offloadedFrom(r),
 	}
 	c.conn, _ = connOf(r).(*callerConn)
--- a/internal/gateway/effects.go
+++ b/internal/gateway/effects.go
@@ -176,19 +176,23 @@
 		// Its upstream may have closed the stream since this router stopped it.
 		failure = &exchange.Failure{Kind: core.FailTruncated, Sent: true, Err: errStopped}
 	}
-	if moved.handle != "" {
+	resumeAfter, resumable := c.position.ResumeAfter()
+	if moved.handle != "" && resumable {
 		g.step(dispatch.Moved{
-			ID: c.key, Attempt: e.Attempt, Handle: moved.handle, AtSource: !moved.copied, LastEventID: c.lastEventID,
+			ID: c.key, Attempt: e.Attempt, Handle: moved.handle, AtSource: !moved.copied, LastEventID: resumeAfter,
 		})
 		return false
 	}
+	if moved.handle != "" {
+		go g.freeCopy(e.Upstream.Addr, moved.handle)
+	}
 	logs.Info("attempt-failed", "Gateway: attempt failed.", "id", c.caller.ID, "attempt", e.Attempt,
 		"upstream", e.Upstream.ID, "fingerprint", c.request.Fingerprint, "parts", partIDs(c.request.Prompt), "kind", failure.Kind, "mayHaveRun", failure.Sent, "after", time.Since(sentAt),
-		"err", failure.Err)
+		"position", c.position, "err", failure.Err)
 	g.step(dispatch.Failed{
 		ID: c.key, Attempt: e.Attempt, Kind: failure.Kind, MayHaveRun: failure.Sent,
 		Replaced: failure.Replaced, Unreachable: failure.Unreachable(), Local: failure.OutOfResources(), Withheld: withheld,
-		ResponseStarted: c.wroteHeader, LastEventID: c.lastEventID,
+		ResponseStarted: c.wroteHeader, LastEventID: resumeAfter,
 	})
 	return false
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -14,12 +13,12 @@
 	"github.com/jujubeford/jujubeford/internal/dispatch"
 	"github.com/jujubeford/jujubeford/internal/exchange"
 	"github.com/jujubeford/jujubeford/internal/logs"
+	"github.com/jujubeford/jujubeford/internal/resumption"
 )
 
 var (
 	errNotRun       = errors.New("the upstream did not run the request")
 	errNotContinued = errors.New("the answer does not continue the stream: its status or its type differs")
-	errEventOrder   = errors.New("the events of the stream are out of order")
 	errEventSize    = errors.New("an event, or the events since the last id, exceed the size limit")
 	errCallerWrite  = errors.New("writing to the caller failed")
 )
@@ -35,43 +34,42 @@
 const streamBuffer = 4 << 10
 
 // forwardStream forwards the complete events of a stream as they arrive. An incomplete
-// event is not forwarded, so that another upstream can continue after the last complete
-// one.
+// event is not forwarded, nor is one that the position does not allow, so that another
+// upstream can continue after the last event that the caller has.
 func (g *Gateway) forwardStream(w http.ResponseWriter, c *call, e dispatch.Send, a *exchange.Response, sentAt time.Time) *exchange.Failure {
 	c.conn.keepAhead()
 	var pending []byte
 	buf := make([]byte, streamBuffer)
 	first := true
 	c.pace = eventPace{}
-	// unnumbered is the number of bytes of events since the last id.
-	unnumbered := 0
+	if c.wroteHeader {
+		c.position = c.position.Continued()
+	}
 	for {
 		n, err := a.Read(buf)
 		pending = append(pending, buf[:n]...)
-		complete := completeEventsLen(pending)
-		if complete > 0 {
-			c.pace.add(time.Now(), pending[:complete])
-			numbered, invalid := c.checkEventOrder(pending[:complete])
-			if unnumbered += complete; numbered {
-				unnumbered = 0
-			}
-			if invalid == nil && unnumbered > eventBytes {
-				invalid = errEventSize
-			}
-			if invalid != nil {
-				return a.Fail(invalid)
-			}
+		next, sound, invalid := c.position.Advance(pending[:resumption.CompleteSize(pending)])
+		if next.Unnumbered() > eventBytes {
+			return a.Fail(errEventSize)
+		}
+		if sound > 0 {
+			c.pace.add(time.Now(), pending[:sound])
 			if first {
 				first = false
 				g.step(dispatch.FirstByteReceived{ID: c.key, Attempt: e.Attempt})
 				g.metrics.recordFirstByte(c.request.Route.Kind.String(), time.Since(sentAt))
 			}
-			if failed := c.forwardEvents(w, a, pending[:complete]); failed != nil {
+			if failed := c.forwardEvents(w, a, pending[:sound]); failed != nil {
+				// How much of the events the caller has is unknown.
+				c.position = resumption.Position{}
 				return a.Fail(failed)
 			}
-			pending = append(pending[:0], pending[complete:]...)
+			c.position = next
+			pending = append(pending[:0], pending[sound:]...)
 		}
 		switch {
+		case invalid != nil:
+			return a.Fail(invalid)
 		case err == io.EOF && len(bytes.TrimSpace(pending)) == 0:
 			c.writeHeader(w, a)
 			return nil
@@ -120,55 +118,6 @@
 	return nil
 }
 
-// completeEventsLen is the length of the complete events at the start of p.
-func completeEventsLen(p []byte) int {
-	end := 0
-	for _, delimiter := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(p, delimiter); i >= 0 {
-			end = max(end, i+len(delimiter))
-		}
-	}
-	return end
-}
-
-// checkEventOrder checks that the ids of events increase. It reports whether there was
-// an id.
-func (c *call) checkEventOrder(events []byte) (numbered bool, err error) {
-	for len(events) > 0 {
-		line := events
-		if i := bytes.IndexByte(events, '\n'); i >= 0 {
-			line, events = events[:i], events[i+1:]
-		} else {
-			events = nil
-		}
-		id, ok := bytes.CutPrefix(bytes.TrimSuffix(line, []byte("\r")), []byte("id:"))
-		if !ok {
-			continue
-		}
-		if err := c.advanceEventID(string(bytes.TrimSpace(id))); err != nil {
-			return true, err
-		}
-		numbered = true
-	}
-	return numbered, nil
-}
-
-// advanceEventID records the id of the next event, or returns an error if it is not
-// greater than the last one.
-func (c *call) advanceEventID(id string) error {
-	next, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		// Ids that are not numbers have no order to check.
-		c.lastEventID = id
-		return nil
-	}
-	if last, err := strconv.ParseInt(c.lastEventID, 10, 64); err == nil && next <= last {
-		return errors.Wrapf(errEventOrder, "%d after %d", next, last)
-	}
-	c.lastEventID = id
-	return nil
-}
-
 // copyHeader copies the end-to-end headers of an answer.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
