Take no chunk with a wrong id for a position of the product's streams

Callers saw, in tests: a chunk whose id was lost was forwarded without moving the offset, the next one was found missing, and the stream was resumed before the chunk, which came twice. A last chunk with the id of another stream, or a lower offset, was dropped as crossed or late, and an end mark without id completed the stream without it. A stream that no chunk had named was resumed after "/0".

Content without an id is refused once the stream is named; offsets have one spelling; an end mark without an id that follows a dropped chunk is doubted, unless the chunk was the copy of one that had been returned, so the stream is resumed and the upstream tells what is missing; a stream without a name is not resumed.

Ruled out: skipped offsets (already refused) and chunks of other streams in the middle (the next offset is found missing).

--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -132,6 +132,49 @@
 	}
 }
 
+// TestSpoiledChunkIsNoPosition guards against a stream that is resumed after another chunk than the
+// last one that its caller has, or that ends as complete without a chunk: the id of one chunk is
+// spoiled.
+func TestSpoiledChunkIsNoPosition(t *testing.T) {
+	one, two, three := tokenEvent("s/1", "a"), tokenEvent("s/2", "b"), tokenEvent("s/3", "c")
+	named := func(header string, events ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderStream, header)
+			streamHandler(events...)(w, r)
+		}
+	}
+	spoil := func(event, id string) string { return strings.Replace(event, "id: s", id, 1) }
+	for _, tc := range []struct {
+		name   string
+		answer http.HandlerFunc
+		want   string
+		offset uint64
+	}{
+		{"no id", streamHandler(one, spoil(two, "xd: s"), three, endEvent), one, 1},
+		{"no id, then the end", streamHandler(one, two, spoil(three, "xd: s"), endEvent), one + two, 2},
+		{"no id at first", named("s", spoil(one, "xd: s"), two, three, endEvent), "", 0},
+		{"no stream", streamHandler(one, spoil(two, "id: "), three, endEvent), one, 1},
+		{"another stream", streamHandler(one, spoil(two, "id: x"), three, endEvent), one, 1},
+		{"another stream at first", named("s", spoil(one, "id: x"), two, three, endEvent), "", 0},
+		{"lower offset", streamHandler(one, tokenEvent("s/0", "b"), three, endEvent), one, 1},
+		{"higher offset", streamHandler(one, tokenEvent("s/3", "b"), three, endEvent), one, 1},
+		{"other number", streamHandler(one, tokenEvent("s/02", "b"), three, endEvent), one, 1},
+		{"last of another stream", streamHandler(one, two, spoil(three, "id: x"), endEvent), one + two, 2},
+		{"last with a lower offset", streamHandler(one, two, tokenEvent("s/1", "c"), endEvent), one + two, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, f := newClient(t).Do(context.Background(), modelRequest(serve(t, tc.answer)))
+			g.Expect(f).To(BeNil())
+			data, last, f := readAll(a)
+			g.Expect(data).To(Equal(tc.want))
+			g.Expect(f).NotTo(BeNil())
+			g.Expect(f.Kind).To(Equal(core.FailTruncated))
+			g.Expect(last.Offset).To(Equal(tc.offset))
+		})
+	}
+}
+
 // TestPlainAnswerIsWhole checks that the path and query reach the upstream
 // unchanged and that a plain response is returned whole, with a cost.
 func TestPlainAnswerIsWhole(t *testing.T) {
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -38,7 +38,7 @@
 // isTruncated reports whether err means that a response ended early or out of
 // order, as opposed to a broken connection.
 func isTruncated(err error) bool {
-	for _, cause := range []error{errMissingChunks, errNoExplicitEnd, errForeignStream, errEventID, io.ErrUnexpectedEOF,
+	for _, cause := range []error{errMissingChunks, errNoExplicitEnd, errDoubtfulEnd, errEventID, io.ErrUnexpectedEOF,
 		sse.ErrTruncated, sse.ErrLineTooLong, sse.ErrEventTooLarge} {
 		if errors.Is(err, cause) {
 			return true
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -42,6 +42,6 @@
 var (
 	errMissingChunks = errors.New("chunks are missing from the stream")
 	errNoExplicitEnd = errors.New("response ended without an end mark, a stated length or a last chunk")
-	errForeignStream = errors.New("response contains only chunks of other streams")
+	errDoubtfulEnd   = errors.New("the end mark follows a chunk that was dropped")
 	errEventID       = errors.New("malformed event id")
 )
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"hash/crc32"
 	"io"
 	"strconv"
 	"strings"
@@ -31,9 +32,11 @@
 	// on this connection or before a resume.
 	offset  uint64
 	started bool
-	// ownChunks and foreignChunks count the chunks with an id that arrived on this
-	// connection, of this stream and of others.
-	ownChunks, foreignChunks int
+	// sums are the checksums of the chunks returned on this connection, up to offset.
+	sums []uint32
+	// dropped means that a chunk was dropped since the last one that was returned, which is
+	// not the copy of an earlier one. It may have been the next one, with a wrong id.
+	dropped bool
 	// tokens counts the tokens of the stream; usage is the total that the upstream
 	// stated, 0 if none.
 	tokens uint64
@@ -67,7 +70,7 @@
 		if err != nil {
 			return Chunk{}, err
 		}
-		forward, err := b.acceptEvent(e.ID, bytes.Equal(e.Data, endMark))
+		forward, err := b.acceptEvent(e)
 		if err != nil {
 			return Chunk{}, err
 		}
@@ -78,28 +81,55 @@
 }
 
 // acceptEvent decides by an event's id whether to forward it: not if it is late,
-// repeated or of another stream. An event without an id belongs to the stream of
-// the response, but an end mark after chunks of other streams only is an error.
-func (b *streamBody) acceptEvent(id string, isEnd bool) (forward bool, err error) {
-	if id == "" {
-		if isEnd && b.ownChunks == 0 && b.foreignChunks > 0 {
-			return false, errForeignStream
-		}
-		return true, nil
+// repeated or of another stream.
+func (b *streamBody) acceptEvent(e sse.Event) (forward bool, err error) {
+	isEnd := bytes.Equal(e.Data, endMark)
+	if e.ID == "" {
+		return true, b.checkUnnumbered(e.Data, isEnd)
 	}
-	stream, offset, err := parseEventID(id)
+	stream, offset, err := parseEventID(e.ID)
 	if err != nil {
 		return false, err
 	}
 	if b.id == "" {
 		b.id = stream
 	}
-	if stream != b.id {
-		b.foreignChunks++
-		return false, nil
+	if stream == b.id {
+		if forward, err = b.advanceTo(offset, isEnd); err != nil {
+			return false, err
+		}
 	}
-	b.ownChunks++
-	return b.advanceTo(offset, isEnd)
+	switch {
+	case forward:
+		b.dropped = false
+		b.sums = append(b.sums, crc32.ChecksumIEEE(e.Data))
+	case stream != b.id || !b.isCopy(offset, e.Data):
+		b.dropped = true
+	}
+	return forward, nil
+}
+
+// isCopy reports whether a chunk is the copy of one that was returned on this connection.
+func (b *streamBody) isCopy(offset uint64, data []byte) bool {
+	back := b.offset - offset
+	return back < uint64(len(b.sums)) && b.sums[uint64(len(b.sums))-1-back] == crc32.ChecksumIEEE(data)
+}
+
+// checkUnnumbered checks an event without an id. It belongs to the stream of the response, but
+// its place there is unknown: it must not have content if the chunks are numbered, and an end
+// mark must not follow a chunk that was dropped.
+func (b *streamBody) checkUnnumbered(data []byte, isEnd bool) error {
+	switch {
+	case isEnd && b.dropped:
+		return errDoubtfulEnd
+	case isEnd || b.id == "":
+		return nil
+	}
+	var p payload
+	if json.Unmarshal(data, &p) == nil && p.countContents() > 0 {
+		return errors.Wrap(errEventID, "content without an id")
+	}
+	return nil
 }
 
 // advanceTo moves to the offset of a chunk of this stream and decides whether to
@@ -177,7 +207,7 @@
 		return "", 0, errors.Wrapf(errEventID, "%.64q", id)
 	}
 	offset, err = strconv.ParseUint(id[slash+1:], 10, 64)
-	if err != nil {
+	if err != nil || strconv.FormatUint(offset, 10) != id[slash+1:] {
 		return "", 0, errors.Wrapf(errEventID, "%.64q", id)
 	}
 	return id[:slash], offset, nil
--- a/router/call.go
+++ b/router/call.go
@@ -196,11 +196,12 @@
 	c.streamOffset = max(c.streamOffset, offset)
 }
 
-// resumePoint returns the stream and offset to resume from.
-func (c *call) resumePoint() *upstream.Resume {
+// resumePoint returns the stream and offset to resume from. It returns false if no chunk has
+// named the stream.
+func (c *call) resumePoint() (*upstream.Resume, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &upstream.Resume{StreamID: c.streamID, Offset: c.streamOffset}
+	return &upstream.Resume{StreamID: c.streamID, Offset: c.streamOffset}, c.streamID != ""
 }
 
 // startAttempt sends the call's request to an upstream and waits for the first chunk
@@ -211,6 +212,10 @@
 	a := &attempt{cancel: cancel, addr: send.Addr, continues: send.Continue}
 	c.addAttempt(send.Attempt, a)
 	body, ok := c.requestBody(send)
+	var resume *upstream.Resume
+	if ok && send.Resume {
+		resume, ok = c.resumePoint()
+	}
 	if !ok {
 		cancel()
 		r.post(core.AttemptFailed{Request: c.id, Attempt: send.Attempt, Failure: core.FailStatus})
@@ -219,11 +224,10 @@
 	req := &upstream.Request{
 		Addr: send.Addr, Method: c.method, Path: c.path, Header: c.header, Body: body,
 		Service: c.service.Kind, RequestID: c.id, Attempt: send.Attempt, SilentAfter: send.SilentAfter,
-		NewConn: c.atMostOnce,
+		NewConn: c.atMostOnce, Resume: resume,
 	}
-	if send.Resume {
-		req.Resume = c.resumePoint()
-		a.baseTokens = req.Resume.Offset
+	if resume != nil {
+		a.baseTokens = resume.Offset
 	}
 	answer, failure := r.client.Do(ctx, req)
 	if failure == nil {
