Forward events without data, and events without ids where nothing may be resumed, as before

Now an event without data is forwarded and leaves the position uncertain until the next one fits; an event without an id is refused only where the stream can go on elsewhere instead; on the product's interface only a dropped chunk with content makes an end doubtful. Ruled out: forwarding events without ids everywhere, which would leave a caller that resumes by itself with an event twice.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -155,7 +155,7 @@
 	}
 	c := &call{
 		key: caller.ID, caller: caller, header: r.Header, method: r.Method, target: r.RequestURI, host: r.Host,
-		body: body, hold: hold, started: started, effects: make(chan dispatch.Effect, effectQueueSize), position: resumption.At(caller.ResumeAfter),
+		body: body, hold: hold, started: started, effects: make(chan dispatch.Effect, effectQueueSize), position: resumption.Start(caller.ResumeAfter, route.Kind.Repeatable()),
 		offloadedFrom: offloadedFrom(r),
 	}
 	c.conn, _ = connOf(r).(*callerConn)
--- a/internal/resumption/position.go
+++ b/internal/resumption/position.go
@@ -19,10 +19,11 @@
 	ErrOrder = errors.New("the events of the stream are out of order")
 	// ErrGap means that a continued stream does not start with the event after the position.
 	ErrGap = errors.New("the stream is not continued by the next event")
-	// ErrID means that an event of a numbered stream has no id, or one that is not a number.
+	// ErrID means that an event of a numbered stream has an id that is not a number, or none
+	// although the stream may be resumed.
 	ErrID = errors.New("an event of a numbered stream has no valid id")
-	// ErrMalformed means that an event lacks its data, or consists of two events.
-	ErrMalformed = errors.New("malformed event")
+	// ErrMerged means that an event consists of two: the blank line between them was lost.
+	ErrMerged = errors.New("two events in one")
 )
 
 // irregularEvents is the number of consecutive events with unexpected ids from which on the ids
@@ -31,12 +32,15 @@
 
 // Position is what a caller has of a stream. It is a value: Advance returns the position after
 // more events, which replaces the old one once these events have been written to the caller.
-// The zero Position is the beginning of a stream.
+// The zero Position is the beginning of a stream that may not be resumed.
 type Position struct {
+	// resumable means that the stream may be resumed at another upstream.
+	resumable bool
 	// number is the id of the last event; numbered means that there was one.
 	number   uint64
 	numbered bool
-	// uncertain means that the last event may have had another id at its upstream.
+	// uncertain means that the caller may have another event last than the one with this
+	// number at its upstream.
 	uncertain bool
 	// continued means that the next event is the first one of another upstream's run.
 	continued bool
@@ -53,11 +57,12 @@
 	unnumbered int
 }
 
-// At returns the position of a caller that has the events up to the one with an id. An id that
-// is not a number says nothing about the numbers that follow.
-func At(id string) Position {
+// Start returns the position of a caller that has the events up to the one with an id, which is
+// empty if it has none. An id that is not a number says nothing about the numbers that follow.
+// If the stream may not be resumed, events without ids are forwarded.
+func Start(id string, resumable bool) Position {
 	number, ok := parseNumber(id)
-	return Position{number: number, numbered: ok}
+	return Position{resumable: resumable, number: number, numbered: ok}
 }
 
 // Continued returns the position for the events of another upstream that continues the stream.
@@ -114,19 +119,24 @@
 	case e.ids == 0 && !e.data:
 		// A comment, or a field without meaning here.
 		return p, nil
-	case !e.data:
-		return p, errors.Wrap(ErrMalformed, "no data")
 	case e.ids > 1 || e.dataSplit:
-		return p, errors.Wrap(ErrMalformed, "two events in one")
+		return p, ErrMerged
 	}
 	number, ok := parseNumber(e.id)
-	if !ok && p.numbered {
+	switch {
+	case !ok && !p.numbered:
+		return p, nil
+	case !ok && e.ids == 0 && !p.resumable:
+		p.uncertain = true
+		return p, nil
+	case !ok:
 		return p, errors.Wrapf(ErrID, "%.64q after %d", e.id, p.number)
 	}
-	if !ok {
-		return p, nil
+	next, err := p.advanceTo(number)
+	if err == nil && !e.data {
+		next.uncertain = true
 	}
-	return p.advanceTo(number)
+	return next, err
 }
 
 // advanceTo returns the position after the event with a number.
--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -97,6 +97,7 @@
 		{name: "chunk before the first token", events: []string{tokenEvent("s/0", ""), one, endEvent}, want: tokenEvent("s/0", "") + one + endEvent, cost: 1},
 		{name: "no ids", events: []string{content, "data: {\"choices\":[]}\n\n", content, endEvent}, want: content + "data: {\"choices\":[]}\n\n" + content + endEvent, cost: 2},
 		{name: "usage", events: []string{one, usage, endEvent}, want: one + usage + endEvent, cost: 42},
+		{name: "usage with the last offset", events: []string{one, "id: s/1\n" + usage, endEvent}, want: one + endEvent, cost: 1},
 		{name: "repeated chunk", events: []string{one, one, two, one, endEvent}, want: one + two + endEvent, cost: 2},
 		{name: "chunk of another stream", events: []string{one, tokenEvent("x/2", "no"), two, endEvent}, want: one + two + endEvent, cost: 2},
 		{name: "end mark of another stream", events: []string{one, "id: x/9\n" + endEvent, two, endEvent}, want: one + two + endEvent, cost: 2},
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -34,8 +34,9 @@
 	started bool
 	// sums are the checksums of the chunks returned on this connection, up to offset.
 	sums []uint32
-	// dropped means that a chunk was dropped since the last one that was returned, which is
-	// not the copy of an earlier one. It may have been the next one, with a wrong id.
+	// dropped means that a chunk with content was dropped since the last one that was
+	// returned, which is not the copy of an earlier one. It may have been the next one, with
+	// a wrong id.
 	dropped bool
 	// tokens counts the tokens of the stream; usage is the total that the upstream
 	// stated, 0 if none.
@@ -103,7 +104,7 @@
 	case forward:
 		b.dropped = false
 		b.sums = append(b.sums, crc32.ChecksumIEEE(e.Data))
-	case stream != b.id || !b.isCopy(offset, e.Data):
+	case hasContent(e.Data) && (stream != b.id || !b.isCopy(offset, e.Data)):
 		b.dropped = true
 	}
 	return forward, nil
@@ -122,16 +123,18 @@
 	switch {
 	case isEnd && b.dropped:
 		return errDoubtfulEnd
-	case isEnd || b.id == "":
-		return nil
-	}
-	var p payload
-	if json.Unmarshal(data, &p) == nil && p.countContents() > 0 {
+	case !isEnd && b.id != "" && hasContent(data):
 		return errors.Wrap(errEventID, "content without an id")
 	}
 	return nil
 }
 
+// hasContent reports whether a chunk has content of the answer.
+func hasContent(data []byte) bool {
+	var p payload
+	return json.Unmarshal(data, &p) == nil && p.countContents() > 0
+}
+
 // advanceTo moves to the offset of a chunk of this stream and decides whether to
 // forward the chunk.
 func (b *streamBody) advanceTo(offset uint64, isEnd bool) (forward bool, err error) {
