--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -111,6 +111,7 @@
 		{name: "resumed", resume: &Resume{"s", 1}, events: []string{one, two, endEvent}, want: two + endEvent, cost: 2},
 		{name: "resumed at the end", resume: &Resume{"s", 3}, events: []string{endEvent}, want: endEvent, cost: 3},
 		{name: "resumed with another stream", resume: &Resume{"s", 1}, events: []string{tokenEvent("x/1", "no"), endEvent}, fail: core.FailTruncated},
+		{name: "resumed with the opening of another stream", resume: &Resume{"s", 1}, events: []string{tokenEvent("x/0", ""), endEvent}, fail: core.FailTruncated},
 		{name: "resumed with a missing chunk", resume: &Resume{"s", 1}, events: []string{three, endEvent}, fail: core.FailTruncated},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -34,9 +34,9 @@
 	started bool
 	// sums are the checksums of the chunks returned on this connection, up to offset.
 	sums []uint32
-	// dropped means that a chunk with content was dropped since the last one that was
-	// returned, which is not the copy of an earlier one. It may have been the next one, with
-	// a wrong id.
+	// dropped means that a chunk was dropped since the last one that was returned: one of
+	// another stream, or one with content that is not the copy of an earlier one. It may
+	// have been the next one, with a wrong id.
 	dropped bool
 	// tokens counts the tokens of the stream; usage is the total that the upstream
 	// stated, 0 if none.
@@ -104,7 +104,7 @@
 	case forward:
 		b.dropped = false
 		b.sums = append(b.sums, crc32.ChecksumIEEE(e.Data))
-	case hasContent(e.Data) && (stream != b.id || !b.isCopy(offset, e.Data)):
+	case stream != b.id, hasContent(e.Data) && !b.isCopy(offset, e.Data):
 		b.dropped = true
 	}
 	return forward, nil
